contract: domain types, group protocol, wire and the checks

Cause: an empty repository. Ruled out: types in each package that needs them (they would differ at the edges); platform leases as the only fence (a zone cut off from the platform could not go on serving).

--- /dev/null
+++ b/internal/contract/answerer/answer.go
@@ -0,0 +1,68 @@
+package answerer
+
+import "cornelwood.example/internal/contract/declarer"
+
+// Answer is what a caller receives for a Query: results merged from one
+// snapshot.
+type Answer struct {
+	Request  string `json:"request"`
+	Service  string `json:"service"`
+	Snapshot uint64 `json:"snapshot"`
+	// Coverage counts what was merged, never what was sent.
+	Coverage Coverage `json:"coverage"`
+	// Results are ordered by falling score, then by shard and id.
+	Results []Hit             `json:"results"`
+	Took    declarer.Duration `json:"took"`
+}
+
+// Hit is one record that matches.
+type Hit struct {
+	ID    string  `json:"id"`
+	Shard int     `json:"shard"`
+	Score float64 `json:"score"`
+	Text  string  `json:"text,omitempty"`
+}
+
+// Coverage says how much of a service's records an answer rests on.
+type Coverage struct {
+	// Shards is the number of shards of the snapshot.
+	Shards int `json:"shards"`
+	// Merged is the number of shards whose results were merged.
+	Merged int `json:"merged"`
+	// Documents is the number of documents in the merged shards.
+	Documents uint64 `json:"documents"`
+	// Missing names the shards that were not merged, ordered by shard.
+	Missing []Missing `json:"missing,omitempty"`
+}
+
+// Complete reports whether every shard was merged.
+func (c *Coverage) Complete() bool {
+	return c.Merged == c.Shards
+}
+
+// Share returns the share of shards merged, 0 to 1.
+func (c *Coverage) Share() float64 {
+	if c.Shards == 0 {
+		return 0
+	}
+	return float64(c.Merged) / float64(c.Shards)
+}
+
+// Missing names a shard that was not merged.
+type Missing struct {
+	Shard  int    `json:"shard"`
+	Reason Reason `json:"reason"`
+}
+
+// Reason says why a shard was not merged.
+type Reason string
+
+// Reasons for a missing shard.
+const (
+	ReasonDeadline    Reason = "deadline"
+	ReasonShed        Reason = "shed"
+	ReasonOut         Reason = "out"
+	ReasonUnreachable Reason = "unreachable"
+	ReasonVersion     Reason = "version"
+	ReasonInvalid     Reason = "invalid"
+)
--- /dev/null
+++ b/internal/contract/declarer/object.go
@@ -0,0 +1,103 @@
+package declarer
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// maxChanges bounds the change ids that an object remembers.
+const maxChanges = 8
+
+// Kind is the kind of an object in the platform's object API.
+type Kind string
+
+// Kinds of objects.
+const (
+	KindService Kind = "service"
+	KindZone    Kind = "zone"
+)
+
+// Key names an object.
+type Key struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// String returns "kind/name".
+func (k Key) String() string {
+	return string(k.Kind) + "/" + k.Name
+}
+
+// Object is one versioned object of the configuration. Of two objects with the
+// same key, the one with the higher version is in force. A deleted object stays
+// as a tombstone without a value.
+type Object struct {
+	Key
+	// Version grows with every accepted change of any object of the platform.
+	Version uint64 `json:"version"`
+	// Deleted marks a tombstone.
+	Deleted bool `json:"deleted,omitempty"`
+	// Changes holds the ids of the last changes, newest last. It settles whether
+	// a change whose answer was lost took effect.
+	Changes []string `json:"changes,omitempty"`
+	Service *Service `json:"service,omitempty"`
+	Zone    *Zone    `json:"zone,omitempty"`
+}
+
+// Check returns every fault of the object and of its value, or nil.
+func (o *Object) Check() error {
+	var f faults
+	checkName(&f, "name", o.Name)
+	if err := f.join(); err != nil {
+		return err
+	}
+	if o.Deleted {
+		return nil
+	}
+	switch {
+	case o.Kind == KindService && o.Service != nil:
+		return checkNamed(o.Name, o.Service.Name, o.Service.Check())
+	case o.Kind == KindZone && o.Zone != nil:
+		return checkNamed(o.Name, o.Zone.Name, o.Zone.Check())
+	default:
+		return &FieldError{Field: "kind", Reason: fmt.Sprintf("object %s carries no value of its kind", o.Key)}
+	}
+}
+
+// Changed returns a copy that remembers the change id and drops the oldest
+// when there are too many.
+func (o Object) Changed(id string) Object {
+	o.Changes = append(slices.Clone(o.Changes), id)
+	if n := len(o.Changes); n > maxChanges {
+		o.Changes = o.Changes[n-maxChanges:]
+	}
+	return o
+}
+
+// HasChange reports whether the object remembers the change id.
+func (o *Object) HasChange(id string) bool {
+	return slices.Contains(o.Changes, id)
+}
+
+// DecodeObject reads an object from JSON and checks it.
+func DecodeObject(data []byte) (Object, error) {
+	var o Object
+	if err := json.Unmarshal(data, &o); err != nil {
+		return Object{}, fmt.Errorf("object: %w", err)
+	}
+	if err := o.Check(); err != nil {
+		return Object{}, err
+	}
+	return o, nil
+}
+
+func checkNamed(key, value string, err error) error {
+	if err != nil {
+		return err
+	}
+	if key != value {
+		return &FieldError{Field: "name", Reason: fmt.Sprintf("object %q carries a value named %q", key, value)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/contract/declarer/service.go
@@ -0,0 +1,244 @@
+package declarer
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds of declared values.
+const (
+	maxNameBytes   = 64
+	maxPriority    = 9
+	maxSlots       = 1024
+	maxConnections = 4096
+	maxShards      = 4096
+	maxDeadline    = 60 * time.Second
+)
+
+// Class says whether a request of a service may be repeated.
+type Class string
+
+// Classes of services.
+const (
+	// Search requests only read; they are scattered over all shards, and may be
+	// retried and hedged.
+	Search Class = "search"
+	// Action requests change something at one upstream; each runs at most once.
+	Action Class = "action"
+)
+
+// Service declares one service: its contract with callers, what its upstreams
+// bear, and where its shards lie.
+type Service struct {
+	Name     string   `json:"name"`
+	Class    Class    `json:"class"`
+	Contract Contract `json:"contract"`
+	Capacity Capacity `json:"capacity"`
+	// Maps holds shard maps, oldest first. Snapshot v uses the last map whose
+	// From is at most v.
+	Maps []ShardMap `json:"maps"`
+	// Out names the upstreams that operators have taken out.
+	Out []string `json:"out,omitempty"`
+}
+
+// Contract is what a service promises to its callers.
+type Contract struct {
+	// Deadline bounds a query that names no deadline of its own.
+	Deadline Duration `json:"deadline"`
+	// Latency is the objective for the share Quantile of answers.
+	Latency Duration `json:"latency"`
+	// Quantile is the share of answers within Latency, above 0 and below 1.
+	Quantile float64 `json:"quantile"`
+	// Coverage is the share of shards an answer must merge to count as good.
+	Coverage float64 `json:"coverage"`
+	// Priority orders load shedding: 0 is shed first, 9 last.
+	Priority int `json:"priority"`
+	// Hedge lets slow sub-requests be hedged and failed ones retried.
+	Hedge bool `json:"hedge"`
+}
+
+// Capacity is what each upstream of a service bears.
+type Capacity struct {
+	// Slots is the number of requests that a warm upstream runs at once.
+	Slots int `json:"slots"`
+	// Cold is the number of requests that a cold upstream runs at once.
+	Cold int `json:"cold"`
+	// Connections is the number of connections that an upstream accepts.
+	Connections int `json:"connections"`
+}
+
+// ShardMap says where the shards lie from one snapshot version on.
+type ShardMap struct {
+	From   uint64  `json:"from"`
+	Shards []Shard `json:"shards"`
+}
+
+// Shard is one part of a service's records and the upstreams that hold it.
+type Shard struct {
+	ID       int        `json:"id"`
+	Replicas []Upstream `json:"replicas"`
+}
+
+// Upstream is one searcher.
+type Upstream struct {
+	Name string         `json:"name"`
+	Addr netip.AddrPort `json:"addr"`
+	Zone string         `json:"zone"`
+}
+
+// Check returns every fault of the service as joined FieldErrors, or nil.
+func (s *Service) Check() error {
+	var f faults
+	checkName(&f, "name", s.Name)
+	if s.Class != Search && s.Class != Action {
+		f.addf("class", "want %q or %q, got %q", Search, Action, s.Class)
+	}
+	s.Contract.check(&f)
+	s.Capacity.check(&f)
+	s.checkMaps(&f)
+	s.checkOut(&f)
+	return f.join()
+}
+
+// MapFor returns the shard map that snapshot version v uses, and false when
+// v is older than every map.
+func (s *Service) MapFor(v uint64) (*ShardMap, bool) {
+	for i := len(s.Maps) - 1; i >= 0; i-- {
+		if s.Maps[i].From <= v {
+			return &s.Maps[i], true
+		}
+	}
+	return nil, false
+}
+
+// Upstreams returns each upstream of the service once, in order of first
+// mention.
+func (s *Service) Upstreams() []Upstream {
+	seen := make(map[string]bool)
+	var ups []Upstream
+	for _, m := range s.Maps {
+		for _, sh := range m.Shards {
+			for _, u := range sh.Replicas {
+				if seen[u.Name] {
+					continue
+				}
+				seen[u.Name] = true
+				ups = append(ups, u)
+			}
+		}
+	}
+	return ups
+}
+
+// IsOut reports whether operators have taken the named upstream out.
+func (s *Service) IsOut(upstream string) bool {
+	return slices.Contains(s.Out, upstream)
+}
+
+func (c *Contract) check(f *faults) {
+	if c.Deadline.Duration <= 0 || c.Deadline.Duration > maxDeadline {
+		f.addf("contract.deadline", "want above 0 and at most %s, got %s", maxDeadline, c.Deadline)
+	}
+	if c.Latency.Duration <= 0 || c.Latency.Duration > c.Deadline.Duration {
+		f.addf("contract.latency", "want above 0 and at most the deadline, got %s", c.Latency)
+	}
+	if !(c.Quantile > 0 && c.Quantile < 1) {
+		f.addf("contract.quantile", "want above 0 and below 1, got %v", c.Quantile)
+	}
+	if !(c.Coverage > 0 && c.Coverage <= 1) {
+		f.addf("contract.coverage", "want above 0 and at most 1, got %v", c.Coverage)
+	}
+	if c.Priority < 0 || c.Priority > maxPriority {
+		f.addf("contract.priority", "want 0 to %d, got %d", maxPriority, c.Priority)
+	}
+}
+
+func (c *Capacity) check(f *faults) {
+	if c.Slots < 1 || c.Slots > maxSlots {
+		f.addf("capacity.slots", "want 1 to %d, got %d", maxSlots, c.Slots)
+	}
+	if c.Cold < 1 || c.Cold > c.Slots {
+		f.addf("capacity.cold", "want 1 to the number of slots, got %d", c.Cold)
+	}
+	if c.Connections < c.Slots || c.Connections > maxConnections {
+		f.addf("capacity.connections", "want the number of slots to %d, got %d", maxConnections, c.Connections)
+	}
+}
+
+func (s *Service) checkMaps(f *faults) {
+	if len(s.Maps) == 0 {
+		f.addf("maps", "want at least one shard map")
+	}
+	known := make(map[string]Upstream)
+	for i := range s.Maps {
+		field := fmt.Sprintf("maps[%d]", i)
+		if i > 0 && s.Maps[i].From <= s.Maps[i-1].From {
+			f.addf(field+".from", "want above %d, the map before it, got %d", s.Maps[i-1].From, s.Maps[i].From)
+		}
+		s.Maps[i].check(f, field, known)
+	}
+}
+
+func (m *ShardMap) check(f *faults, field string, known map[string]Upstream) {
+	if len(m.Shards) == 0 || len(m.Shards) > maxShards {
+		f.addf(field+".shards", "want 1 to %d shards, got %d", maxShards, len(m.Shards))
+	}
+	ids := make(map[int]bool)
+	for i, sh := range m.Shards {
+		at := fmt.Sprintf("%s.shards[%d]", field, i)
+		if sh.ID < 0 {
+			f.addf(at+".id", "want 0 or more, got %d", sh.ID)
+		}
+		if ids[sh.ID] {
+			f.addf(at+".id", "shard %d stands twice", sh.ID)
+		}
+		ids[sh.ID] = true
+		if len(sh.Replicas) == 0 {
+			f.addf(at+".replicas", "want at least one upstream")
+		}
+		for j, u := range sh.Replicas {
+			u.check(f, fmt.Sprintf("%s.replicas[%d]", at, j), known)
+		}
+	}
+}
+
+func (u Upstream) check(f *faults, field string, known map[string]Upstream) {
+	checkName(f, field+".name", u.Name)
+	checkName(f, field+".zone", u.Zone)
+	if !u.Addr.IsValid() || u.Addr.Port() == 0 {
+		f.addf(field+".addr", "want an IP number and port, got %q", u.Addr)
+	}
+	if was, ok := known[u.Name]; ok && was != u {
+		f.addf(field, "upstream %q is declared again with another address or zone", u.Name)
+	}
+	known[u.Name] = u
+}
+
+func (s *Service) checkOut(f *faults) {
+	ups := s.Upstreams()
+	for i, name := range s.Out {
+		if !slices.ContainsFunc(ups, func(u Upstream) bool { return u.Name == name }) {
+			f.addf(fmt.Sprintf("out[%d]", i), "upstream %q is not declared", name)
+		}
+	}
+}
+
+// checkName accepts lower-case letters, digits, '-' and '.'.
+func checkName(f *faults, field, name string) {
+	if name == "" || len(name) > maxNameBytes {
+		f.addf(field, "want 1 to %d bytes, got %d", maxNameBytes, len(name))
+		return
+	}
+	if i := strings.IndexFunc(name, isOutsideName); i >= 0 {
+		f.addf(field, "want lower-case letters, digits, '-' and '.', got %q", name)
+	}
+}
+
+func isOutsideName(r rune) bool {
+	isLetter := r >= 'a' && r <= 'z'
+	isDigit := r >= '0' && r <= '9'
+	return !isLetter && !isDigit && r != '-' && r != '.'
+}
--- /dev/null
+++ b/internal/control/viewer/view.go
@@ -0,0 +1,150 @@
+// Package viewer holds the immutable view that traffic goroutines read: the
+// configuration, the instances and the owner of each upstream. Only the control
+// goroutine publishes a new one.
+package viewer
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/peer/assigner"
+)
+
+// Viewer holds the current View.
+type Viewer struct {
+	cur atomic.Pointer[View]
+}
+
+// New returns a Viewer that shows first.
+func New(first *View) *Viewer {
+	v := &Viewer{}
+	v.cur.Store(first)
+	return v
+}
+
+// View returns the current view. It never changes.
+func (v *Viewer) View() *View {
+	return v.cur.Load()
+}
+
+// Publish replaces the current view.
+func (v *Viewer) Publish(next *View) {
+	v.cur.Store(next)
+}
+
+// View is one state of the fleet as this daemon knows it.
+type View struct {
+	Self declarer.Instance
+	// Version is the highest version of any object adopted; 0 means that there is
+	// no configuration.
+	Version uint64
+	// Services and Zones are keyed by name.
+	Services map[string]*declarer.Service
+	Zones    map[string]*declarer.Zone
+	// Instances holds every known instance that is not gone, ordered by ID.
+	Instances []declarer.Instance
+
+	owners map[string]*declarer.Instance
+}
+
+// Build returns a view of the objects and instances. The caller must not change
+// them afterwards.
+func Build(self declarer.Instance, objects []declarer.Object, instances []declarer.Instance) *View {
+	v := &View{
+		Self:     self,
+		Services: make(map[string]*declarer.Service),
+		Zones:    make(map[string]*declarer.Zone),
+		owners:   make(map[string]*declarer.Instance),
+	}
+	for i := range objects {
+		v.addObject(&objects[i])
+	}
+	for _, in := range instances {
+		if in.State != declarer.Gone {
+			v.Instances = append(v.Instances, in)
+		}
+	}
+	slices.SortFunc(v.Instances, func(a, b declarer.Instance) int { return strings.Compare(a.ID, b.ID) })
+	v.assign()
+	return v
+}
+
+// Owner returns the instance that owns an upstream of a service, and false when
+// no live instance of the upstream's owner group is known.
+func (v *View) Owner(service, upstream string) (*declarer.Instance, bool) {
+	in, ok := v.owners[UpstreamKey(service, upstream)]
+	return in, ok
+}
+
+// Instance returns a known instance by its ID.
+func (v *View) Instance(id string) (*declarer.Instance, bool) {
+	i, ok := slices.BinarySearchFunc(v.Instances, id, func(in declarer.Instance, id string) int {
+		return strings.Compare(in.ID, id)
+	})
+	if !ok {
+		return nil, false
+	}
+	return &v.Instances[i], true
+}
+
+// IsOut reports whether operators have taken an upstream or its zone out.
+func (v *View) IsOut(s *declarer.Service, u *declarer.Upstream) bool {
+	if z, ok := v.Zones[u.Zone]; ok && z.Out {
+		return true
+	}
+	return s.IsOut(u.Name)
+}
+
+// UpstreamKey returns the key of an upstream, unique in the fleet.
+func UpstreamKey(service, upstream string) string {
+	return service + "/" + upstream
+}
+
+func (v *View) addObject(o *declarer.Object) {
+	v.Version = max(v.Version, o.Version)
+	switch {
+	case o.Deleted:
+	case o.Service != nil:
+		v.Services[o.Name] = o.Service
+	case o.Zone != nil:
+		v.Zones[o.Name] = o.Zone
+	}
+}
+
+// assign works out the owner of every upstream.
+func (v *View) assign() {
+	members := make(map[string][][]declarer.Instance)
+	for _, in := range v.Instances {
+		groups := v.groups(in.Zone)
+		if members[in.Zone] == nil {
+			members[in.Zone] = make([][]declarer.Instance, groups)
+		}
+		g := assigner.Group(in.ID, groups)
+		members[in.Zone][g] = append(members[in.Zone][g], in)
+	}
+	for _, s := range v.Services {
+		for _, u := range s.Upstreams() {
+			v.assignOne(UpstreamKey(s.Name, u.Name), members[u.Zone])
+		}
+	}
+}
+
+func (v *View) assignOne(key string, groups [][]declarer.Instance) {
+	if len(groups) == 0 {
+		return
+	}
+	g := groups[assigner.Group(key, len(groups))]
+	if i := assigner.Owner(key, g); i >= 0 {
+		v.owners[key] = &g[i]
+	}
+}
+
+// groups returns the number of owner groups of a zone, 1 when it is not declared.
+func (v *View) groups(zone string) int {
+	if z, ok := v.Zones[zone]; ok {
+		return z.Groups
+	}
+	return 1
+}
