--- /dev/null
+++ b/internal/caller/ticketer/ticket.go
@@ -0,0 +1,83 @@
+package ticketer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// macBytes is the length of the keyed hash in a ticket.
+const macBytes = 12
+
+// ticket is the content of a ticket's text:
+// "instance:incarnation:number:issued:mac".
+type ticket struct {
+	instance    string
+	incarnation uint64
+	number      uint64
+	// issued is the time since the issuer's start.
+	issued time.Duration
+	mac    string
+}
+
+// parseTicket reads a ticket's text. It does not check the hash.
+func parseTicket(text string) (ticket, error) {
+	parts := strings.Split(text, ":")
+	if len(parts) != 5 {
+		return ticket{}, fmt.Errorf("want five parts, got %d", len(parts))
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 36, 64)
+	if err != nil {
+		return ticket{}, fmt.Errorf("incarnation %q is not a number", parts[1])
+	}
+	number, err := strconv.ParseUint(parts[2], 36, 64)
+	if err != nil {
+		return ticket{}, fmt.Errorf("number %q is not a number", parts[2])
+	}
+	issued, err := strconv.ParseInt(parts[3], 36, 64)
+	if err != nil || issued < 0 {
+		return ticket{}, fmt.Errorf("age %q is not a number", parts[3])
+	}
+	return ticket{
+		instance:    parts[0],
+		incarnation: incarnation,
+		number:      number,
+		issued:      time.Duration(issued) * time.Millisecond,
+		mac:         parts[4],
+	}, nil
+}
+
+// body returns the text without the hash.
+func (t *ticket) body() string {
+	return strings.Join([]string{
+		t.instance,
+		strconv.FormatUint(t.incarnation, 36),
+		strconv.FormatUint(t.number, 36),
+		strconv.FormatInt(t.issued.Milliseconds(), 36),
+	}, ":")
+}
+
+// String returns the ticket's text.
+func (t *ticket) String() string {
+	return t.body() + ":" + t.mac
+}
+
+// sign sets the hash, which covers the service too.
+func (t *ticket) sign(key []byte, service string) {
+	t.mac = t.hash(key, service)
+}
+
+// signed reports whether the hash was made with key for service.
+func (t *ticket) signed(key []byte, service string) bool {
+	return hmac.Equal([]byte(t.mac), []byte(t.hash(key, service)))
+}
+
+func (t *ticket) hash(key []byte, service string) string {
+	m := hmac.New(sha256.New, key)
+	m.Write([]byte(t.body() + ":" + service))
+	return hex.EncodeToString(m.Sum(nil)[:macBytes])
+}
--- a/internal/contract/answerer/refusal.go
+++ b/internal/contract/answerer/refusal.go
@@ -26,6 +26,7 @@
 	CodeNotFound   Code = "not_found"
 	CodeNoPlatform Code = "no_platform"
 	CodeUnsettled  Code = "unsettled"
+	CodeInternal   Code = "internal"
 )
 
 // RefusalError is the error that callers and operators receive in place of an
--- a/internal/contract/declarer/fielderror.go
+++ b/internal/contract/declarer/fielderror.go
@@ -18,6 +18,23 @@
 	return fmt.Sprintf("field %q: %s", e.Field, e.Reason)
 }
 
+// FieldErrors returns every FieldError that err joins or wraps.
+func FieldErrors(err error) []*FieldError {
+	var joined interface{ Unwrap() []error }
+	if errors.As(err, &joined) {
+		var all []*FieldError
+		for _, e := range joined.Unwrap() {
+			all = append(all, FieldErrors(e)...)
+		}
+		return all
+	}
+	var fe *FieldError
+	if errors.As(err, &fe) {
+		return []*FieldError{fe}
+	}
+	return nil
+}
+
 // faults collects field errors.
 type faults struct {
 	errs []error
--- a/internal/contract/declarer/service.go
+++ b/internal/contract/declarer/service.go
@@ -26,7 +26,8 @@
 	// Search requests only read; they are scattered over all shards, and may be
 	// retried and hedged.
 	Search Class = "search"
-	// Action requests change something at one upstream; each runs at most once.
+	// Action services answer queries like Search ones, and accept requests that
+	// change something at one upstream; each of those runs at most once.
 	Action Class = "action"
 )
 
