--- /dev/null
+++ b/internal/standin/commander/fleet.go
@@ -0,0 +1,109 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/standin/searcher"
+)
+
+func fleetCommand(out io.Writer) *cli.Command {
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: "objects", Required: true, Usage: "`FILE` with a JSON list of objects; its services' upstreams are run"},
+		&cli.BoolFlag{Name: "any-port", Usage: "listen on free ports in place of the declared ones"},
+		&cli.StringMapFlag{Name: "connect", Usage: "`SERVICE=DURATION` for connect delays other than connect-delay"},
+	}
+	return &cli.Command{
+		Name:  "fleet",
+		Usage: "runs the searchers of many services in one process",
+		Flags: append(flags, behaviourFlags()...),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return runFleet(ctx, cmd, out)
+		},
+	}
+}
+
+func runFleet(ctx context.Context, cmd *cli.Command, out io.Writer) error {
+	cfg, err := fleetConfig(cmd)
+	if err != nil {
+		return err
+	}
+	services, err := readServices(cmd.String("objects"))
+	if err != nil {
+		return err
+	}
+	f, cleanup, err := searcher.NewFleet(cfg, services)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	if err := announce(out, cmd.String("ready-file"), fleetLines(f)); err != nil {
+		return err
+	}
+	return waitAndStop(ctx, nil, f.Shutdown)
+}
+
+func fleetConfig(cmd *cli.Command) (searcher.FleetConfig, error) {
+	template, err := behaviour(cmd)
+	if err != nil {
+		return searcher.FleetConfig{}, err
+	}
+	delays := make(map[string]time.Duration)
+	for service, text := range cmd.StringMap("connect") {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return searcher.FleetConfig{}, fmt.Errorf("connect: service %q: %w", service, err)
+		}
+		delays[service] = d
+	}
+	configure := func(s *declarer.Service, _ declarer.Upstream, c *searcher.Config) {
+		if d, ok := delays[s.Name]; ok {
+			c.ConnectDelay = d
+		}
+	}
+	return searcher.FleetConfig{Template: template, Configure: configure, AnyPort: cmd.Bool("any-port")}, nil
+}
+
+// readServices returns the services in a file with a list of objects.
+func readServices(path string) ([]declarer.Service, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("objects: %w", err)
+	}
+	var raw []json.RawMessage
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return nil, fmt.Errorf("objects: %s: want a JSON list: %w", path, err)
+	}
+	var services []declarer.Service
+	for i, r := range raw {
+		o, err := declarer.DecodeObject(r)
+		if err != nil {
+			return nil, fmt.Errorf("objects: %s: object %d: %w", path, i, err)
+		}
+		if o.Kind == declarer.KindService && !o.Deleted {
+			services = append(services, *o.Service)
+		}
+	}
+	if len(services) == 0 {
+		return nil, fmt.Errorf("objects: %s: want at least one service", path)
+	}
+	return services, nil
+}
+
+// fleetLines returns a line for each searcher, and "ready".
+func fleetLines(f *searcher.Fleet) []string {
+	var lines []string
+	for _, s := range f.Services() {
+		for _, u := range s.Upstreams() {
+			lines = append(lines, fmt.Sprintf("listening %s %s/%s", u.Addr, s.Name, u.Name))
+		}
+	}
+	return append(lines, "ready")
+}
--- /dev/null
+++ b/internal/standin/commander/platform.go
@@ -0,0 +1,77 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+
+	"cornelwood.example/internal/standin/keeper"
+	"cornelwood.example/internal/standin/searcher"
+)
+
+// stopTimeout bounds a graceful stop.
+const stopTimeout = 5 * time.Second
+
+func platformCommand(out io.Writer, log hclog.Logger) *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "runs the platform: objects, watches and the list of instances",
+		Flags: []cli.Flag{
+			listenFlag(),
+			readyFlag(),
+			&cli.DurationFlag{Name: "lag", Usage: "`DURATION` that the list of instances is behind"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return runPlatform(ctx, cmd, out, log)
+		},
+	}
+}
+
+func runPlatform(ctx context.Context, cmd *cli.Command, out io.Writer, log hclog.Logger) error {
+	ln, err := listen(cmd.String("listen"))
+	if err != nil {
+		return err
+	}
+	k, cleanup := keeper.New(keeper.Config{Lag: cmd.Duration("lag")}, log)
+	defer cleanup()
+	srv := &http.Server{Handler: k, ReadHeaderTimeout: time.Minute}
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(ln) }()
+	err = announce(out, cmd.String("ready-file"), []string{"listening " + ln.Addr().String()})
+	if err != nil {
+		return errors.Join(err, srv.Close())
+	}
+	return waitAndStop(ctx, served, func(ctx context.Context) error {
+		cleanup()
+		return srv.Shutdown(ctx)
+	})
+}
+
+// waitAndStop stops gracefully when the context ends, or returns the error of a
+// server that ended before.
+func waitAndStop(ctx context.Context, served <-chan error, shutDown func(context.Context) error) error {
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		return err
+	}
+	stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	return shutDown(stop)
+}
+
+func listen(text string) (net.Listener, error) {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return nil, fmt.Errorf("listen: want an IP number and port, got %q", text)
+	}
+	return searcher.Listen(addr)
+}
