--- /dev/null
+++ b/internal/upstream/limiter/pace.go
@@ -0,0 +1,228 @@
+package limiter
+
+import "time"
+
+// Constants of the growth and the fall of a limit.
+const (
+	// growRun is the run of successes that raises the limit by one.
+	growRun = 8
+	// maxBackoff bounds the doublings of growRun after falls.
+	maxBackoff = 4
+	// hintLag is how long a health page may lag: an older "warm" is not believed.
+	hintLag = 500 * time.Millisecond
+	// hintLife is how long a health page counts.
+	hintLife = 10 * time.Second
+	// vetoLife is how long a health page that says cold holds back growth.
+	vetoLife = 30 * time.Second
+	// steadyRun is the run of successes at full limit that ends the backoff.
+	steadyRun = 256
+	// shiftRun is the run of slow answers that counts as a shift of latency.
+	shiftRun = 3
+	// shiftFactor is how many times the normal latency a slow answer takes.
+	shiftFactor = 3
+	// shiftFloor is the least difference from the normal latency that counts.
+	shiftFloor = 2 * time.Millisecond
+	// Weights of a new sample, as divisors.
+	weightCold = 4
+	weightWarm = 32
+	weightMean = 8
+)
+
+// Kind is how a started task ended.
+type Kind int
+
+// Kinds of ends.
+const (
+	// Success is a valid answer.
+	Success Kind = iota
+	// Slow is an answer that did not come in time.
+	Slow
+	// Shed is a refusal by the upstream itself.
+	Shed
+	// Reset is a connection that could not be opened, or was lost.
+	Reset
+	// Draining is the upstream's word that it is leaving.
+	Draining
+	// Unused says nothing about the upstream, such as a cancelled task.
+	Unused
+)
+
+// Sample is the end of one started task.
+type Sample struct {
+	Kind Kind
+	// Latency is the time from the write to the answer of a Success.
+	Latency time.Duration
+}
+
+// Hint is what an upstream's health and load pages say. They lag and mislead.
+type Hint struct {
+	// Cold is true when the upstream says that it is cold or draining.
+	Cold bool
+	// Busy is true when the upstream says that all its slots are taken.
+	Busy bool
+}
+
+// pace is what is known of the upstream's speed, and the limit it leads to.
+type pace struct {
+	limit int
+	// run counts successes at normal latency since the limit last changed.
+	run int
+	// slow counts slow answers in a row.
+	slow int
+	// backoff counts falls since the limit was last steady.
+	backoff int
+	// normal is the latency that successes are compared with, 0 when unknown.
+	normal time.Duration
+	// mean is the mean service time, and quick a low estimate of it.
+	mean, quick time.Duration
+	// last is when the last success came, and coldSince when the upstream turned
+	// cold.
+	last, coldSince time.Time
+	hinted          Hint
+	hintedAt        time.Time
+}
+
+// reset forgets everything but the health page's last word.
+func (p *pace) reset(cfg *Config, now time.Time) {
+	*p = pace{hinted: p.hinted, hintedAt: p.hintedAt, limit: cfg.Cold, coldSince: now}
+	if !cfg.SlowStart {
+		p.limit = cfg.Slots
+	}
+}
+
+// rest makes the upstream cold after long idleness.
+func (p *pace) rest(cfg *Config, now time.Time) {
+	if !p.last.IsZero() && now.Sub(p.last) > cfg.Idle {
+		p.reset(cfg, now)
+	}
+}
+
+// learn takes in one end.
+func (p *pace) learn(cfg *Config, now time.Time, s Sample) {
+	switch s.Kind {
+	case Success:
+		p.last = now
+		p.succeed(cfg, now, s.Latency)
+	case Slow:
+		p.run = 0
+		p.slowed(cfg, now)
+	case Shed, Reset, Draining:
+		p.fall(cfg, now)
+	case Unused:
+	}
+}
+
+// hint lowers the limit. A page that goes on saying the same lowers it once, so
+// that a page that misleads for good costs one slow start.
+func (p *pace) hint(cfg *Config, now time.Time, h Hint) {
+	if h.Cold && !p.hinted.Cold {
+		p.lower(cfg, now, cfg.Cold)
+	}
+	if h.Busy && !p.hinted.Busy {
+		p.lower(cfg, now, p.limit-1)
+	}
+	p.hinted = h
+	p.hintedAt = now
+}
+
+func (p *pace) succeed(cfg *Config, now time.Time, latency time.Duration) {
+	p.estimate(latency)
+	if p.normal == 0 {
+		p.normal = latency
+	}
+	if latency > p.normal*shiftFactor && latency-p.normal > shiftFloor {
+		p.run = 0
+		p.settle(cfg, latency)
+		p.slowed(cfg, now)
+		return
+	}
+	settled := latency >= p.normal/shiftFactor || p.normal-latency <= shiftFloor
+	p.settle(cfg, latency)
+	p.slow = 0
+	if !settled {
+		p.run = 0
+		return
+	}
+	p.run++
+	p.grow(cfg, now)
+}
+
+// grow raises the limit after a long enough run.
+func (p *pace) grow(cfg *Config, now time.Time) {
+	if p.limit >= cfg.Slots {
+		if p.run >= steadyRun {
+			p.backoff = 0
+		}
+		return
+	}
+	if p.run < growRun<<p.backoff || p.limit <= cfg.Cold && p.mayBeCold(cfg, now) {
+		return
+	}
+	p.run = 0
+	p.limit++
+}
+
+// mayBeCold reports whether it is too early to give a cold upstream more work:
+// within the warm-up time, or while its health page does not say warm.
+func (p *pace) mayBeCold(cfg *Config, now time.Time) bool {
+	cold := now.Sub(p.coldSince)
+	if cold < cfg.Warmup<<p.backoff {
+		return true
+	}
+	if p.hintedAt.IsZero() || now.Sub(p.hintedAt) > hintLife || cold > vetoLife {
+		return false
+	}
+	return p.hinted.Cold || p.hintedAt.Before(p.coldSince.Add(hintLag))
+}
+
+// slowed counts a slow answer, and makes the upstream cold after a run of them.
+func (p *pace) slowed(cfg *Config, now time.Time) {
+	p.slow++
+	if p.slow >= shiftRun {
+		p.fall(cfg, now)
+	}
+}
+
+// fall makes the upstream cold after distress. The next growth takes longer when
+// the limit had grown.
+func (p *pace) fall(cfg *Config, now time.Time) {
+	if p.limit > cfg.Cold && cfg.SlowStart {
+		p.backoff = min(p.backoff+1, maxBackoff)
+	}
+	p.lower(cfg, now, cfg.Cold)
+}
+
+func (p *pace) lower(cfg *Config, now time.Time, limit int) {
+	p.run = 0
+	p.slow = 0
+	if !cfg.SlowStart {
+		return
+	}
+	p.limit = min(p.limit, max(limit, cfg.Cold))
+	if p.limit <= cfg.Cold {
+		p.coldSince = now
+	}
+}
+
+// settle moves the normal latency towards a sample, quickly while cold.
+func (p *pace) settle(cfg *Config, latency time.Duration) {
+	weight := time.Duration(weightWarm)
+	if p.limit <= cfg.Cold {
+		weight = weightCold
+	}
+	p.normal += (latency - p.normal) / weight
+}
+
+// estimate updates the service times that early refusal uses.
+func (p *pace) estimate(latency time.Duration) {
+	if p.mean == 0 {
+		p.mean, p.quick = latency, latency
+		return
+	}
+	p.mean += (latency - p.mean) / weightMean
+	if latency < p.quick {
+		p.quick = latency
+		return
+	}
+	p.quick += (latency - p.quick) / weightWarm
+}
