--- /dev/null
+++ b/internal/query/hedger/budget.go
@@ -0,0 +1,48 @@
+package hedger
+
+import "sync/atomic"
+
+// tokenUnits is the price of one extra sub-request; each first attempt deposits
+// the budget's percentage of it.
+const tokenUnits = 100
+
+// Budget is a token bucket that bounds the extra sub-requests, hedges and retries
+// together, to a percentage of the first attempts plus a burst.
+type Budget struct {
+	percent int64
+	limit   int64
+	units   atomic.Int64
+}
+
+// NewBudget returns a full Budget of percent extra sub-requests in 100, and at
+// most burst of them at once.
+func NewBudget(percent, burst int) *Budget {
+	b := &Budget{percent: int64(percent), limit: int64(burst) * tokenUnits}
+	b.units.Store(b.limit)
+	return b
+}
+
+// Deposit counts first attempts.
+func (b *Budget) Deposit(attempts int) {
+	for {
+		was := b.units.Load()
+		next := min(was+int64(attempts)*b.percent, b.limit)
+		if next == was || b.units.CompareAndSwap(was, next) {
+			return
+		}
+	}
+}
+
+// Take takes the price of one extra sub-request; it returns false, and takes
+// nothing, when the budget does not hold it.
+func (b *Budget) Take() bool {
+	for {
+		was := b.units.Load()
+		if was < tokenUnits {
+			return false
+		}
+		if b.units.CompareAndSwap(was, was-tokenUnits) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/query/merger/merger.go
@@ -0,0 +1,195 @@
+// Package merger merges the results of shards into the best hits of one
+// snapshot, and counts what was merged.
+package merger
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/contract/exchanger"
+)
+
+// RejectError says why a result was not merged.
+type RejectError struct {
+	Shard  int
+	Reason answerer.Reason
+	Detail string
+}
+
+// Error returns the shard, the reason and the detail.
+func (e *RejectError) Error() string {
+	return fmt.Sprintf("result of shard %d not merged (%s): %s", e.Shard, e.Reason, e.Detail)
+}
+
+// Merger keeps the best hits of the shards merged so far. It is used by one
+// goroutine.
+type Merger struct {
+	version   uint64
+	limit     int
+	merged    []bool
+	count     int
+	documents uint64
+	// heap holds at most limit hits, the worst one first.
+	heap []answerer.Hit
+}
+
+// New returns a Merger of the best limit hits of a number of shards, all of
+// snapshot version.
+func New(version uint64, shards, limit int) *Merger {
+	return &Merger{
+		version: version,
+		limit:   limit,
+		merged:  make([]bool, shards),
+		heap:    make([]answerer.Hit, 0, limit),
+	}
+}
+
+// Add merges the result of the shard at index i, whose ID is shard. It returns a
+// *RejectError, and merges nothing, when the shard is merged already or the
+// result is not a valid one of the snapshot.
+func (m *Merger) Add(i, shard int, r *exchanger.Result) error {
+	if m.merged[i] {
+		return &RejectError{Shard: shard, Reason: answerer.ReasonInvalid, Detail: "the shard is merged already"}
+	}
+	if r.Status != exchanger.OK {
+		return &RejectError{Shard: shard, Reason: answerer.ReasonInvalid, Detail: "the result carries no hits"}
+	}
+	if r.Version != m.version {
+		detail := fmt.Sprintf("want version %d, got %d", m.version, r.Version)
+		return &RejectError{Shard: shard, Reason: answerer.ReasonVersion, Detail: detail}
+	}
+	hits, err := checked(shard, r.Hits)
+	if err != nil {
+		return err
+	}
+	m.merged[i] = true
+	m.count++
+	m.documents += r.Documents
+	m.addHits(shard, hits)
+	return nil
+}
+
+// Has reports whether the shard at index i is merged.
+func (m *Merger) Has(i int) bool {
+	return m.merged[i]
+}
+
+// Count returns the number of shards merged.
+func (m *Merger) Count() int {
+	return m.count
+}
+
+// Documents returns the number of documents in the shards merged.
+func (m *Merger) Documents() uint64 {
+	return m.documents
+}
+
+// Hits returns the best hits, ordered by falling score, then shard, then ID. The
+// Merger must not be used afterwards.
+func (m *Merger) Hits() []answerer.Hit {
+	slices.SortFunc(m.heap, compareRefs)
+	return m.heap
+}
+
+// addHits merges the hits of one shard, best first.
+func (m *Merger) addHits(shard int, hits []answerer.Hit) {
+	for i := range hits {
+		h := hits[i]
+		h.Shard = shard
+		if len(m.heap) < m.limit {
+			m.push(h)
+			continue
+		}
+		if compare(&h, &m.heap[0]) >= 0 {
+			return
+		}
+		m.heap[0] = h
+		m.sink()
+	}
+}
+
+func (m *Merger) push(h answerer.Hit) {
+	m.heap = append(m.heap, h)
+	for i := len(m.heap) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if compare(&m.heap[i], &m.heap[parent]) <= 0 {
+			return
+		}
+		m.heap[i], m.heap[parent] = m.heap[parent], m.heap[i]
+		i = parent
+	}
+}
+
+// sink moves the first hit of the heap to its place.
+func (m *Merger) sink() {
+	for i := 0; ; {
+		worst := i
+		for c := 2*i + 1; c <= 2*i+2 && c < len(m.heap); c++ {
+			if compare(&m.heap[c], &m.heap[worst]) > 0 {
+				worst = c
+			}
+		}
+		if worst == i {
+			return
+		}
+		m.heap[i], m.heap[worst] = m.heap[worst], m.heap[i]
+		i = worst
+	}
+}
+
+// checked returns the hits best first, sorted when the upstream did not.
+func checked(shard int, hits []answerer.Hit) ([]answerer.Hit, error) {
+	isSorted := true
+	for i := range hits {
+		if math.IsNaN(hits[i].Score) || hits[i].ID == "" {
+			return nil, &RejectError{Shard: shard, Reason: answerer.ReasonInvalid, Detail: "a hit has no score or no id"}
+		}
+		if i > 0 && compareInShard(&hits[i-1], &hits[i]) > 0 {
+			isSorted = false
+		}
+	}
+	if !isSorted {
+		hits = slices.Clone(hits)
+		slices.SortFunc(hits, func(a, b answerer.Hit) int { return compareInShard(&a, &b) })
+	}
+	for i := 1; i < len(hits); i++ {
+		if hits[i].ID == hits[i-1].ID {
+			detail := fmt.Sprintf("hit %q stands twice", hits[i].ID)
+			return nil, &RejectError{Shard: shard, Reason: answerer.ReasonInvalid, Detail: detail}
+		}
+	}
+	return hits, nil
+}
+
+func compareRefs(a, b answerer.Hit) int {
+	return compare(&a, &b)
+}
+
+// compare orders hits by falling score, then shard, then ID.
+func compare(a, b *answerer.Hit) int {
+	switch {
+	case a.Score > b.Score:
+		return -1
+	case a.Score < b.Score:
+		return 1
+	case a.Shard != b.Shard:
+		return a.Shard - b.Shard
+	default:
+		return strings.Compare(a.ID, b.ID)
+	}
+}
+
+// compareInShard orders hits of one shard, whose Shard is not yet set.
+func compareInShard(a, b *answerer.Hit) int {
+	switch {
+	case a.Score > b.Score:
+		return -1
+	case a.Score < b.Score:
+		return 1
+	default:
+		return strings.Compare(a.ID, b.ID)
+	}
+}
--- /dev/null
+++ b/internal/query/planner/layout.go
@@ -0,0 +1,122 @@
+package planner
+
+import (
+	"math"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/control/viewer"
+)
+
+// noOwner marks an upstream that no live instance owns.
+const noOwner = -1
+
+// Layout is one service of one view, laid out for planning. It never changes.
+type Layout struct {
+	View    *viewer.View
+	Service *declarer.Service
+	// Upstreams holds each upstream of the service once; plans and readings refer
+	// to them by index.
+	Upstreams []Upstream
+	// Owners holds each instance that owns one of the upstreams once.
+	Owners []*declarer.Instance
+	maps   []shardMap
+}
+
+// Upstream is one upstream of a Layout.
+type Upstream struct {
+	declarer.Upstream
+	// Owner is the index of the owner in Layout.Owners, or -1.
+	Owner int
+	// Out is true when operators have taken the upstream or its zone out.
+	Out bool
+	// Near is true when the upstream is in this daemon's zone.
+	Near bool
+}
+
+// shardMap is a declarer.ShardMap with upstreams by index. It holds for the
+// versions from to last.
+type shardMap struct {
+	from, last uint64
+	shards     []shard
+}
+
+type shard struct {
+	id       int
+	replicas []int32
+}
+
+// Lay lays a service of a view out.
+func Lay(v *viewer.View, s *declarer.Service) *Layout {
+	l := &Layout{View: v, Service: s}
+	index := l.layUpstreams()
+	for i := range s.Maps {
+		l.maps = append(l.maps, layMap(s.Maps, i, index))
+	}
+	return l
+}
+
+// IsUsable reports whether an upstream may be given new work.
+func (l *Layout) IsUsable(up int) bool {
+	u := &l.Upstreams[up]
+	return !u.Out && u.Owner != noOwner
+}
+
+// layUpstreams returns the index of each upstream by name.
+func (l *Layout) layUpstreams() map[string]int32 {
+	ups := l.Service.Upstreams()
+	index := make(map[string]int32, len(ups))
+	owners := make(map[string]int)
+	l.Upstreams = make([]Upstream, len(ups))
+	for i, u := range ups {
+		index[u.Name] = int32(i)
+		l.Upstreams[i] = Upstream{
+			Upstream: u,
+			Owner:    l.layOwner(u.Name, owners),
+			Out:      l.View.IsOut(l.Service, &ups[i]),
+			Near:     u.Zone == l.View.Self.Zone,
+		}
+	}
+	return index
+}
+
+func (l *Layout) layOwner(upstream string, owners map[string]int) int {
+	in, ok := l.View.Owner(l.Service.Name, upstream)
+	if !ok {
+		return noOwner
+	}
+	i, ok := owners[in.ID]
+	if !ok {
+		i = len(l.Owners)
+		owners[in.ID] = i
+		l.Owners = append(l.Owners, in)
+	}
+	return i
+}
+
+func layMap(maps []declarer.ShardMap, i int, index map[string]int32) shardMap {
+	m := shardMap{
+		from:   maps[i].From,
+		last:   math.MaxUint64,
+		shards: make([]shard, len(maps[i].Shards)),
+	}
+	if i+1 < len(maps) {
+		m.last = maps[i+1].From - 1
+	}
+	for j, sh := range maps[i].Shards {
+		m.shards[j].id = sh.ID
+		for _, u := range sh.Replicas {
+			m.shards[j].replicas = append(m.shards[j].replicas, index[u.Name])
+		}
+	}
+	return m
+}
+
+// mapFor returns the map of version v, or nil when v is older than every map.
+func (l *Layout) mapFor(v uint64) *shardMap {
+	for i := len(l.maps) - 1; i >= 0; i-- {
+		if l.maps[i].from <= v {
+			return &l.maps[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/query/planner/sorter.go
@@ -0,0 +1,173 @@
+package planner
+
+import (
+	"time"
+
+	"cornelwood.example/internal/query/tracker"
+)
+
+// Ranks of replicas; lower ones are asked first.
+const (
+	rankHolds = iota
+	rankMayHold
+	rankHoldsDown
+	rankMayHoldDown
+	rankNone
+)
+
+const (
+	// staleAge is the age from which an upstream may hold newer versions than it
+	// last said.
+	staleAge = 2 * time.Second
+	// farFactor is how many times the cost of a replica in another zone counts
+	// against one in this daemon's own.
+	farFactor = 2
+	// baseCost stands in for the latency of an upstream that has none yet, and keeps
+	// small differences from deciding.
+	baseCost = time.Millisecond
+	// inflightCost is the part of one latency that an open sub-request adds.
+	inflightCost = 0.25
+	// maxSorted bounds the replicas of one shard that are ordered.
+	maxSorted = 32
+)
+
+// sorter orders the replicas of shards.
+type sorter struct {
+	layout   *Layout
+	readings []tracker.Reading
+	options  Options
+	version  uint64
+}
+
+type candidate struct {
+	up   int32
+	rank int
+	near bool
+	cost float64
+}
+
+// order appends the replicas that can be asked, the best first.
+func (s *sorter) order(to, replicas []int32) []int32 {
+	var buf [maxSorted]candidate
+	cs := buf[:0]
+	for _, up := range replicas {
+		c := s.candidate(up)
+		if c.rank == rankNone || len(cs) == maxSorted {
+			continue
+		}
+		cs = append(cs, c)
+		for i := len(cs) - 1; i > 0 && s.isBefore(&cs[i], &cs[i-1]); i-- {
+			cs[i], cs[i-1] = cs[i-1], cs[i]
+		}
+	}
+	if s.options.Choose && len(cs) > 1 {
+		s.choose(cs)
+	}
+	for i := range cs {
+		to = append(to, cs[i].up)
+	}
+	return to
+}
+
+func (s *sorter) candidate(up int32) candidate {
+	u, r := &s.layout.Upstreams[up], &s.readings[up]
+	if u.Out || u.Owner == noOwner {
+		return candidate{rank: rankNone}
+	}
+	return candidate{up: up, rank: s.rank(r), near: u.Near, cost: cost(r)}
+}
+
+func (s *sorter) rank(r *tracker.Reading) int {
+	isHolding := r.Holds(s.version)
+	mayHold := !r.Known || r.Age > staleAge && s.version > r.Newest
+	switch {
+	case isHolding && !r.Down:
+		return rankHolds
+	case isHolding:
+		return rankHoldsDown
+	case mayHold && !r.Down:
+		return rankMayHold
+	case mayHold:
+		return rankMayHoldDown
+	default:
+		return rankNone
+	}
+}
+
+func (s *sorter) isBefore(a, b *candidate) bool {
+	if a.rank != b.rank || !s.options.Choose {
+		return a.rank < b.rank
+	}
+	return a.weighted() < b.weighted()
+}
+
+// choose moves the replica to ask first to the front: of two at random in the own
+// zone, and of two at random elsewhere, the cheaper one, and of these the one in
+// the own zone unless it costs farFactor times more.
+func (s *sorter) choose(cs []candidate) {
+	n, near := 0, 0
+	for n < len(cs) && cs[n].rank == cs[0].rank {
+		if cs[n].near {
+			near++
+		}
+		n++
+	}
+	a := s.pickOfTwo(cs[:n], true, near)
+	b := s.pickOfTwo(cs[:n], false, n-near)
+	first := a
+	if a < 0 || b >= 0 && cs[b].weighted() < cs[a].weighted() {
+		first = b
+	}
+	c := cs[first]
+	copy(cs[1:first+1], cs[:first])
+	cs[0] = c
+}
+
+// pickOfTwo returns the index of the cheaper of two random candidates among the
+// count that are near or not, or -1 when there are none.
+func (s *sorter) pickOfTwo(cs []candidate, near bool, count int) int {
+	if count == 0 {
+		return -1
+	}
+	i := s.options.IntN(count)
+	if count == 1 {
+		return nth(cs, near, i)
+	}
+	j := s.options.IntN(count - 1)
+	if j >= i {
+		j++
+	}
+	a, b := nth(cs, near, i), nth(cs, near, j)
+	if cs[b].cost < cs[a].cost {
+		return b
+	}
+	return a
+}
+
+// nth returns the index of the nth candidate that is near or not.
+func nth(cs []candidate, near bool, n int) int {
+	for i := range cs {
+		if cs[i].near != near {
+			continue
+		}
+		if n == 0 {
+			return i
+		}
+		n--
+	}
+	return -1
+}
+
+// weighted returns the cost with the factor for other zones.
+func (c *candidate) weighted() float64 {
+	if c.near {
+		return c.cost
+	}
+	return c.cost * farFactor
+}
+
+// cost grows with an upstream's latency, load and open sub-requests.
+func cost(r *tracker.Reading) float64 {
+	latency := float64(r.Latency + baseCost)
+	return latency * (1 + float64(r.Load)/100 + inflightCost*float64(r.Inflight))
+}
--- /dev/null
+++ b/internal/query/tracker/upstream.go
@@ -0,0 +1,149 @@
+package tracker
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// latencyWeight is the weight of a new sample in the moving average, 1 in 8.
+	latencyWeight = 8
+	// loadAge is the age at which a load report no longer counts.
+	loadAge = time.Second
+	// latencyHalfAge is the idle time after which the latency estimate counts
+	// half, so that an upstream that was slow is tried again.
+	latencyHalfAge = 5 * time.Second
+	// failuresToBackOff is the number of failures in a row, of requests that were
+	// sent, that makes an upstream back off.
+	failuresToBackOff = 3
+)
+
+// Reading is a copy of an upstream's state at one moment.
+type Reading struct {
+	// Known is true when Oldest and Newest are known.
+	Known bool
+	// Oldest and Newest bound the snapshot versions held.
+	Oldest, Newest uint64
+	// Age is the time since the versions were last confirmed.
+	Age time.Duration
+	// Latency is the moving average of successful answers; 0 when there is none.
+	Latency time.Duration
+	// Load is the owner's queue over the upstream's limit, in percent.
+	Load int
+	// Inflight is the number of this daemon's open sub-requests.
+	Inflight int
+	// Down is true while the upstream backs off after failures.
+	Down bool
+}
+
+// Holds reports whether version v is known to be held.
+func (r *Reading) Holds(v uint64) bool {
+	return r.Known && r.Oldest <= v && v <= r.Newest
+}
+
+// Upstream is the state of one upstream. Its methods may be called from any
+// goroutine; updates that race may lose one sample.
+type Upstream struct {
+	start     time.Time
+	held      atomic.Pointer[held]
+	heldAt    atomic.Int64
+	probeAt   atomic.Int64
+	latency   atomic.Int64
+	latencyAt atomic.Int64
+	load      atomic.Int64
+	loadAt    atomic.Int64
+	inflight  atomic.Int64
+	failures  atomic.Int64
+	backoff   backoff
+}
+
+type held struct {
+	oldest, newest uint64
+}
+
+// Read returns the state at now.
+func (u *Upstream) Read(now time.Time) Reading {
+	at := int64(now.Sub(u.start))
+	r := Reading{
+		Inflight: int(u.inflight.Load()),
+		Down:     u.backoff.isDown(at),
+	}
+	if h := u.held.Load(); h != nil {
+		r.Known, r.Oldest, r.Newest = true, h.oldest, h.newest
+		r.Age = time.Duration(at - u.heldAt.Load())
+	}
+	if at-u.loadAt.Load() < int64(loadAge) {
+		r.Load = int(u.load.Load())
+	}
+	if l := u.latency.Load(); l > 0 {
+		idle := max(at-u.latencyAt.Load(), 0)
+		r.Latency = time.Duration(float64(l) / (1 + float64(idle)/float64(latencyHalfAge)))
+	}
+	return r
+}
+
+// Hold records the versions that the upstream said it holds.
+func (u *Upstream) Hold(oldest, newest uint64, now time.Time) {
+	if newest == 0 || oldest > newest {
+		return
+	}
+	if h := u.held.Load(); h == nil || h.oldest != oldest || h.newest != newest {
+		u.held.Store(&held{oldest: oldest, newest: newest})
+	}
+	u.heldAt.Store(int64(now.Sub(u.start)))
+}
+
+// Begin counts a sub-request that is sent.
+func (u *Upstream) Begin() {
+	u.inflight.Add(1)
+}
+
+// End counts a sub-request that is over.
+func (u *Upstream) End() {
+	u.inflight.Add(-1)
+}
+
+// Succeed records an answer after took and ends any back-off.
+func (u *Upstream) Succeed(took time.Duration, now time.Time) {
+	u.Observe(took, now)
+	u.failures.Store(0)
+	u.backoff.reset()
+}
+
+// Observe records a latency, or the time after which an answer that had not
+// come was given up.
+func (u *Upstream) Observe(took time.Duration, now time.Time) {
+	was := u.latency.Load()
+	next := int64(took)
+	if was > 0 {
+		next = was + (int64(took)-was)/latencyWeight
+	}
+	u.latency.Store(max(next, 1))
+	u.latencyAt.Store(int64(now.Sub(u.start)))
+}
+
+// Report records the owner's load of the upstream, in percent.
+func (u *Upstream) Report(load int, now time.Time) {
+	u.load.Store(int64(load))
+	u.loadAt.Store(int64(now.Sub(u.start)))
+}
+
+// Fail records a sub-request that got no valid answer. Unreachable upstreams
+// back off at once, others after failures in a row.
+func (u *Upstream) Fail(unreachable bool, now time.Time) {
+	n := u.failures.Add(1)
+	if unreachable || n >= failuresToBackOff {
+		u.backoff.fail(int64(now.Sub(u.start)))
+	}
+}
+
+// ClaimProbe reports whether the versions are older than age and no other caller
+// has claimed a probe within that time. The claim is taken when it returns true.
+func (u *Upstream) ClaimProbe(age time.Duration, now time.Time) bool {
+	at := int64(now.Sub(u.start))
+	if u.held.Load() != nil && at-u.heldAt.Load() < int64(age) {
+		return false
+	}
+	next := u.probeAt.Load()
+	return at >= next && u.probeAt.CompareAndSwap(next, at+int64(age))
+}
