--- /dev/null
+++ b/internal/query/gatherer/config.go
@@ -0,0 +1,61 @@
+package gatherer
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Config holds the policy of a Gatherer.
+type Config struct {
+	// MaxQueries bounds the queries that run at once.
+	MaxQueries int
+	// Hedge sends slow sub-requests again to another replica.
+	Hedge bool
+	// Retry asks another replica after a failure, and plans a query again on
+	// another snapshot when its own is gone.
+	Retry bool
+	// ReplicaChoice orders replicas by zone, load and latency; without it they
+	// are asked as declared.
+	ReplicaChoice bool
+	// Baseline is plain scatter-gather: the first replica, no hedge, no retry.
+	Baseline bool
+	// HedgeQuantile is the share of sub-requests, 0 to 1, that are not slow.
+	HedgeQuantile float64
+	// ExtraPercent is the number of extra sub-requests for 100 first ones.
+	ExtraPercent int
+	// ExtraBurst is the number of extra sub-requests of one service at once.
+	ExtraBurst int
+	// Margin is the time kept for sending the answer to the caller.
+	Margin time.Duration
+	// DiscoverTimeout bounds the learning of versions.
+	DiscoverTimeout time.Duration
+	// IntN returns a random number from 0 to n-1, from any goroutine.
+	IntN func(n int) int
+}
+
+// DefaultConfig returns the policy with every mechanism on.
+func DefaultConfig() Config {
+	return Config{
+		MaxQueries:      512,
+		Hedge:           true,
+		Retry:           true,
+		ReplicaChoice:   true,
+		HedgeQuantile:   0.95,
+		ExtraPercent:    5,
+		ExtraBurst:      256,
+		Margin:          2 * time.Millisecond,
+		DiscoverTimeout: time.Second,
+		IntN:            rand.IntN,
+	}
+}
+
+// effective returns the config with Baseline's switches applied.
+func (c Config) effective() Config {
+	if c.Baseline {
+		c.Hedge, c.Retry, c.ReplicaChoice = false, false, false
+	}
+	if c.IntN == nil {
+		c.IntN = rand.IntN
+	}
+	return c
+}
--- /dev/null
+++ b/internal/query/gatherer/discover.go
@@ -0,0 +1,226 @@
+package gatherer
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"cornelwood.example/internal/contract/exchanger"
+)
+
+const (
+	// discoverEvery is the least time between two discoveries of a service.
+	discoverEvery = 100 * time.Millisecond
+	// refreshAge is the age at which an upstream's versions are asked for again.
+	refreshAge = 10 * time.Second
+	// maxRefreshes bounds the upstreams that one query asks for versions.
+	maxRefreshes = 8
+)
+
+// closed is a channel that is closed from the start.
+var closed = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// flight is a discovery under way.
+type flight struct {
+	done chan struct{}
+}
+
+// Discover learns which versions the upstreams of a service hold: it asks one
+// replica of each shard of which nothing is known, and another when that one does
+// not say. The channel returned is closed when it is over. Calls for a service
+// that overlap share one discovery, and there is a least time between two.
+func (g *Gatherer) Discover(name string) <-chan struct{} {
+	l, ok := g.layout(g.views.View(), name)
+	if !ok {
+		return closed
+	}
+	s := l.service
+	if f := s.flight.Load(); f != nil {
+		return f.done
+	}
+	now := int64(time.Since(g.start))
+	f := &flight{done: make(chan struct{})}
+	if now < s.discoverAt.Load() || g.ctx.Err() != nil || !s.flight.CompareAndSwap(nil, f) {
+		if f := s.flight.Load(); f != nil {
+			return f.done
+		}
+		return closed
+	}
+	g.wg.Go(func() {
+		newSweep(g, l).run()
+		s.discoverAt.Store(int64(time.Since(g.start) + discoverEvery))
+		s.flight.Store(nil)
+		close(f.done)
+	})
+	return f.done
+}
+
+// sweep is the work of one discovery.
+type sweep struct {
+	g        *Gatherer
+	layout   *layout
+	deadline time.Time
+	box      *mailbox
+	// sets holds the replicas of each shard of which nothing is known.
+	sets [][]int32
+	// asked holds the upstreams that were asked, by the ID of the task while it is
+	// open.
+	asked map[int32]bool
+	open  map[uint64]int32
+}
+
+func newSweep(g *Gatherer, l *layout) *sweep {
+	return &sweep{
+		g:        g,
+		layout:   l,
+		deadline: time.Now().Add(g.cfg.DiscoverTimeout),
+		box:      newMailbox(),
+		sets:     l.ReplicaSets(),
+		asked:    make(map[int32]bool),
+		open:     make(map[uint64]int32),
+	}
+}
+
+func (s *sweep) run() {
+	ctx, cancel := context.WithDeadline(s.g.ctx, s.deadline)
+	defer cancel()
+	defer s.box.close()
+	s.ask(ctx)
+	var results []exchanger.Result
+	for len(s.open) > 0 {
+		select {
+		case <-s.box.ready:
+			results = s.box.take(results)
+			for i := range results {
+				s.settle(&results[i])
+			}
+			s.ask(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *sweep) settle(res *exchanger.Result) {
+	up, ok := s.open[res.ID]
+	if !ok {
+		return
+	}
+	delete(s.open, res.ID)
+	s.layout.upstreams[up].Hold(res.Oldest, res.Newest, time.Now())
+}
+
+// ask asks the next replica of each shard of which nothing is known and for which
+// nothing is open.
+func (s *sweep) ask(ctx context.Context) {
+	busy := make(map[int32]bool, len(s.open))
+	for _, up := range s.open {
+		busy[up] = true
+	}
+	ups := make([]int32, 0, len(s.sets))
+	for _, set := range s.sets {
+		up := s.next(set, busy)
+		if up < 0 {
+			continue
+		}
+		s.asked[up], busy[up] = true, true
+		ups = append(ups, up)
+	}
+	s.g.probe(ctx, s.layout, ups, s.deadline, func(id uint64, up int32) { s.open[id] = up }, s.box.put)
+}
+
+// next returns the replica of a shard to ask, or -1.
+func (s *sweep) next(set []int32, busy map[int32]bool) int32 {
+	first := s.g.cfg.IntN(len(set))
+	next := int32(-1)
+	for k := range set {
+		up := set[(first+k)%len(set)]
+		if busy[up] || s.layout.upstreams[up].Read(time.Now()).Known {
+			return -1
+		}
+		if !s.asked[up] && s.layout.IsUsable(int(up)) && next < 0 {
+			next = up
+		}
+	}
+	return next
+}
+
+// probe asks upstreams for the versions that they hold; opened is told each
+// task's ID before any is sent.
+func (g *Gatherer) probe(ctx context.Context, l *layout, ups []int32, deadline time.Time, opened func(id uint64, up int32), deliver func(exchanger.Result)) {
+	byOwner := make(map[int][]exchanger.Task)
+	for _, up := range ups {
+		u := &l.Upstreams[up]
+		id := g.ids.Add(1)
+		opened(id, up)
+		byOwner[u.Owner] = append(byOwner[u.Owner], exchanger.Task{
+			ID:        id,
+			Request:   "probe-" + strconv.FormatUint(id, 36),
+			Service:   l.Service.Name,
+			Upstream:  u.Name,
+			Shard:     l.ShardOf(up),
+			Remaining: time.Until(deadline),
+			Priority:  l.Service.Contract.Priority,
+		})
+	}
+	for owner, tasks := range byOwner {
+		g.send(ctx, l.Owners[owner], tasks, deliver)
+	}
+	l.service.metrics.probes.Add(float64(len(ups)))
+}
+
+// refresh asks some upstreams, whose versions are old news, in the background.
+// Each takes its price from the budget.
+func (r *round) refresh() {
+	if r.g.cfg.Baseline {
+		return
+	}
+	var ups []int32
+	n := len(r.layout.upstreams)
+	first := r.g.cfg.IntN(n)
+	for k := range n {
+		up := int32((first + k) % n)
+		if len(ups) == maxRefreshes {
+			break
+		}
+		if !r.layout.IsUsable(int(up)) || !r.layout.upstreams[up].ClaimProbe(refreshAge, r.start) {
+			continue
+		}
+		if !r.layout.service.hedger.Take() {
+			break
+		}
+		ups = append(ups, up)
+	}
+	if len(ups) > 0 {
+		r.g.refresh(r.layout, ups)
+	}
+}
+
+func (g *Gatherer) refresh(l *layout, ups []int32) {
+	deadline := time.Now().Add(g.cfg.DiscoverTimeout)
+	ctx, cancel := context.WithDeadline(g.ctx, deadline)
+	open := make(map[uint64]int32, len(ups))
+	box := newMailbox()
+	g.wg.Go(func() {
+		defer cancel()
+		defer box.close()
+		g.probe(ctx, l, ups, deadline, func(id uint64, up int32) { open[id] = up }, box.put)
+		for len(open) > 0 {
+			select {
+			case <-box.ready:
+			case <-ctx.Done():
+				return
+			}
+			for _, res := range box.take(nil) {
+				if up, ok := open[res.ID]; ok {
+					delete(open, res.ID)
+					l.upstreams[up].Hold(res.Oldest, res.Newest, time.Now())
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/query/gatherer/fleet_test.go
@@ -0,0 +1,202 @@
+package gatherer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/control/viewer"
+)
+
+var zones = []string{"addis-a", "adama-b", "dire-c"}
+
+// reply is what a fake upstream does with a task; took is when it answers.
+type reply struct {
+	result exchanger.Result
+	took   time.Duration
+	// silent upstreams never answer.
+	silent bool
+	// twice delivers the result a second time, as no Exchanger should.
+	twice bool
+}
+
+// fleet is a fake of everything beyond the entry daemon: its own dispatcher, its
+// links and the upstreams.
+type fleet struct {
+	viewer *viewer.Viewer
+	// answer decides on a task; owner is the daemon that it reached.
+	answer func(owner string, t exchanger.Task) reply
+
+	mu        sync.Mutex
+	tasks     []exchanger.Task
+	cancelled []string
+	probes    int
+}
+
+func (f *fleet) View() *viewer.View { return f.viewer.View() }
+
+func (f *fleet) Do(ctx context.Context, t exchanger.Task, deliver func(exchanger.Result)) {
+	f.serve(ctx, f.View().Self.ID, t, deliver)
+}
+
+func (f *fleet) Exchange(ctx context.Context, peer netip.AddrPort, tasks []exchanger.Task, deliver func(exchanger.Result)) {
+	for _, in := range f.View().Instances {
+		if in.Peer != peer {
+			continue
+		}
+		for _, t := range tasks {
+			f.serve(ctx, in.ID, t, deliver)
+		}
+	}
+}
+
+func (f *fleet) serve(ctx context.Context, owner string, t exchanger.Task, deliver func(exchanger.Result)) {
+	f.mu.Lock()
+	if t.Version == 0 && !t.Once() {
+		f.probes++
+	} else {
+		f.tasks = append(f.tasks, t)
+	}
+	r := f.answer(owner, t)
+	f.mu.Unlock()
+	r.result.ID = t.ID
+	var once sync.Once
+	stop := context.AfterFunc(ctx, func() {
+		once.Do(func() {
+			f.mu.Lock()
+			f.cancelled = append(f.cancelled, t.Upstream)
+			f.mu.Unlock()
+			deliver(exchanger.Result{ID: t.ID, Status: exchanger.Late, Sent: true})
+		})
+	})
+	if r.silent {
+		return
+	}
+	time.AfterFunc(r.took, func() {
+		stop()
+		once.Do(func() { deliver(r.result) })
+		if r.twice {
+			deliver(r.result)
+		}
+	})
+}
+
+// sent returns the searches and runs sent so far.
+func (f *fleet) sent() []exchanger.Task {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]exchanger.Task(nil), f.tasks...)
+}
+
+// serviceOf declares a service of shards, each with one upstream in each zone. The
+// upstream "s3-b" is the replica of shard 3 in the second zone.
+func serviceOf(class declarer.Class, shards int) *declarer.Service {
+	return &declarer.Service{
+		Name:  "anomaly-finder",
+		Class: class,
+		Contract: declarer.Contract{
+			Deadline: declarer.Duration{Duration: 200 * time.Millisecond},
+			Latency:  declarer.Duration{Duration: 120 * time.Millisecond},
+			Quantile: 0.99, Coverage: 1, Priority: 5, Hedge: true,
+		},
+		Capacity: declarer.Capacity{Slots: 3, Cold: 1, Connections: 30},
+		Maps:     []declarer.ShardMap{mapOf(1, "s", shards)},
+	}
+}
+
+func mapOf(from uint64, prefix string, shards int) declarer.ShardMap {
+	m := declarer.ShardMap{From: from}
+	for i := range shards {
+		sh := declarer.Shard{ID: i}
+		for z, zone := range zones {
+			sh.Replicas = append(sh.Replicas, declarer.Upstream{
+				Name: fmt.Sprintf("%s%d-%c", prefix, i, 'a'+z),
+				Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(z), byte(i >> 8), byte(i)}), 9000),
+				Zone: zone,
+			})
+		}
+		m.Shards = append(m.Shards, sh)
+	}
+	return m
+}
+
+func instances() []declarer.Instance {
+	var ins []declarer.Instance
+	for z, zone := range zones {
+		for n := range 2 {
+			ins = append(ins, declarer.Instance{
+				ID: fmt.Sprintf("d%d%c", n, 'a'+z), Zone: zone, Region: "et-central",
+				Peer:        netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(z), byte(n)}), 7000),
+				Incarnation: 1,
+			})
+		}
+	}
+	return ins
+}
+
+// viewOf builds a view of a service and, optionally, of a zone taken out.
+func viewOf(s *declarer.Service, out ...string) *viewer.View {
+	objects := []declarer.Object{{Key: declarer.Key{Kind: declarer.KindService, Name: s.Name}, Version: 1, Service: s}}
+	for _, zone := range zones {
+		z := &declarer.Zone{Name: zone, Region: "et-central", Groups: 1}
+		for _, o := range out {
+			z.Out = z.Out || o == zone
+		}
+		objects = append(objects, declarer.Object{Key: declarer.Key{Kind: declarer.KindZone, Name: zone}, Version: 2, Zone: z})
+	}
+	ins := instances()
+	return viewer.Build(ins[0], objects, ins)
+}
+
+// holding answers every task as a healthy upstream that holds versions oldest to
+// newest would, after took.
+func holding(oldest, newest uint64, took time.Duration) func(string, exchanger.Task) reply {
+	return func(_ string, t exchanger.Task) reply {
+		return reply{result: resultOf(t, oldest, newest), took: took}
+	}
+}
+
+func resultOf(t exchanger.Task, oldest, newest uint64) exchanger.Result {
+	if !t.Once() && (t.Version < oldest || t.Version > newest) {
+		return exchanger.Result{Status: exchanger.VersionGone, Sent: true, Oldest: oldest, Newest: newest}
+	}
+	r := exchanger.Result{Sent: true, Version: t.Version, Documents: 10, Oldest: oldest, Newest: newest}
+	if t.Once() {
+		r.Reply = json.RawMessage(`"sent"`)
+		return r
+	}
+	r.Hits = []answerer.Hit{{ID: fmt.Sprintf("v%d-h%d", t.Version, t.Shard), Score: float64(t.Shard)}}
+	return r
+}
+
+func newFleet(s *declarer.Service, answer func(string, exchanger.Task) reply) *fleet {
+	return &fleet{viewer: viewer.New(viewOf(s)), answer: answer}
+}
+
+// start returns a Gatherer over the fleet whose random choices are always the
+// first.
+func (f *fleet) start(t testing.TB, change func(*Config)) *Gatherer {
+	t.Helper()
+	cfg := DefaultConfig()
+	cfg.IntN = func(int) int { return 0 }
+	if change != nil {
+		change(&cfg)
+	}
+	g, clean := New(cfg, f, f, f, hclog.NewNullLogger(), prometheus.NewRegistry())
+	t.Cleanup(clean)
+	return g
+}
+
+func query() *answerer.Query {
+	return &answerer.Query{Request: "q1", Service: "anomaly-finder", Terms: "metal loss"}
+}
--- /dev/null
+++ b/internal/query/gatherer/gatherer.go
@@ -0,0 +1,184 @@
+package gatherer
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/control/viewer"
+	"cornelwood.example/internal/query/admitter"
+	"cornelwood.example/internal/query/planner"
+	"cornelwood.example/internal/query/tracker"
+)
+
+// marginPart is the largest part of a query's time that is kept as margin.
+const marginPart = 10
+
+// Views shows the current view.
+type Views interface {
+	View() *viewer.View
+}
+
+// Worker runs sub-requests to the upstreams that this daemon owns. Do does not
+// block; it delivers exactly one result, from any goroutine.
+type Worker interface {
+	Do(ctx context.Context, t exchanger.Task, deliver func(exchanger.Result))
+}
+
+// Exchanger sends sub-requests to the daemon at a peer address. Exchange does not
+// block; it delivers exactly one result for each task. Cancelling ctx cancels the
+// tasks that are not done.
+type Exchanger interface {
+	Exchange(ctx context.Context, peer netip.AddrPort, tasks []exchanger.Task, deliver func(exchanger.Result))
+}
+
+// Gatherer scatters queries over the shards of a service and gathers one answer.
+// Its methods may be called from any goroutine.
+type Gatherer struct {
+	cfg      Config
+	views    Views
+	local    Worker
+	links    Exchanger
+	log      hclog.Logger
+	start    time.Time
+	admitter *admitter.Admitter
+	tracker  *tracker.Tracker
+	metrics  *metrics
+	layouts  atomic.Pointer[layouts]
+	// services maps names to *service.
+	services sync.Map
+	readings sync.Pool
+	// ids is the last ID of a task given out.
+	ids atomic.Uint64
+
+	ctx context.Context
+	wg  sync.WaitGroup
+}
+
+// New returns a Gatherer and a function that ends its background work and
+// unregisters its metrics.
+func New(cfg Config, views Views, local Worker, links Exchanger, log hclog.Logger, reg prometheus.Registerer) (*Gatherer, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	now := time.Now()
+	g := &Gatherer{
+		cfg:      cfg.effective(),
+		views:    views,
+		local:    local,
+		links:    links,
+		log:      log,
+		start:    now,
+		admitter: admitter.New(cfg.MaxQueries),
+		tracker:  tracker.New(now),
+		ctx:      ctx,
+	}
+	g.readings.New = func() any { return new([]tracker.Reading) }
+	g.layouts.Store(&layouts{})
+	g.metrics = newMetrics(func() float64 { return float64(g.admitter.Running()) })
+	unregister := g.metrics.register(reg)
+	return g, func() {
+		cancel()
+		g.wg.Wait()
+		unregister()
+	}
+}
+
+// Query answers a caller's query, in part when the deadline comes first. Errors
+// are *answerer.RefusalError; refused queries were not run.
+func (g *Gatherer) Query(ctx context.Context, q *answerer.Query) (*answerer.Answer, error) {
+	a, err := g.query(ctx, q)
+	if r, ok := err.(*answerer.RefusalError); ok { //nolint:errorlint // query returns no wrapped errors
+		g.metrics.refusals.WithLabelValues(string(r.Code)).Inc()
+	}
+	return a, err
+}
+
+func (g *Gatherer) query(ctx context.Context, q *answerer.Query) (*answerer.Answer, error) {
+	start := time.Now()
+	if err := q.Check(); err != nil {
+		return nil, err
+	}
+	l, err := g.find(q.Service, q.Request, declarer.Search)
+	if err != nil {
+		return nil, err
+	}
+	contract := &l.Service.Contract
+	if !g.admitter.Admit(contract.Priority) {
+		return nil, refuse(q, answerer.CodeOverloaded, "too many queries run at this daemon; try again later")
+	}
+	defer g.admitter.Release()
+
+	limit := contract.Deadline.Duration
+	if q.Deadline != nil {
+		limit = q.Deadline.Duration
+	}
+	margin := min(g.cfg.Margin, limit/marginPart)
+	ctx, cancel := context.WithDeadline(ctx, start.Add(limit-margin))
+	defer cancel()
+
+	a, err := g.gather(ctx, l, g.named(q))
+	if err != nil {
+		return nil, err
+	}
+	took := time.Since(start)
+	a.Took = declarer.Duration{Duration: took}
+	l.service.count(a, took)
+	return a, nil
+}
+
+// find returns the layout of a service of a class, or a refusal, not run.
+func (g *Gatherer) find(name, request string, class declarer.Class) (*layout, error) {
+	refusal := &answerer.RefusalError{Run: answerer.NotRun, Request: request}
+	v := g.views.View()
+	if v == nil || v.Version == 0 {
+		refusal.Code, refusal.Reason = answerer.CodeNoConfig, "this daemon has no configuration yet"
+		return nil, refusal
+	}
+	l, ok := g.layout(v, name)
+	if !ok {
+		refusal.Code, refusal.Field = answerer.CodeNoService, "service"
+		refusal.Reason = "service " + strconv.Quote(name) + " is not declared"
+		return nil, refusal
+	}
+	if l.Service.Class != class {
+		refusal.Code, refusal.Field = answerer.CodeBadField, "service"
+		refusal.Reason = "service " + strconv.Quote(name) + " is of class " + strconv.Quote(string(l.Service.Class))
+		return nil, refusal
+	}
+	return l, nil
+}
+
+// named returns the query with a request id, made up when it has none.
+func (g *Gatherer) named(q *answerer.Query) *answerer.Query {
+	if q.Request != "" {
+		return q
+	}
+	self := &g.views.View().Self
+	c := *q
+	c.Request = self.ID + "-" + strconv.FormatUint(self.Incarnation, 36) + "-" + strconv.FormatUint(g.ids.Add(1), 36)
+	return &c
+}
+
+// plan plans a query on the layout as it stands now.
+func (g *Gatherer) plan(l *layout, exclude []uint64) *planner.Plan {
+	buf := g.readings.Get().(*[]tracker.Reading)
+	defer g.readings.Put(buf)
+	*buf = l.read((*buf)[:0], time.Now())
+	return l.Plan(*buf, planner.Options{
+		Choose:  g.cfg.ReplicaChoice,
+		Exclude: exclude,
+		IntN:    g.cfg.IntN,
+	})
+}
+
+func refuse(q *answerer.Query, code answerer.Code, reason string) error {
+	return &answerer.RefusalError{Code: code, Reason: reason, Run: answerer.NotRun, Request: q.Request}
+}
--- /dev/null
+++ b/internal/query/gatherer/gatherer_test.go
@@ -0,0 +1,176 @@
+package gatherer
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/contract/exchanger"
+)
+
+// near is what the entry daemon in the first zone asks first.
+const near = "-a"
+
+func ask(t *testing.T, g *Gatherer) *answerer.Answer {
+	t.Helper()
+	a, err := g.Query(context.Background(), query())
+	if err != nil {
+		t.Fatalf("Query failed: %v", err)
+	}
+	return a
+}
+
+func assertCoverage(t *testing.T, a *answerer.Answer, want answerer.Coverage) {
+	t.Helper()
+	if diff := cmp.Diff(want, a.Coverage); diff != "" {
+		t.Errorf("coverage (-want +got):\n%s", diff)
+	}
+}
+
+// assertOneSnapshot checks that every hit is of the answer's snapshot and that no
+// hit stands twice.
+func assertOneSnapshot(t *testing.T, a *answerer.Answer, snapshot uint64) {
+	t.Helper()
+	if a.Snapshot != snapshot {
+		t.Errorf("snapshot %d, want %d", a.Snapshot, snapshot)
+	}
+	seen := make(map[string]bool)
+	for _, h := range a.Results {
+		if !strings.HasPrefix(h.ID, "v"+string(rune('0'+snapshot))+"-") {
+			t.Errorf("hit %q is not of snapshot %d", h.ID, snapshot)
+		}
+		if seen[h.ID] {
+			t.Errorf("hit %q stands twice", h.ID)
+		}
+		seen[h.ID] = true
+	}
+}
+
+func assertRefused(t *testing.T, err error, code answerer.Code) {
+	t.Helper()
+	var r *answerer.RefusalError
+	if !errors.As(err, &r) {
+		t.Fatalf("got error %v, want a refusal", err)
+	}
+	if r.Code != code || r.Run != answerer.NotRun {
+		t.Errorf("refused with %q, run %q, want %q, not run", r.Code, r.Run, code)
+	}
+}
+
+func assertSent(t *testing.T, f *fleet, want int) {
+	t.Helper()
+	if got := len(f.sent()); got != want {
+		t.Errorf("%d sub-requests sent, want %d", got, want)
+	}
+}
+
+// failing answers as holding, but for the upstreams of the first zone, which give
+// the result of their own.
+func failing(r exchanger.Result, took time.Duration) func(string, exchanger.Task) reply {
+	return func(_ string, t exchanger.Task) reply {
+		if t.Version != 0 && strings.HasSuffix(t.Upstream, near) {
+			return reply{result: r, took: took}
+		}
+		return reply{result: resultOf(t, 1, 5), took: time.Millisecond}
+	}
+}
+
+func TestQuery(t *testing.T) {
+	t.Run("complete", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(serviceOf(declarer.Search, 20), holding(1, 5, time.Millisecond))
+			a := ask(t, f.start(t, nil))
+			assertCoverage(t, a, answerer.Coverage{Shards: 20, Merged: 20, Documents: 200})
+			assertOneSnapshot(t, a, 5)
+			assertSent(t, f, 20)
+			for _, task := range f.sent() {
+				if !strings.HasSuffix(task.Upstream, near) {
+					t.Errorf("asked %s, want one of this daemon's zone", task.Upstream)
+				}
+			}
+		})
+	})
+	t.Run("partial at the deadline", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(serviceOf(declarer.Search, 3), func(_ string, t exchanger.Task) reply {
+				return reply{result: resultOf(t, 1, 5), took: time.Millisecond, silent: t.Version != 0 && t.Shard == 1}
+			})
+			a := ask(t, f.start(t, nil))
+			assertCoverage(t, a, answerer.Coverage{
+				Shards: 3, Merged: 2, Documents: 20,
+				Missing: []answerer.Missing{{Shard: 1, Reason: answerer.ReasonDeadline}},
+			})
+			if a.Took.Duration > 200*time.Millisecond {
+				t.Errorf("took %s, want at most the deadline", a.Took)
+			}
+		})
+	})
+	t.Run("late, duplicate and foreign results", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(serviceOf(declarer.Search, 3), func(_ string, t exchanger.Task) reply {
+				return reply{result: resultOf(t, 1, 5), took: time.Duration(1+t.Shard) * time.Millisecond, twice: true}
+			})
+			g := f.start(t, nil)
+			for range 3 {
+				assertCoverage(t, ask(t, g), answerer.Coverage{Shards: 3, Merged: 3, Documents: 30})
+			}
+		})
+	})
+	t.Run("result of another version", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(serviceOf(declarer.Search, 3), failing(exchanger.Result{Version: 4, Documents: 10}, 0))
+			a := ask(t, f.start(t, nil))
+			assertCoverage(t, a, answerer.Coverage{Shards: 3, Merged: 3, Documents: 30})
+			assertOneSnapshot(t, a, 5)
+		})
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	s := serviceOf(declarer.Search, 3)
+	tests := []struct {
+		name   string
+		change func(*fleet, *answerer.Query)
+		want   answerer.Code
+	}{
+		{"no configuration", func(f *fleet, _ *answerer.Query) {
+			v := *f.View()
+			v.Version = 0
+			f.viewer.Publish(&v)
+		}, answerer.CodeNoConfig},
+		{"no such service", func(_ *fleet, q *answerer.Query) { q.Service = "nobody" }, answerer.CodeNoService},
+		{"bad limit", func(_ *fleet, q *answerer.Query) { q.Limit = -1 }, answerer.CodeBadField},
+		{"no versions", func(f *fleet, _ *answerer.Query) {
+			f.answer = func(string, exchanger.Task) reply { return reply{silent: true} }
+		}, answerer.CodeNoSnapshot},
+		{"all out", func(f *fleet, _ *answerer.Query) { f.viewer.Publish(viewOf(s, zones...)) }, answerer.CodeNoSnapshot},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, q := newFleet(s, holding(1, 5, 0)), query()
+				tt.change(f, q)
+				_, err := f.start(t, nil).Query(context.Background(), q)
+				assertRefused(t, err, tt.want)
+				assertSent(t, f, 0)
+			})
+		})
+	}
+	t.Run("overloaded", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(s, func(string, exchanger.Task) reply { return reply{silent: true} })
+			g := f.start(t, func(c *Config) { c.MaxQueries = 1 })
+			go g.Query(context.Background(), query()) //nolint:errcheck // only there to fill the daemon
+			synctest.Wait()
+			_, err := g.Query(context.Background(), query())
+			assertRefused(t, err, answerer.CodeOverloaded)
+		})
+	})
+}
--- a/internal/query/planner/layout.go
+++ b/internal/query/planner/layout.go
@@ -5,6 +5,7 @@
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/viewer"
+	"cornelwood.example/internal/query/tracker"
 )
 
 // noOwner marks an upstream that no live instance owns.
@@ -20,6 +21,8 @@
 	// Owners holds each instance that owns one of the upstreams once.
 	Owners []*declarer.Instance
 	maps   []shardMap
+	// shardOf holds a shard of each of Upstreams.
+	shardOf []int
 }
 
 // Upstream is one upstream of a Layout.
@@ -52,15 +55,65 @@
 	for i := range s.Maps {
 		l.maps = append(l.maps, layMap(s.Maps, i, index))
 	}
+	l.shardOf = make([]int, len(l.Upstreams))
+	for i := range l.maps {
+		l.maps[i].fillShards(l.shardOf)
+	}
 	return l
 }
 
+// fillShards sets a shard of the map for each upstream that it mentions.
+func (m *shardMap) fillShards(shardOf []int) {
+	for i := range m.shards {
+		for _, up := range m.shards[i].replicas {
+			shardOf[up] = m.shards[i].id
+		}
+	}
+}
+
 // IsUsable reports whether an upstream may be given new work.
 func (l *Layout) IsUsable(up int) bool {
 	u := &l.Upstreams[up]
 	return !u.Out && u.Owner != noOwner
 }
 
+// ReplicaSets returns the upstreams of each shard of every shard map, newest map
+// first.
+func (l *Layout) ReplicaSets() [][]int32 {
+	var sets [][]int32
+	for i := len(l.maps) - 1; i >= 0; i-- {
+		for j := range l.maps[i].shards {
+			sets = append(sets, l.maps[i].shards[j].replicas)
+		}
+	}
+	return sets
+}
+
+// ShardOf returns the ID of a shard that an upstream holds in the newest shard map
+// that mentions it.
+func (l *Layout) ShardOf(up int32) int {
+	return l.shardOf[up]
+}
+
+// Order returns the usable upstreams of the newest shard map in the order in
+// which to ask them, whatever versions they hold, with a shard of each.
+func (l *Layout) Order(readings []tracker.Reading, o Options) (ups []int32, shards map[int32]int) {
+	shards = make(map[int32]int)
+	var all []int32
+	m := &l.maps[len(l.maps)-1]
+	for i := range m.shards {
+		for _, up := range m.shards[i].replicas {
+			if _, ok := shards[up]; ok {
+				continue
+			}
+			shards[up] = m.shards[i].id
+			all = append(all, up)
+		}
+	}
+	s := sorter{layout: l, readings: readings, options: o, anyVersion: true}
+	return s.order(nil, all), shards
+}
+
 // layUpstreams returns the index of each upstream by name.
 func (l *Layout) layUpstreams() map[string]int32 {
 	ups := l.Service.Upstreams()
@@ -110,13 +163,3 @@
 	}
 	return m
 }
-
-// mapFor returns the map of version v, or nil when v is older than every map.
-func (l *Layout) mapFor(v uint64) *shardMap {
-	for i := len(l.maps) - 1; i >= 0; i-- {
-		if l.maps[i].from <= v {
-			return &l.maps[i]
-		}
-	}
-	return nil
-}
--- a/internal/query/planner/sorter.go
+++ b/internal/query/planner/sorter.go
@@ -27,7 +27,7 @@
 	baseCost = time.Millisecond
 	// inflightCost is the part of one latency that an open sub-request adds.
 	inflightCost = 0.25
-	// maxSorted bounds the replicas of one shard that are ordered.
+	// maxSorted is the number of replicas that are ordered without allocating.
 	maxSorted = 32
 )
 
@@ -37,6 +37,8 @@
 	readings []tracker.Reading
 	options  Options
 	version  uint64
+	// anyVersion ignores the versions that replicas hold.
+	anyVersion bool
 }
 
 type candidate struct {
@@ -50,9 +52,12 @@
 func (s *sorter) order(to, replicas []int32) []int32 {
 	var buf [maxSorted]candidate
 	cs := buf[:0]
+	if len(replicas) > maxSorted {
+		cs = make([]candidate, 0, len(replicas))
+	}
 	for _, up := range replicas {
 		c := s.candidate(up)
-		if c.rank == rankNone || len(cs) == maxSorted {
+		if c.rank == rankNone || len(cs) == cap(cs) {
 			continue
 		}
 		cs = append(cs, c)
@@ -78,7 +83,7 @@
 }
 
 func (s *sorter) rank(r *tracker.Reading) int {
-	isHolding := r.Holds(s.version)
+	isHolding := s.anyVersion || r.Holds(s.version)
 	mayHold := !r.Known || r.Age > staleAge && s.version > r.Newest
 	switch {
 	case isHolding && !r.Down:
--- a/internal/query/tracker/backoff.go
+++ b/internal/query/tracker/backoff.go
@@ -8,6 +8,8 @@
 const (
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 5 * time.Second
+	// trialEvery is the time between two trials after a back-off has run out.
+	trialEvery = 100 * time.Millisecond
 	// maxDoublings keeps the shift of minBackoff within maxBackoff's range.
 	maxDoublings = 6
 )
@@ -15,26 +17,34 @@
 // backoff doubles the time out of use with each failure in a row. Times are
 // nanoseconds since the Tracker's start.
 type backoff struct {
-	until atomic.Int64
-	count atomic.Int64
+	until    atomic.Int64
+	failedAt atomic.Int64
+	count    atomic.Int64
 }
 
+// isDown reports whether the back-off holds at a time. When it has run out, one
+// caller for each trialEvery is let through until a success ends it.
 func (b *backoff) isDown(at int64) bool {
-	return at < b.until.Load()
+	until := b.until.Load()
+	if until == 0 {
+		return false
+	}
+	return at < until || !b.until.CompareAndSwap(until, at+int64(trialEvery))
 }
 
-// fail starts or extends the back-off. Failures while it runs belong to
-// requests sent before it and change nothing.
+// fail starts or extends the back-off. Failures soon after the last one that
+// counted belong to requests sent before it and change nothing.
 func (b *backoff) fail(at int64) {
-	until := b.until.Load()
-	if at < until {
+	failed := b.failedAt.Load()
+	isFirst := b.count.Load() == 0
+	if !isFirst && at-failed < int64(minBackoff) {
 		return
 	}
-	n := min(b.count.Load(), maxDoublings)
-	d := min(minBackoff<<n, maxBackoff)
-	if b.until.CompareAndSwap(until, at+int64(d)) {
-		b.count.Add(1)
+	if !b.failedAt.CompareAndSwap(failed, at) {
+		return
 	}
+	n := min(b.count.Add(1)-1, maxDoublings)
+	b.until.Store(at + int64(min(minBackoff<<n, maxBackoff)))
 }
 
 func (b *backoff) reset() {
--- a/internal/query/tracker/upstream.go
+++ b/internal/query/tracker/upstream.go
@@ -55,6 +55,7 @@
 	inflight  atomic.Int64
 	failures  atomic.Int64
 	backoff   backoff
+	owner     atomic.Pointer[string]
 }
 
 type held struct {
@@ -93,6 +94,15 @@
 	u.heldAt.Store(int64(now.Sub(u.start)))
 }
 
+// Own records the instance that owns the upstream. A new owner ends the back-off
+// that failures of the one before have caused.
+func (u *Upstream) Own(id string) {
+	if was := u.owner.Swap(&id); was != nil && *was != id {
+		u.failures.Store(0)
+		u.backoff.reset()
+	}
+}
+
 // Begin counts a sub-request that is sent.
 func (u *Upstream) Begin() {
 	u.inflight.Add(1)
