--- /dev/null
+++ b/internal/cli/builder/builder.go
@@ -0,0 +1,69 @@
+// Package builder defines the commands of the cornelwood program, each with a
+// one-line summary and a long help.
+package builder
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"cornelwood.example/internal/contract/answerer"
+)
+
+// Exit codes of the program.
+const (
+	exitFault   = 1
+	exitRefused = 2
+)
+
+// flagJSON is the name of the flag that asks for JSON.
+const flagJSON = "json"
+
+// New returns the program's command.
+func New(stdout, stderr io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "cornelwood",
+		Usage: "a query tier over many shards",
+		Description: "Cornelwood stands between callers and the searchers that hold their records. " +
+			"A query goes to one searcher of every shard; one merged answer comes back, from one snapshot, with its true coverage.",
+		Writer:    stdout,
+		ErrWriter: stderr,
+		Commands: []*cli.Command{
+			daemonCommand(),
+			checkCommand(),
+			queryCommand(),
+			ticketCommand(),
+			runCommand(),
+			serviceCommand(),
+			zoneCommand(),
+			upstreamCommand(),
+			changeCommand(),
+			statusCommand(),
+			loadCommand(),
+			demoCommand(),
+			docsCommand(),
+		},
+		// The exit code is the caller's matter.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+}
+
+// ExitCode returns the program's exit code for the error of a command: 0 for
+// none, 2 for a refusal, else 1.
+func ExitCode(err error) int {
+	var ref *answerer.RefusalError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &ref):
+		return exitRefused
+	default:
+		return exitFault
+	}
+}
+
+func jsonFlag() cli.Flag {
+	return &cli.BoolFlag{Name: flagJSON, Usage: "write JSON, for machines"}
+}
--- /dev/null
+++ b/internal/cli/builder/load.go
@@ -0,0 +1,182 @@
+package builder
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cornelwood.example/internal/cli/printer"
+	"cornelwood.example/internal/cli/requester"
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/load/driver"
+	"cornelwood.example/internal/settings/reader"
+)
+
+const (
+	flagRate     = "rate"
+	flagDuration = "duration"
+	flagSeed     = "seed"
+	flagCounts   = "counts"
+
+	loadWait    = 10 * time.Second
+	loadConns   = 4096
+	countsWait  = 30 * time.Second
+	defaultRate = 100
+)
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "drive load at a fixed rate and report latency, coverage and extra load",
+		Description: "Queries arrive at random moments at a fixed mean rate, whether or not earlier ones are answered; " +
+			"each latency counts from the planned arrival. With --counts the stand-in searchers of a schema are asked what they counted.",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: flagCaller, Value: []string{defaultCaller}, Usage: "URL of a daemon's caller service; several are used in turn"},
+			&cli.StringSliceFlag{Name: flagService, Required: true, Usage: "name of a service; several are used in turn"},
+			&cli.FloatFlag{Name: flagRate, Value: defaultRate, Usage: "queries a second over all services"},
+			&cli.DurationFlag{Name: flagDuration, Value: 10 * time.Second, Usage: "time during which queries arrive"},
+			&cli.DurationFlag{Name: flagDeadline, Usage: "deadline of each query; absent means the contract's"},
+			&cli.Uint64Flag{Name: flagSeed, Value: 1, Usage: "seed of the arrivals"},
+			&cli.StringFlag{Name: flagCounts, Usage: "schema file whose stand-in searchers are asked what they counted"},
+			jsonFlag(),
+		},
+		Action: runLoad,
+	}
+}
+
+// asker asks one daemon.
+type asker struct {
+	r *requester.Requester
+}
+
+// Ask sends one query.
+func (a asker) Ask(ctx context.Context, q *answerer.Query) (*answerer.Answer, error) {
+	var out answerer.Answer
+	if err := a.r.Do(ctx, http.MethodPost, "/v1/query", q, &out); err != nil {
+		return nil, err
+	}
+	return &out, nil
+}
+
+func runLoad(ctx context.Context, cmd *cli.Command) error {
+	cfg := driver.Config{
+		Services: cmd.StringSlice(flagService),
+		Rate:     cmd.Float(flagRate),
+		Duration: cmd.Duration(flagDuration),
+		Deadline: cmd.Duration(flagDeadline),
+		Wait:     loadWait,
+		Seed:     cmd.Uint64(flagSeed),
+	}
+	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: loadConns}}
+	for _, url := range cmd.StringSlice(flagCaller) {
+		cfg.Askers = append(cfg.Askers, asker{requester.New(url, hc)})
+	}
+	if isTerminal(os.Stderr) && !cmd.Bool(flagJSON) {
+		cfg.Progress = func(p driver.Progress) {
+			fmt.Fprintf(cmd.Root().ErrWriter, "\r%s: %d sent, %d answered, %d refused", p.Elapsed.Round(time.Second), p.Sent, p.Answered, p.Refused)
+		}
+	}
+	counter, err := newCounter(cmd, hc, cfg.Services)
+	if err != nil {
+		return err
+	}
+	rep, err := drive(ctx, cfg, counter)
+	if err != nil {
+		return err
+	}
+	if cmd.Bool(flagJSON) {
+		return printer.JSON(cmd.Root().Writer, rep)
+	}
+	return printReport(cmd, rep)
+}
+
+// drive runs the load between two readings of the searchers' counts.
+func drive(ctx context.Context, cfg driver.Config, counter *driver.Counter) (*driver.Report, error) {
+	if counter == nil {
+		return driver.Run(ctx, cfg)
+	}
+	before, err := readCounts(ctx, counter)
+	if err != nil {
+		return nil, err
+	}
+	rep, err := driver.Run(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	after, err := readCounts(ctx, counter)
+	if err != nil {
+		return nil, err
+	}
+	rep.Upstream = after.Since(before, rep.Shards)
+	return rep, nil
+}
+
+func readCounts(ctx context.Context, c *driver.Counter) (driver.Upstream, error) {
+	ctx, cancel := context.WithTimeout(ctx, countsWait)
+	defer cancel()
+	return c.Read(ctx)
+}
+
+func newCounter(cmd *cli.Command, hc *http.Client, services []string) (*driver.Counter, error) {
+	path := cmd.String(flagCounts)
+	if path == "" {
+		return nil, nil
+	}
+	schema, err := reader.ReadSchema(path)
+	if err != nil {
+		return nil, err
+	}
+	var addrs []netip.AddrPort
+	for i := range schema.Services {
+		if !slices.Contains(services, schema.Services[i].Name) {
+			continue
+		}
+		for _, u := range schema.Services[i].Upstreams() {
+			addrs = append(addrs, u.Addr)
+		}
+	}
+	return driver.NewCounter(hc, addrs), nil
+}
+
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+func printReport(cmd *cli.Command, rep *driver.Report) error {
+	rows := [][]string{
+		{"rate", fmt.Sprintf("%.0f/s for %s, seed %d", rep.Rate, rep.Elapsed, rep.Seed)},
+		{"queries", fmt.Sprintf("%d sent, %d answered, %d complete, %d wrong, %d errors, %d dropped", rep.Sent, rep.Answered, rep.Complete, rep.Wrong, rep.Errors, rep.Dropped)},
+		{"latency", fmt.Sprintf("p50 %s, p90 %s, p99 %s, p99.9 %s, max %s", rep.P50, rep.P90, rep.P99, rep.P999, rep.Max)},
+		{"coverage", fmt.Sprintf("%.5f of %d shards", rep.Coverage, rep.Shards)},
+		{"refused", tally(rep.Refused)},
+		{"missing", tally(rep.Missing)},
+	}
+	if u := rep.Upstream; u != nil {
+		rows = append(rows,
+			[]string{"upstream", fmt.Sprintf("%d runs, %.2f%% extra, wasted %s", u.Runs, 100*u.Extra, u.Wasted)},
+			[]string{"admission", fmt.Sprintf("%d at once at most, %d overlaps, %d cold overloads, %d sheds", u.MostAtOnce, u.Overlap, u.ColdOverload, u.Sheds)},
+			[]string{"connections", fmt.Sprintf("%d accepted, %d open at most", u.Connections, u.MostOpen)})
+	}
+	return printer.Table(cmd.Root().Writer, []string{"LOAD", ""}, rows)
+}
+
+// tally returns counts as "code 3, code 5", or "none".
+func tally[K ~string](counts map[K]int) string {
+	var parts []string
+	for k, n := range counts {
+		parts = append(parts, fmt.Sprintf("%s %d", k, n))
+	}
+	if len(parts) == 0 {
+		return "none"
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/load/driver/counts.go
@@ -0,0 +1,111 @@
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cornelwood.example/internal/contract/declarer"
+)
+
+// maxPolls bounds the searchers asked at once.
+const maxPolls = 32
+
+// Counter reads what stand-in searchers counted.
+type Counter struct {
+	hc    *http.Client
+	addrs []netip.AddrPort
+}
+
+// counts is the part of a stand-in searcher's /counts that a report needs.
+type counts struct {
+	Started       int           `json:"started"`
+	Sheds         int           `json:"sheds"`
+	MostInside    int           `json:"mostinside"`
+	Overlaps      int           `json:"overlaps"`
+	ColdOverloads int           `json:"coldoverloads"`
+	Accepted      int           `json:"accepted"`
+	MostOpen      int           `json:"mostopen"`
+	Wasted        time.Duration `json:"wasted"`
+}
+
+// NewCounter returns a Counter for the searchers at addrs.
+func NewCounter(hc *http.Client, addrs []netip.AddrPort) *Counter {
+	return &Counter{hc: hc, addrs: addrs}
+}
+
+// Read returns the sum of all searchers' counts since they started; MostAtOnce
+// and MostOpen are the highest of any.
+func (c *Counter) Read(ctx context.Context) (Upstream, error) {
+	var (
+		mu  sync.Mutex
+		sum Upstream
+	)
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxPolls)
+	for _, addr := range c.addrs {
+		g.Go(func() error {
+			one, err := c.readOne(ctx, addr)
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			sum.add(one)
+			return nil
+		})
+	}
+	err := g.Wait()
+	return sum, err
+}
+
+func (c *Counter) readOne(ctx context.Context, addr netip.AddrPort) (counts, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+"/counts?brief=1", http.NoBody)
+	if err != nil {
+		return counts{}, fmt.Errorf("counts of %s: %w", addr, err)
+	}
+	// The searchers have few connections to give.
+	req.Close = true
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return counts{}, fmt.Errorf("counts of %s: %w", addr, err)
+	}
+	defer resp.Body.Close()
+	var one counts
+	if err := json.NewDecoder(resp.Body).Decode(&one); err != nil {
+		return counts{}, fmt.Errorf("counts of %s: %w", addr, err)
+	}
+	return one, nil
+}
+
+func (u *Upstream) add(c counts) {
+	u.Runs += c.Started
+	u.Sheds += c.Sheds
+	u.Overlap += c.Overlaps
+	u.ColdOverload += c.ColdOverloads
+	u.Connections += c.Accepted
+	u.Wasted.Duration += c.Wasted
+	u.MostAtOnce = max(u.MostAtOnce, c.MostInside)
+	u.MostOpen = max(u.MostOpen, c.MostOpen)
+}
+
+// Since returns what was counted after before was read, for answered queries
+// that touch the given number of shards.
+func (u Upstream) Since(before Upstream, shards int) *Upstream {
+	u.Runs -= before.Runs
+	u.Sheds -= before.Sheds
+	u.Overlap -= before.Overlap
+	u.ColdOverload -= before.ColdOverload
+	u.Connections -= before.Connections
+	u.Wasted = declarer.Duration{Duration: u.Wasted.Duration - before.Wasted.Duration}
+	if shards > 0 {
+		u.Extra = float64(u.Runs)/float64(shards) - 1
+	}
+	return &u
+}
