--- a/internal/platform/storer/caller.go
+++ b/internal/platform/storer/caller.go
@@ -27,7 +27,7 @@
 
 var (
 	errEnded = errors.New("the storer has ended")
-	errSlow  = errors.New("no answer in time")
+	errSlow  = fmt.Errorf("no answer in time: %w", context.DeadlineExceeded)
 	errPause = errors.New("the pause after a failure outlasts the call")
 )
 
