--- a/internal/contract/declarer/service.go
+++ b/internal/contract/declarer/service.go
@@ -226,7 +226,8 @@
 	}
 }
 
-// checkName accepts lower-case letters, digits, '-' and '.'.
+// checkName accepts lower-case letters, digits, '-' and '.', the first of them
+// a letter or digit: names stand in URL paths, where "." and ".." mean others.
 func checkName(f *faults, field, name string) {
 	if name == "" || len(name) > maxNameBytes {
 		f.addf(field, "want 1 to %d bytes, got %d", maxNameBytes, len(name))
@@ -234,6 +235,10 @@
 	}
 	if i := strings.IndexFunc(name, isOutsideName); i >= 0 {
 		f.addf(field, "want lower-case letters, digits, '-' and '.', got %q", name)
+		return
+	}
+	if name[0] == '-' || name[0] == '.' {
+		f.addf(field, "want a letter or digit first, got %q", name)
 	}
 }
 
--- a/internal/contract/declarer/service_test.go
+++ b/internal/contract/declarer/service_test.go
@@ -17,6 +17,7 @@
 	}{
 		{"valid", func(*Service) {}, nil},
 		{"bad name", func(s *Service) { s.Name = "Anomaly Finder" }, []string{"name"}},
+		{"dots for a name", func(s *Service) { s.Name = ".." }, []string{"name"}},
 		{"bad class", func(s *Service) { s.Class = "write" }, []string{"class"}},
 		{"no deadline", func(s *Service) { s.Contract.Deadline = Duration{} }, []string{"contract.deadline", "contract.latency"}},
 		{"cold above slots", func(s *Service) { s.Capacity.Cold = 4 }, []string{"capacity.cold"}},
