detector: the group protocol as a state machine

Cause: the owner's admission needs a fence that works without the platform. Ruled out: majority leases alone (a member of several sides would count for each after a cut heals: found on paper with three daemons, two of them cut from one another); relays inside the state machine (the control goroutine can pass any ping on, and the ack's own send time keeps the fence sound).

--- /dev/null
+++ b/internal/peer/detector/ping.go
@@ -0,0 +1,114 @@
+package detector
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+)
+
+// Tick looks at the time and returns the pings that are due.
+func (n *Node) Tick(now time.Time) []Outgoing {
+	n.observe(now)
+	n.settle(now)
+	var due []Outgoing
+	for _, m := range n.members {
+		if m.in.State == declarer.Gone || now.Before(m.pingAt) {
+			continue
+		}
+		m.pingAt = now.Add(n.cfg.Interval)
+		due = append(due, Outgoing{To: m.in, Ping: n.ping(now, m)})
+	}
+	slices.SortFunc(due, func(a, b Outgoing) int { return strings.Compare(a.To.ID, b.To.ID) })
+	n.dropSent(now)
+	return due
+}
+
+// HandlePing answers a ping of a member of the group.
+func (n *Node) HandlePing(now time.Time, p Ping) Ack {
+	n.Learn(now, p.From)
+	ack := Ack{From: n.self, Seq: p.Seq}
+	m, ok := n.members[p.From.ID]
+	switch {
+	case !ok || !m.is(&p.From) || m.in.State == declarer.Gone:
+		// An earlier membership: it is told to join again.
+		ack.Rejoin = true
+	case m.expired && !n.cfg.faults.noExpiry:
+		ack.Rejoin = true
+	default:
+		m.expired, m.missing = false, false
+		m.ackedAt = now
+		m.takeReport(p.Expired, now)
+		ack.Accept = n.accepts(m)
+	}
+	n.settle(now)
+	ack.Expired = n.expired()
+	return ack
+}
+
+// HandleAck takes in the answer to one of this node's pings.
+func (n *Node) HandleAck(now time.Time, a Ack) {
+	n.observe(now)
+	s, ok := n.sent[a.Seq]
+	if !ok || s.to != a.From.ID {
+		return
+	}
+	delete(n.sent, a.Seq)
+	n.Learn(now, a.From)
+	m, ok := n.members[a.From.ID]
+	if !ok || !m.is(&a.From) || s.term != n.self.Term {
+		return
+	}
+	if a.Rejoin {
+		n.rejoin(now, n.self.Term+1)
+		return
+	}
+	m.takeReport(a.Expired, now)
+	if a.Accept {
+		n.takeAccept(m, s.at)
+	}
+	n.settle(now)
+}
+
+// takeAccept notes that a member accepted the ping sent at the given time.
+func (n *Node) takeAccept(m *member, sentAt time.Time) {
+	m.accepted = true
+	if sentAt.After(m.heardAt) {
+		m.heardAt = sentAt
+	}
+	if m.in.State == declarer.Leaving {
+		m.drained = true
+	}
+}
+
+// accepts reports whether this node has no work left for which the member, which
+// it counts live, ranks before it.
+func (n *Node) accepts(m *member) bool {
+	if n.cfg.faults.noDrain {
+		return true
+	}
+	return n.cfg.InFlight(m.in.ID, n.self.State == declarer.Leaving) == 0
+}
+
+func (n *Node) ping(now time.Time, m *member) Ping {
+	n.seq++
+	n.sent[n.seq] = sentPing{to: m.in.ID, at: now, term: n.self.Term}
+	return Ping{From: n.self, To: m.in.ID, Seq: n.seq, Expired: n.expired()}
+}
+
+// pingAll makes a ping to every member due.
+func (n *Node) pingAll(now time.Time) {
+	for _, m := range n.members {
+		m.pingAt = now
+	}
+}
+
+// dropSent forgets pings whose ack would come too late to count.
+func (n *Node) dropSent(now time.Time) {
+	for seq, s := range n.sent {
+		if now.Sub(s.at) > n.cfg.Fence {
+			delete(n.sent, seq)
+		}
+	}
+}
