linker: a deadline that passes at the peer is silence for the caller

Cause: the far end saw the deadline first and answered an internal error, so the caller kept the connection and could not tell it from a fault of the handler; the idle connection then swallowed the next call under a cut (1 s). Ruled out: a test that expects too much; the two failures had this one cause. Change: such answers carry the code timeout and become UnreachableError.

--- a/internal/peer/linker/call.go
+++ b/internal/peer/linker/call.go
@@ -58,6 +58,12 @@
 		return &UnreachableError{Peer: peer, Sent: true, Err: err}
 	}
 	l.meter.recv[use].Inc()
+	if resp.Error != nil && resp.Error.Code == CodeTimeout {
+		// The peer saw the deadline pass first; for the caller it is the same as
+		// silence.
+		p.discard(c)
+		return &UnreachableError{Peer: peer, Sent: true, Err: resp.Error}
+	}
 	p.put(c)
 	if resp.Error != nil {
 		return resp.Error
--- a/internal/peer/linker/errors.go
+++ b/internal/peer/linker/errors.go
@@ -15,6 +15,8 @@
 	CodeUnknownCall = "unknown_call"
 	// CodeInvalid marks a body that the peer could not decode.
 	CodeInvalid = "invalid"
+	// CodeTimeout marks a call whose time ran out at the peer.
+	CodeTimeout = "timeout"
 )
 
 // UnreachableError says that a peer gave no answer.
--- a/internal/peer/linker/link.go
+++ b/internal/peer/linker/link.go
@@ -234,8 +234,7 @@
 func (k *link) write(ctx context.Context, stream drpc.Stream, w *wire) error {
 	f := frame{From: k.l.cfg.Self}
 	for {
-		var late []outcome
-		late = k.fill(&f)
+		late := k.fill(&f)
 		deliverAll(late)
 		if f.empty() {
 			select {
--- a/internal/peer/linker/linker_test.go
+++ b/internal/peer/linker/linker_test.go
@@ -44,7 +44,8 @@
 
 func start(t testing.TB, cfg linker.Config, w linker.Worker, prepare ...func(*linker.Linker)) *daemon {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	var lc net.ListenConfig
+	lis, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peer/linker/server.go
+++ b/internal/peer/linker/server.go
@@ -75,6 +75,9 @@
 	ctx, cancel := context.WithTimeout(ctx, req.Remaining)
 	defer cancel()
 	out, err := fn(ctx, req.From, req.Body)
+	if err != nil && ctx.Err() != nil {
+		return &response{Error: &RemoteError{Code: CodeTimeout, Reason: err.Error()}}
+	}
 	if err != nil {
 		return &response{Error: remoteError(err)}
 	}
