--- /dev/null
+++ b/internal/control/watcher/metrics.go
@@ -0,0 +1,25 @@
+package watcher
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics counts the calls to the platform.
+type Metrics struct {
+	calls    *prometheus.CounterVec
+	failures prometheus.Counter
+}
+
+// NewMetrics returns counters that are registered with reg.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cornelwood_platform_reads_total",
+			Help: "Calls of the watcher to the platform, by call.",
+		}, []string{"call"}),
+		failures: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cornelwood_platform_read_failures_total",
+			Help: "Calls of the watcher to the platform that failed.",
+		}),
+	}
+	reg.MustRegister(m.calls, m.failures)
+	return m
+}
