--- a/internal/contract/declarer/object.go
+++ b/internal/contract/declarer/object.go
@@ -6,8 +6,8 @@
 	"slices"
 )
 
-// maxChanges bounds the change ids that an object remembers.
-const maxChanges = 8
+// MaxChanges bounds the change ids that an object remembers.
+const MaxChanges = 8
 
 // Kind is the kind of an object in the platform's object API.
 type Kind string
@@ -69,8 +69,8 @@
 // when there are too many.
 func (o Object) Changed(id string) Object {
 	o.Changes = append(slices.Clone(o.Changes), id)
-	if n := len(o.Changes); n > maxChanges {
-		o.Changes = o.Changes[n-maxChanges:]
+	if n := len(o.Changes); n > MaxChanges {
+		o.Changes = o.Changes[n-MaxChanges:]
 	}
 	return o
 }
