--- a/internal/control/viewer/view.go
+++ b/internal/control/viewer/view.go
@@ -40,6 +40,8 @@
 	// Version is the highest version of any object adopted; 0 means that there is
 	// no configuration.
 	Version uint64
+	// Objects holds every object, tombstones too, keyed by kind and name.
+	Objects map[declarer.Key]*declarer.Object
 	// Services and Zones are keyed by name.
 	Services map[string]*declarer.Service
 	Zones    map[string]*declarer.Zone
@@ -54,6 +56,7 @@
 func Build(self declarer.Instance, objects []declarer.Object, instances []declarer.Instance) *View {
 	v := &View{
 		Self:     self,
+		Objects:  make(map[declarer.Key]*declarer.Object, len(objects)),
 		Services: make(map[string]*declarer.Service),
 		Zones:    make(map[string]*declarer.Zone),
 		owners:   make(map[string]*declarer.Instance),
@@ -104,6 +107,7 @@
 
 func (v *View) addObject(o *declarer.Object) {
 	v.Version = max(v.Version, o.Version)
+	v.Objects[o.Key] = o
 	switch {
 	case o.Deleted:
 	case o.Service != nil:
