--- a/internal/control/spreader/message.go
+++ b/internal/control/spreader/message.go
@@ -33,6 +33,20 @@
 	StepPush
 )
 
+// String returns the step's name.
+func (s Step) String() string {
+	switch s {
+	case StepRoot:
+		return "root"
+	case StepMarks:
+		return "marks"
+	case StepPush:
+		return "push"
+	default:
+		return "unknown"
+	}
+}
+
 // Message is a request or a reply between two daemons.
 type Message struct {
 	From string `json:"f"`
@@ -49,6 +63,8 @@
 	Instances []declarer.Instance `json:"i,omitempty"`
 	// More is true when a bound cut the reply short.
 	More bool `json:"e,omitempty"`
+	// Synced is true when the sender knows the whole configuration.
+	Synced bool `json:"y,omitempty"`
 	// Contacts says who reached the platform last.
 	Contacts []Contact `json:"c,omitempty"`
 }
