--- /dev/null
+++ b/internal/control/reconciler/fleet_test.go
@@ -0,0 +1,173 @@
+package reconciler
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/control/viewer"
+	"cornelwood.example/internal/control/watcher"
+)
+
+// fleet is a set of daemons on one network and one platform.
+type fleet struct {
+	t        *testing.T
+	network  *network
+	platform *platform
+	daemons  []*daemon
+}
+
+type daemon struct {
+	*Reconciler
+	self   declarer.Instance
+	views  *viewer.Viewer
+	cancel context.CancelFunc
+	done   chan struct{}
+	busy   int
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, network: newNetwork(), platform: newPlatform()}
+	return f
+}
+
+// instance returns the n-th instance of a zone; zones are named by a letter.
+func instance(zone string, n int) declarer.Instance {
+	z := zone[0] - 'a'
+	return declarer.Instance{
+		ID:          fmt.Sprintf("%s-%d", zone, n),
+		Zone:        zone,
+		Region:      "region",
+		Peer:        netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, z, byte(n)}), 7000),
+		Incarnation: 1,
+	}
+}
+
+// start starts a daemon that knows the seeds, next to those that run.
+func (f *fleet) start(self declarer.Instance, seeds ...netip.AddrPort) *daemon {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s/%d", self.ID, self.Incarnation)
+	d := &daemon{self: self, done: make(chan struct{})}
+	d.views = viewer.New(viewer.Build(self, nil, nil))
+	cfg := Config{
+		Self:     self,
+		Seeds:    seeds,
+		Rand:     rand.New(rand.NewPCG(1, h.Sum64())),
+		InFlight: func() int { return d.busy },
+	}
+	reg := prometheus.NewRegistry()
+	r, wait := New(cfg, &port{n: f.network, self: self.Peer}, d.views, hclog.NewNullLogger(), NewMetrics(reg))
+	d.Reconciler = r
+	w := watcher.New(f.platform, r, rand.New(rand.NewPCG(2, h.Sum64())), hclog.NewNullLogger(), watcher.NewMetrics(reg))
+	ctx, cancel := context.WithCancel(f.t.Context())
+	d.cancel = cancel
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		_ = w.Serve(ctx)
+	}()
+	go func() {
+		defer close(d.done)
+		_ = r.Serve(ctx)
+		<-watched
+		wait()
+	}()
+	f.daemons = append(f.daemons, d)
+	return d
+}
+
+// startAll starts n daemons in each zone, all with the first two as seeds.
+func (f *fleet) startAll(n int, zones ...string) {
+	seeds := []netip.AddrPort{instance(zones[0], 1).Peer, instance(zones[len(zones)-1], 1).Peer}
+	for _, zone := range zones {
+		for i := range n {
+			f.start(instance(zone, i+1), seeds...)
+		}
+	}
+}
+
+// kill ends a daemon without a word; its address refuses calls.
+func (f *fleet) kill(d *daemon) {
+	f.network.remove(d.self.Peer)
+	d.cancel()
+	<-d.done
+	for i := range f.daemons {
+		if f.daemons[i] == d {
+			f.daemons = append(f.daemons[:i], f.daemons[i+1:]...)
+			return
+		}
+	}
+}
+
+// end ends all daemons.
+func (f *fleet) end() {
+	for _, d := range f.daemons {
+		d.cancel()
+	}
+	for _, d := range f.daemons {
+		<-d.done
+	}
+	synctest.Wait()
+}
+
+// await waits until every daemon satisfies ok, and returns how long it took.
+func (f *fleet) await(what string, bound time.Duration, ok func(d *daemon) bool) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	for {
+		var lacking []string
+		for _, d := range f.daemons {
+			if !ok(d) {
+				lacking = append(lacking, d.self.ID)
+			}
+		}
+		if len(lacking) == 0 {
+			return time.Since(began)
+		}
+		if time.Since(began) > bound {
+			f.t.Fatalf("%s: not within %s at %v", what, bound, lacking)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// has returns a condition: the object's version is in force.
+func has(o declarer.Object) func(d *daemon) bool {
+	return func(d *daemon) bool {
+		got, ok := d.views.View().Objects[o.Key]
+		return ok && got.Version >= o.Version
+	}
+}
+
+// knows returns a condition: n instances are live.
+func knows(n int) func(d *daemon) bool {
+	return func(d *daemon) bool {
+		live := 0
+		for _, in := range d.views.View().Instances {
+			if in.State == declarer.Live {
+				live++
+			}
+		}
+		return live == n
+	}
+}
+
+func zoneObject(name string, out bool) declarer.Object {
+	return declarer.Object{
+		Key:  declarer.Key{Kind: declarer.KindZone, Name: name},
+		Zone: &declarer.Zone{Name: name, Region: "region", Groups: 1, Out: out},
+	}
+}
+
+func newRand(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, seed))
+}
--- /dev/null
+++ b/internal/control/reconciler/network_test.go
@@ -0,0 +1,127 @@
+package reconciler
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cornelwood.example/internal/peer/linker"
+)
+
+const oneWay = 500 * time.Microsecond
+
+// network carries calls between the daemons of a test, and counts them.
+type network struct {
+	enc cbor.EncMode
+
+	mu       sync.Mutex
+	handlers map[netip.AddrPort]map[string]handler
+	// isCut reports whether messages from a to b are lost.
+	isCut func(a, b netip.AddrPort) bool
+	// calls and bytes count by the call's name; bytes those of both directions.
+	calls, bytes map[string]int
+}
+
+type handler func(ctx context.Context, from netip.AddrPort, body []byte) (any, error)
+
+func newNetwork() *network {
+	enc, err := cbor.EncOptions{TextMarshaler: cbor.TextMarshalerTextString}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return &network{
+		enc:      enc,
+		handlers: make(map[netip.AddrPort]map[string]handler),
+		isCut:    func(_, _ netip.AddrPort) bool { return false },
+		calls:    make(map[string]int),
+		bytes:    make(map[string]int),
+	}
+}
+
+// port is one daemon's Linker.
+type port struct {
+	n    *network
+	self netip.AddrPort
+}
+
+func (p *port) Handle(name string, fn func(ctx context.Context, from netip.AddrPort, body []byte) (any, error)) {
+	p.n.mu.Lock()
+	defer p.n.mu.Unlock()
+	if p.n.handlers[p.self] == nil {
+		p.n.handlers[p.self] = make(map[string]handler)
+	}
+	p.n.handlers[p.self][name] = fn
+}
+
+func (p *port) Call(ctx context.Context, peer netip.AddrPort, name string, in, out any) error {
+	body, err := p.n.enc.Marshal(in)
+	if err != nil {
+		return err
+	}
+	fn, lost := p.n.route(p.self, peer, name, len(body))
+	if lost {
+		<-ctx.Done()
+		return &linker.UnreachableError{Peer: peer, Sent: true, Err: ctx.Err()}
+	}
+	if fn == nil {
+		return &linker.UnreachableError{Peer: peer, Refused: true, Err: errors.New("refused")}
+	}
+	time.Sleep(oneWay)
+	answer, err := fn(ctx, p.self, body)
+	time.Sleep(oneWay)
+	if err != nil {
+		return err
+	}
+	if _, lost := p.n.route(peer, p.self, "", 0); lost {
+		<-ctx.Done()
+		return &linker.UnreachableError{Peer: peer, Sent: true, Err: ctx.Err()}
+	}
+	back, err := p.n.enc.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	p.n.count(name, 0, len(back))
+	return linker.Decode(back, out)
+}
+
+// route returns the handler of a call, nil when nothing listens, and whether the
+// call is lost on its way.
+func (n *network) route(from, to netip.AddrPort, name string, size int) (handler, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if name != "" {
+		n.calls[name]++
+		n.bytes[name] += size
+	}
+	return n.handlers[to][name], n.isCut(from, to)
+}
+
+func (n *network) count(name string, calls, size int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calls[name] += calls
+	n.bytes[name] += size
+}
+
+func (n *network) reset() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.calls)
+	clear(n.bytes)
+}
+
+func (n *network) cut(isCut func(a, b netip.AddrPort) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isCut = isCut
+}
+
+func (n *network) remove(addr netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.handlers, addr)
+}
--- /dev/null
+++ b/internal/control/reconciler/platform_test.go
@@ -0,0 +1,131 @@
+package reconciler
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/platform/storer"
+)
+
+// platform is the object API in memory, with faults.
+type platform struct {
+	mu        sync.Mutex
+	revision  uint64
+	history   []declarer.Object
+	instances []declarer.Instance
+	changed   chan struct{}
+	calls     map[string]int
+	// peak is the highest number of calls in one second.
+	peak, second int
+	secondAt     time.Time
+
+	isDown bool
+	// lag is the number of last changes that lists do not show.
+	lag int
+	// mangle repeats, reorders and drops events of watches, and adds old ones.
+	mangle *rand.Rand
+}
+
+func newPlatform() *platform {
+	return &platform{changed: make(chan struct{}), calls: make(map[string]int)}
+}
+
+func (p *platform) put(o declarer.Object) declarer.Object {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	o.Version = p.revision
+	p.history = append(p.history, o)
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return o
+}
+
+func (p *platform) set(fn func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fn()
+}
+
+func (p *platform) call(name string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[name]++
+	if now := time.Now(); now.Sub(p.secondAt) >= time.Second {
+		p.second, p.secondAt = 0, now
+	}
+	p.second++
+	p.peak = max(p.peak, p.second)
+	if p.isDown {
+		return &storer.UnavailableError{Call: name, Err: errors.New("down")}
+	}
+	return nil
+}
+
+func (p *platform) List(context.Context, declarer.Kind) ([]declarer.Object, uint64, error) {
+	if err := p.call("list"); err != nil {
+		return nil, 0, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shown := p.history[:max(0, len(p.history)-p.lag)]
+	latest := make(map[declarer.Key]declarer.Object)
+	for _, o := range shown {
+		latest[o.Key] = o
+	}
+	var objects []declarer.Object
+	for _, o := range latest {
+		objects = append(objects, o)
+	}
+	return objects, p.revision - uint64(len(p.history)-len(shown)), nil
+}
+
+func (p *platform) Watch(ctx context.Context, from uint64, wait time.Duration) ([]declarer.Object, uint64, error) {
+	if err := p.call("watch"); err != nil {
+		return nil, 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		objects, revision, changed := p.since(from)
+		if len(objects) > 0 {
+			return objects, max(from, revision), nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, from, nil
+		}
+	}
+}
+
+func (p *platform) since(from uint64) ([]declarer.Object, uint64, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var objects []declarer.Object
+	for _, o := range p.history {
+		if o.Version > from {
+			objects = append(objects, o)
+		}
+	}
+	if p.mangle != nil && len(objects) > 0 {
+		objects = append(objects, p.history...)
+		p.mangle.Shuffle(len(objects), func(i, j int) { objects[i], objects[j] = objects[j], objects[i] })
+		objects = objects[:1+p.mangle.IntN(len(objects))]
+	}
+	return objects, p.revision, p.changed
+}
+
+func (p *platform) Instances(context.Context) ([]declarer.Instance, error) {
+	if err := p.call("instances"); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.instances), nil
+}
--- /dev/null
+++ b/internal/control/reconciler/reconciler_test.go
@@ -0,0 +1,125 @@
+package reconciler
+
+import (
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+)
+
+// inForce is the bound of the stated target for today's fleets.
+const inForce = 3 * time.Second
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.end()
+		f.platform.put(zoneObject("a", false))
+		f.startAll(3, "a", "b", "c")
+		f.await("configuration after the start", 10*time.Second, func(d *daemon) bool { return d.views.View().Version > 0 })
+		f.await("instances after the start", 10*time.Second, knows(9))
+		o := f.platform.put(zoneObject("a", true))
+		f.await("change", inForce, has(o))
+	})
+}
+
+func TestStartWithoutPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.end()
+		o := f.platform.put(zoneObject("a", false))
+		f.startAll(2, "a", "b")
+		f.await("configuration", 10*time.Second, has(o))
+		f.platform.set(func() { f.platform.isDown = true })
+		d := f.daemons[1]
+		f.kill(d)
+		self := d.self
+		self.Incarnation++
+		f.start(self, instance("a", 1).Peer, instance("b", 1).Peer)
+		f.await("configuration of the restarted daemon", inForce, has(o))
+		f.await("instances", 10*time.Second, knows(4))
+	})
+}
+
+func TestNoConfigurationAnywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.end()
+		f.platform.isDown = true
+		f.startAll(2, "a", "b")
+		time.Sleep(30 * time.Second)
+		for _, d := range f.daemons {
+			if ok, reason := d.Ready(); ok || reason == "" {
+				t.Errorf("%s is ready without a configuration, reason %q", d.self.ID, reason)
+			}
+			if s := d.Share("s/u"); s.Num != 0 {
+				t.Errorf("%s has the share %d/%d without a configuration", d.self.ID, s.Num, s.Den)
+			}
+		}
+	})
+}
+
+func TestCutZoneRejoins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.end()
+		first := f.platform.put(zoneObject("a", false))
+		f.startAll(2, "a", "b")
+		f.await("start", 10*time.Second, has(first))
+		f.await("instances", 10*time.Second, knows(4))
+		f.network.cut(betweenZones)
+		f.platform.set(func() { f.platform.isDown = true })
+		time.Sleep(2 * time.Minute)
+		for _, d := range f.daemons {
+			if ok, reason := d.Ready(); !ok {
+				t.Errorf("%s is not ready while its zone is cut off: %s", d.self.ID, reason)
+			}
+		}
+		// Only a daemon of zone a learns of the change.
+		o := f.platform.put(zoneObject("a", true))
+		if err := f.daemons[0].Accept(t.Context(), o); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		if has(o)(f.daemons[2]) {
+			t.Error("the change crossed the cut")
+		}
+		f.network.cut(func(_, _ netip.AddrPort) bool { return false })
+		f.await("change after the cut", 10*time.Second, has(o))
+	})
+}
+
+func TestPlatformServesOldAndMangled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.end()
+		f.platform.put(zoneObject("a", false))
+		f.startAll(2, "a", "b")
+		f.await("start", 10*time.Second, func(d *daemon) bool { return d.views.View().Version > 0 })
+		f.platform.set(func() {
+			f.platform.lag = 3
+			f.platform.mangle = newRand(7)
+		})
+		seen := make(map[*daemon]uint64)
+		var last declarer.Object
+		for i := range 40 {
+			last = f.platform.put(zoneObject("a", i%2 == 0))
+			time.Sleep(700 * time.Millisecond)
+			for _, d := range f.daemons {
+				v := d.views.View().Objects[last.Key].Version
+				if v < seen[d] {
+					t.Fatalf("%s went back from version %d to %d", d.self.ID, seen[d], v)
+				}
+				seen[d] = v
+			}
+		}
+		f.platform.set(func() { f.platform.lag, f.platform.mangle = 0, nil })
+		f.await("last change", 2*time.Minute, has(last))
+	})
+}
+
+func betweenZones(a, b netip.AddrPort) bool {
+	return a.Addr().As4()[2] != b.Addr().As4()[2]
+}
--- /dev/null
+++ b/internal/control/reconciler/spread.go
@@ -0,0 +1,170 @@
+package reconciler
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/control/spreader"
+	"cornelwood.example/internal/peer/linker"
+)
+
+// exchange opens an exchange with a random peer; with several until the daemon
+// knows the configuration.
+func (r *Reconciler) exchange(ctx context.Context, now time.Time) {
+	n := 1
+	if !r.synced {
+		n = maxExchanges
+	}
+	for _, peer := range r.peers.pick(now, n) {
+		r.open(ctx, now, peer)
+	}
+}
+
+// open opens an exchange with a peer.
+func (r *Reconciler) open(ctx context.Context, now time.Time, peer netip.AddrPort) {
+	if r.exchanges >= maxExchanges {
+		return
+	}
+	r.exchanges++
+	m := r.state.Ask()
+	r.send(ctx, now, peer, m, 1)
+}
+
+// push tells a few peers what is new.
+func (r *Reconciler) push(ctx context.Context, now time.Time) {
+	news, from := r.news, r.newsFrom
+	r.news, r.newsFrom = spreader.Delta{}, ""
+	if news.Len() > maxNews {
+		for _, peer := range r.peers.pick(now, 2) {
+			r.open(ctx, now, peer)
+		}
+		return
+	}
+	for _, peer := range r.peers.pickForPush(now, from) {
+		if r.pushes >= maxPushes {
+			return
+		}
+		r.pushes++
+		r.send(ctx, now, peer, r.state.Push(news), 0)
+	}
+}
+
+// send calls a peer in a goroutine of its own, which posts the reply. round is 0
+// for pushes, and counts the calls of an exchange otherwise.
+func (r *Reconciler) send(ctx context.Context, now time.Time, peer netip.AddrPort, m spreader.Message, round int) {
+	r.seal(now, &m)
+	r.metrics.sent(&m)
+	r.calls.Go(func() {
+		e := &replyEvent{peer: peer, sent: &m, round: round}
+		callCtx, cancel := context.WithTimeout(ctx, spreadTimeout)
+		defer cancel()
+		e.err = r.link.Call(callCtx, peer, CallSpread, &m, &e.reply)
+		_ = r.post(ctx, e) // fails only when the loop ends
+	})
+}
+
+// seal adds what goes with every message.
+func (r *Reconciler) seal(now time.Time, m *spreader.Message) {
+	m.From = r.cfg.Self.ID
+	m.Synced = r.synced && r.state.Version() > 0
+	m.Contacts = r.contacts.Tell(now)
+}
+
+// answer answers a peer's message.
+func (r *Reconciler) answer(now time.Time, req *spreader.Message) spreader.Message {
+	r.contacts.Merge(now, req.Contacts)
+	req.Instances = r.withoutSelf(now, req.Instances)
+	reply, d := r.state.Answer(now, req)
+	r.adopted(now, req.From, d)
+	r.seal(now, &reply)
+	return reply
+}
+
+// follow takes the reply to a message, and goes on with the exchange.
+func (r *Reconciler) follow(ctx context.Context, now time.Time, e *replyEvent) {
+	next, ok := r.take(now, e)
+	if ok && e.round < maxRounds {
+		r.send(ctx, now, e.peer, next, max(e.round, 1)+1)
+		if e.round == 0 {
+			r.pushes--
+			r.exchanges++
+		}
+		return
+	}
+	if e.round == 0 {
+		r.pushes--
+		return
+	}
+	r.exchanges--
+}
+
+// take merges a reply and returns the next message of the exchange.
+func (r *Reconciler) take(now time.Time, e *replyEvent) (spreader.Message, bool) {
+	if e.err != nil {
+		r.metrics.failures.Inc()
+		r.peers.failed(now, e.peer)
+		r.confirmRefused(now, e.peer, e.err)
+		return spreader.Message{}, false
+	}
+	r.peers.answered(e.peer)
+	r.contacts.Merge(now, e.reply.Contacts)
+	e.reply.Instances = r.withoutSelf(now, e.reply.Instances)
+	next, ok, d := r.state.Follow(now, &e.reply)
+	r.adopted(now, e.reply.From, d)
+	if isComplete(e) {
+		r.setSynced(now)
+		return next, ok
+	}
+	if !ok && !r.synced && e.sent.Step == spreader.StepMarks {
+		return r.state.Ask(), true
+	}
+	return next, ok
+}
+
+// isComplete reports whether a reply shows that this daemon knows every object
+// of a peer that knows the whole configuration.
+func isComplete(e *replyEvent) bool {
+	if !e.reply.Synced || len(e.reply.Objects) > 0 || e.reply.More {
+		return false
+	}
+	switch e.sent.Step {
+	case spreader.StepRoot:
+		return len(e.reply.Digest) == 0
+	case spreader.StepMarks:
+		return true
+	default:
+		return false
+	}
+}
+
+// setSynced notes that the whole configuration is known.
+func (r *Reconciler) setSynced(now time.Time) {
+	if r.synced {
+		return
+	}
+	r.synced = true
+	r.dirty = true
+	r.regroup(now)
+	r.log.Info("configuration is known", "version", r.state.Version(), "after", now.Sub(r.startedAt))
+}
+
+// confirmRefused notes that no process listens at a peer's address.
+func (r *Reconciler) confirmRefused(now time.Time, peer netip.AddrPort, err error) {
+	var ue *linker.UnreachableError
+	if !errors.As(err, &ue) || !ue.Refused {
+		return
+	}
+	for _, in := range r.state.Instances() {
+		if in.Peer == peer && in.ID != r.cfg.Self.ID && in.State != declarer.Gone {
+			r.confirm(now, in)
+		}
+	}
+}
+
+// decode reads the body of a peer's call.
+func decode(body []byte, out any) error {
+	return linker.Decode(body, out)
+}
--- a/internal/control/watcher/metrics.go
+++ b/internal/control/watcher/metrics.go
@@ -6,6 +6,7 @@
 type Metrics struct {
 	calls    *prometheus.CounterVec
 	failures prometheus.Counter
+	faults   prometheus.Counter
 }
 
 // NewMetrics returns counters that are registered with reg.
@@ -19,7 +20,11 @@
 			Name: "cornelwood_platform_read_failures_total",
 			Help: "Calls of the watcher to the platform that failed.",
 		}),
+		faults: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cornelwood_platform_faulty_objects_total",
+			Help: "Objects and instances of the platform that were left out as faulty.",
+		}),
 	}
-	reg.MustRegister(m.calls, m.failures)
+	reg.MustRegister(m.calls, m.failures, m.faults)
 	return m
 }
--- a/internal/control/watcher/watcher.go
+++ b/internal/control/watcher/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/spreader"
+	"cornelwood.example/internal/platform/storer"
 )
 
 const (
@@ -122,7 +124,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	objects, revision, err := w.platform.List(ctx, "")
-	if err != nil {
+	if err = w.pass(err); err != nil {
 		return err
 	}
 	w.bytes = 0
@@ -140,7 +142,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	instances, err := w.platform.Instances(ctx)
-	if err != nil {
+	if err = w.pass(err); err != nil {
 		return err
 	}
 	w.instancesAt = time.Now().Add(w.vary(instancesInterval))
@@ -152,7 +154,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
 	objects, revision, err := w.platform.Watch(ctx, w.from, watchWait)
-	if err != nil {
+	if err = w.pass(err); err != nil {
 		return err
 	}
 	w.see(objects, revision)
@@ -160,6 +162,17 @@
 	return w.owner.Adopt(ctx, Update{Objects: objects})
 }
 
+// pass drops the error of an answer that is faulty in parts: the other parts are
+// of use.
+func (w *Watcher) pass(err error) error {
+	var fe *storer.FaultsError
+	if !errors.As(err, &fe) {
+		return err
+	}
+	w.metrics.faults.Add(float64(len(fe.Faults)))
+	return nil
+}
+
 // see notes how far the platform's changes have been seen.
 func (w *Watcher) see(objects []declarer.Object, revision uint64) {
 	for i := range objects {
--- a/internal/operator/commander/change.go
+++ b/internal/operator/commander/change.go
@@ -70,11 +70,12 @@
 		if err != nil {
 			return declarer.Object{}, err
 		}
-		o, current, err := c.write(ctx, ch, cur, next)
-		if err != nil || current == 0 {
+		o, err := c.write(ctx, ch, cur, next)
+		var oe *overtakenError
+		if !errors.As(err, &oe) {
 			return o, err
 		}
-		least = current
+		least = oe.current
 	}
 	return declarer.Object{}, refuse(answerer.CodeOverloaded, "", fmt.Sprintf("lost the race for %s %d times", ch.key, maxAttempts))
 }
@@ -114,34 +115,44 @@
 	return next, nil
 }
 
+// overtakenError says that another change came first, so that this one surely
+// took no effect.
+type overtakenError struct {
+	current uint64
+}
+
+// Error returns the current version.
+func (e *overtakenError) Error() string {
+	return fmt.Sprintf("another change made version %d", e.current)
+}
+
 // write writes next under the version of cur. It returns the object that was
-// accepted; or the current version when another change came first, so that this
-// one surely took no effect; or a refusal. An answer that was lost makes it
+// accepted, an *overtakenError or a refusal. An answer that was lost makes it
 // write again under the same version, which cannot apply the change twice.
-func (c *Commander) write(ctx context.Context, ch *change, cur, next declarer.Object) (declarer.Object, uint64, error) {
+func (c *Commander) write(ctx context.Context, ch *change, cur, next declarer.Object) (declarer.Object, error) {
 	isLost := false
 	pause := minPause
 	for {
 		v, err := c.platform.Put(ctx, next, cur.Version)
 		if err == nil {
 			next.Version = v
-			return next, 0, nil
+			return next, nil
 		}
 		var ce *storer.ConflictError
 		if errors.As(err, &ce) {
 			if !isLost {
-				return declarer.Object{}, ce.Current, nil
+				return declarer.Object{}, &overtakenError{current: ce.Current}
 			}
 			return c.settleLost(ctx, ch, cur, ce.Current)
 		}
 		var ue *storer.UnavailableError
 		if !errors.As(err, &ue) || !ue.Unsettled && !isLost {
-			return declarer.Object{}, 0, platformRefusal(err)
+			return declarer.Object{}, platformRefusal(err)
 		}
 		isLost = true
 		c.metrics.lost.Inc()
 		if c.pause(ctx, pause) != nil {
-			return declarer.Object{}, 0, unsettled(ch.key, ch.id, lastChange(&cur))
+			return declarer.Object{}, unsettled(ch.key, ch.id, lastChange(&cur))
 		}
 		pause = min(2*pause, maxPause)
 	}
@@ -149,17 +160,17 @@
 
 // settleLost decides whether the change, whose answer was lost, is what made the
 // version move from base to current.
-func (c *Commander) settleLost(ctx context.Context, ch *change, base declarer.Object, current uint64) (declarer.Object, uint64, error) {
+func (c *Commander) settleLost(ctx context.Context, ch *change, base declarer.Object, current uint64) (declarer.Object, error) {
 	cur, err := c.read(ctx, ch.key, current)
 	switch {
 	case err != nil:
-		return declarer.Object{}, 0, unsettled(ch.key, ch.id, lastChange(&base))
+		return declarer.Object{}, unsettled(ch.key, ch.id, lastChange(&base))
 	case cur.HasChange(ch.id):
-		return cur, 0, nil
+		return cur, nil
 	case remembersSince(&cur, lastChange(&base)):
-		return declarer.Object{}, cur.Version, nil
+		return declarer.Object{}, &overtakenError{current: cur.Version}
 	default:
-		return declarer.Object{}, 0, unsettled(ch.key, ch.id, lastChange(&base))
+		return declarer.Object{}, unsettled(ch.key, ch.id, lastChange(&base))
 	}
 }
 
@@ -213,6 +224,10 @@
 	if errors.As(err, &re) {
 		return refuse(answerer.CodeBadBody, "", re.Error())
 	}
+	var fe *declarer.FieldError
+	if errors.As(err, &fe) {
+		return checkRefusal("", err)
+	}
 	return refuse(answerer.CodeNoPlatform, "", "the change was not accepted: "+err.Error())
 }
 
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -88,7 +88,7 @@
 	c.route("/v1/changes/{kind}/{name}/{change}", methods{"GET": c.showChange, "POST": c.settleChange})
 	c.route("/v1/status", methods{"GET": c.status})
 	c.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		c.write(w, 0, nil, refuse(answerer.CodeNotFound, "", "no call has the path "+r.URL.Path))
+		c.reply(w, 0, nil, refuse(answerer.CodeNotFound, "", "no call has the path "+r.URL.Path))
 	})
 }
 
@@ -96,12 +96,12 @@
 	c.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 		fn, ok := ms[r.Method]
 		if !ok {
-			c.write(w, 0, nil, refuse(answerer.CodeBadMethod, "", "the path does not serve "+r.Method))
+			c.reply(w, 0, nil, refuse(answerer.CodeBadMethod, "", "the path does not serve "+r.Method))
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 		status, body, err := fn(r)
-		c.write(w, status, body, err)
+		c.reply(w, status, body, err)
 	})
 }
 
@@ -114,8 +114,8 @@
 	return http.StatusOK, s, nil
 }
 
-// write writes the outcome of a call.
-func (c *Commander) write(w http.ResponseWriter, status int, body any, err error) {
+// reply writes the outcome of a call.
+func (c *Commander) reply(w http.ResponseWriter, status int, body any, err error) {
 	if err == nil {
 		writeJSON(w, status, body)
 		return
