--- a/internal/control/reconciler/event.go
+++ b/internal/control/reconciler/event.go
@@ -24,7 +24,7 @@
 func (e *updateEvent) apply(_ context.Context, r *Reconciler, now time.Time) {
 	r.contactAt = now
 	r.contacts.Note(r.cfg.Self.ID, now)
-	r.merge(now, "", e.update.Objects, nil)
+	r.merge(now, e.update.Objects, nil)
 	if e.update.Full {
 		r.setSynced(now)
 	}
@@ -40,7 +40,7 @@
 }
 
 func (e *acceptEvent) apply(_ context.Context, r *Reconciler, now time.Time) {
-	r.merge(now, "", []declarer.Object{e.object}, nil)
+	r.merge(now, []declarer.Object{e.object}, nil)
 	close(e.done)
 }
 
--- a/internal/control/reconciler/group.go
+++ b/internal/control/reconciler/group.go
@@ -196,7 +196,7 @@
 		r.group.node.Confirm(now, in.ID, in.Incarnation)
 	}
 	in.State = declarer.Gone
-	r.merge(now, "", nil, []declarer.Instance{in})
+	r.merge(now, nil, []declarer.Instance{in})
 }
 
 // publishPermit publishes what this daemon may admit.
--- a/internal/control/reconciler/listing.go
+++ b/internal/control/reconciler/listing.go
@@ -63,7 +63,7 @@
 func (r *Reconciler) readListing(now time.Time, instances []declarer.Instance) {
 	isListed := r.listing.read(instances)
 	r.peers.setListed(instances)
-	r.merge(now, "", nil, r.unknown(instances))
+	r.merge(now, nil, r.unknown(instances))
 	for _, in := range r.state.Instances() {
 		switch {
 		case in.State == declarer.Gone:
--- a/internal/control/reconciler/reconciler.go
+++ b/internal/control/reconciler/reconciler.go
@@ -170,13 +170,14 @@
 	r.decideRole(now)
 }
 
-// merge adopts newer records and prepares what follows from them.
-func (r *Reconciler) merge(now time.Time, from string, objects []declarer.Object, instances []declarer.Instance) {
+// merge adopts newer records that no peer told, and prepares what follows.
+func (r *Reconciler) merge(now time.Time, objects []declarer.Object, instances []declarer.Instance) {
 	d := r.state.Merge(now, objects, r.withoutSelf(now, instances))
-	r.adopted(now, from, d)
+	r.adopted(now, "", d)
 }
 
-// adopted follows up on records that the state has adopted.
+// adopted follows up on records that the state has adopted; from is the peer that
+// told them, or empty.
 func (r *Reconciler) adopted(now time.Time, from string, d spreader.Delta) {
 	if d.Len() == 0 {
 		return
--- a/internal/control/spreader/exchange.go
+++ b/internal/control/spreader/exchange.go
@@ -35,10 +35,7 @@
 
 // Push returns the message that tells a peer about new records.
 func (s *State) Push(d Delta) Message {
-	m := Message{Step: StepPush}
-	for i := range d.Instances {
-		m.Instances = append(m.Instances, d.Instances[i])
-	}
+	m := Message{Step: StepPush, Instances: d.Instances}
 	for i := range d.Objects {
 		if EstimateBytes(&d.Objects[i]) <= inlineBytes {
 			m.Objects = append(m.Objects, d.Objects[i])
--- /dev/null
+++ b/internal/control/spreader/main_test.go
@@ -0,0 +1,17 @@
+package spreader
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the properties, so that each run has the same verdict.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/control/spreader/state_test.go
@@ -0,0 +1,279 @@
+package spreader
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cornelwood.example/internal/contract/declarer"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// merger is what the property is checked on: State, or a faulty variant.
+type merger interface {
+	Merge(now time.Time, objects []declarer.Object, instances []declarer.Instance) Delta
+	Object(key declarer.Key) (declarer.Object, bool)
+	Instance(id string) (declarer.Instance, bool)
+}
+
+// uncheckedMerger is State without the check of versions.
+type uncheckedMerger struct {
+	*State
+}
+
+func (u uncheckedMerger) Merge(now time.Time, objects []declarer.Object, instances []declarer.Instance) Delta {
+	for i := range objects {
+		m := objectMark(&objects[i])
+		delete(u.keys[m.bucket()], m.Key)
+	}
+	return u.State.Merge(now, objects, instances)
+}
+
+// delivery is one message: records in any order, late, twice or never.
+type delivery struct {
+	objects   []declarer.Object
+	instances []declarer.Instance
+}
+
+func genDeliveries() *rapid.Generator[[]delivery] {
+	object := rapid.Custom(func(t *rapid.T) declarer.Object {
+		return testObject(rapid.IntRange(0, 3).Draw(t, "name"), rapid.Uint64Range(1, 20).Draw(t, "version"))
+	})
+	instance := rapid.Custom(func(t *rapid.T) declarer.Instance {
+		in := testInstance(rapid.IntRange(0, 3).Draw(t, "id"))
+		in.Incarnation = rapid.Uint64Range(0, 3).Draw(t, "incarnation")
+		in.Term = rapid.Uint64Range(0, 3).Draw(t, "term")
+		in.State = declarer.State(rapid.IntRange(0, 3).Draw(t, "state"))
+		return in
+	})
+	one := rapid.Custom(func(t *rapid.T) delivery {
+		return delivery{
+			objects:   rapid.SliceOfN(object, 0, 4).Draw(t, "objects"),
+			instances: rapid.SliceOfN(instance, 0, 4).Draw(t, "instances"),
+		}
+	})
+	return rapid.SliceOfN(one, 1, 12)
+}
+
+// checkNeverReverts returns an error when a delivery makes a record older.
+func checkNeverReverts(m merger, deliveries []delivery) error {
+	objects := make(map[declarer.Key]uint64)
+	instances := make(map[string]declarer.Instance)
+	for _, d := range deliveries {
+		for _, o := range d.objects {
+			m.Merge(epoch, []declarer.Object{o}, nil)
+			got, _ := m.Object(o.Key)
+			if got.Version < objects[o.Key] || got.Version < o.Version {
+				return fmt.Errorf("object %s went back to version %d", o.Key, got.Version)
+			}
+			objects[o.Key] = got.Version
+		}
+		for _, in := range d.instances {
+			m.Merge(epoch, nil, []declarer.Instance{in})
+			got, ok := m.Instance(in.ID)
+			old, had := instances[in.ID]
+			isNews := had || in.State != declarer.Gone // the end of an unknown instance is none
+			if had && old.Supersedes(&got) || isNews && (!ok || in.Supersedes(&got)) {
+				return fmt.Errorf("instance %s went back to %d/%d/%s", in.ID, got.Incarnation, got.Term, got.State)
+			}
+			if ok {
+				instances[in.ID] = got
+			}
+		}
+	}
+	return nil
+}
+
+func TestNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if err := checkNeverReverts(New(), genDeliveries().Draw(t, "deliveries")); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestNeverRevertsCatchesMergeWithoutVersionCheck(t *testing.T) {
+	var err error
+	for seed := 0; seed < 100 && err == nil; seed++ {
+		err = checkNeverReverts(uncheckedMerger{New()}, genDeliveries().Example(seed))
+	}
+	if err == nil {
+		t.Error("the property holds for a merge that does not check versions")
+	}
+}
+
+func TestExchangeMakesStatesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(), New()
+		for i, d := range genDeliveries().Draw(t, "deliveries") {
+			[]*State{a, b}[i%2].Merge(epoch, d.objects, d.instances)
+		}
+		runExchange(t, a, b)
+		if a.Root() != b.Root() {
+			t.Fatalf("roots differ after the exchange")
+		}
+		if diff := cmp.Diff(live(a), live(b), cmp.Comparer(sameAddr)); diff != "" {
+			t.Fatalf("records (-a +b):\n%s", diff)
+		}
+	})
+}
+
+func TestLargeConfigurationTakesBoundedMessages(t *testing.T) {
+	a, b := New(), New()
+	for i := range 40 {
+		a.Merge(epoch, []declarer.Object{largeObject(i, uint64(i+1))}, nil)
+	}
+	for range 40 {
+		req := b.Ask()
+		reply, _ := a.Answer(epoch, &req)
+		for ok := true; ok; {
+			checkBounded(t, &reply)
+			req, ok, _ = b.Follow(epoch, &reply)
+			reply, _ = a.Answer(epoch, &req)
+		}
+	}
+	if a.Root() != b.Root() {
+		t.Errorf("%d of %d objects came over", len(b.objects), len(a.objects))
+	}
+}
+
+func TestLargeObjectIsOfferedOnce(t *testing.T) {
+	a, b := New(), New()
+	d := a.Merge(epoch, []declarer.Object{largeObject(1, 5)}, nil)
+	push := a.Push(d)
+	if len(push.Objects) != 0 || len(push.Marks) != 1 {
+		t.Fatalf("push has %d objects and %d marks, want an offer", len(push.Objects), len(push.Marks))
+	}
+	first, _ := b.Answer(epoch, &push)
+	second, _ := b.Answer(epoch, &push)
+	if len(first.Want) != 1 || len(second.Want) != 0 {
+		t.Errorf("wanted %d times and then %d times, want 1 and 0", len(first.Want), len(second.Want))
+	}
+	late, _ := b.Answer(epoch.Add(2*wantTimeout), &push)
+	if len(late.Want) != 1 {
+		t.Error("an object that never came is not asked for again")
+	}
+}
+
+func TestGoneInstanceIsDroppedAndDoesNotComeBack(t *testing.T) {
+	a, b := New(), New()
+	in := testInstance(1)
+	a.Merge(epoch, nil, []declarer.Instance{in})
+	b.Merge(epoch, nil, []declarer.Instance{in})
+	gone := in
+	gone.State = declarer.Gone
+	a.Merge(epoch, nil, []declarer.Instance{gone})
+	runExchange(t, b, a)
+	if got, _ := b.Instance(in.ID); got.State != declarer.Gone {
+		t.Fatalf("state after the exchange is %s, want gone", got.State)
+	}
+	a.Expire(epoch.Add(goneRetention))
+	if _, ok := a.Instance(in.ID); ok {
+		t.Error("the record is still there")
+	}
+	runExchange(t, a, b)
+	runExchange(t, b, a)
+	if _, ok := a.Instance(in.ID); ok {
+		t.Error("the record came back from a daemon that keeps it still")
+	}
+}
+
+func FuzzMessageCheck(f *testing.F) {
+	f.Add("a", 1, uint64(3), 64, 2, "instance/x", int64(5))
+	f.Add("", 9, uint64(0), 3, -1, "", int64(-1))
+	f.Fuzz(func(t *testing.T, from string, step int, root uint64, digest, bucket int, key string, age int64) {
+		m := Message{From: from, Step: Step(step), Root: root, Buckets: []int{bucket}, Marks: []Mark{{Key: key, Version: root}}}
+		m.Digest = make([]uint64, max(0, min(digest, 2*Buckets)))
+		m.Contacts = []Contact{{ID: from, Age: time.Duration(age)}}
+		m.Objects = []declarer.Object{{Key: declarer.Key{Kind: declarer.Kind(key), Name: from}, Version: root, Deleted: step%2 == 0}}
+		if m.Check() != nil {
+			return
+		}
+		s := New()
+		s.Merge(epoch, []declarer.Object{testObject(1, 2)}, []declarer.Instance{testInstance(1)})
+		reply, _ := s.Answer(epoch, &m)
+		if err := errors.Join(reply.Check(), m.Check()); err != nil {
+			t.Fatalf("reply to a valid message is not valid: %v", err)
+		}
+		s.Follow(epoch, &m)
+	})
+}
+
+// runExchange carries the messages of a's exchange with b until it ends.
+func runExchange(t interface{ Fatalf(string, ...any) }, a, b *State) {
+	for range 4 {
+		req := a.Ask()
+		for range 8 {
+			reply, _ := b.Answer(epoch, &req)
+			next, ok, _ := a.Follow(epoch, &reply)
+			if !ok {
+				break
+			}
+			req = next
+		}
+		if a.Root() == b.Root() {
+			return
+		}
+	}
+	t.Fatalf("no agreement after 4 exchanges")
+}
+
+func checkBounded(t *testing.T, m *Message) {
+	t.Helper()
+	size := 0
+	for i := range m.Objects {
+		size += EstimateBytes(&m.Objects[i])
+	}
+	if size > messageBytes {
+		t.Fatalf("message has %d bytes of objects, want at most %d", size, messageBytes)
+	}
+}
+
+// live returns the records that are not gone.
+func live(s *State) []declarer.Instance {
+	var ins []declarer.Instance
+	for _, in := range s.Instances() {
+		if in.State != declarer.Gone {
+			ins = append(ins, in)
+		}
+	}
+	return ins
+}
+
+func sameAddr(a, b netip.AddrPort) bool {
+	return a == b
+}
+
+func testObject(n int, version uint64) declarer.Object {
+	name := fmt.Sprintf("z%d", n)
+	return declarer.Object{
+		Key:     declarer.Key{Kind: declarer.KindZone, Name: name},
+		Version: version,
+		Zone:    &declarer.Zone{Name: name, Region: "r", Groups: 1},
+	}
+}
+
+func largeObject(n int, version uint64) declarer.Object {
+	name := fmt.Sprintf("s%d", n)
+	s := &declarer.Service{Name: name, Maps: []declarer.ShardMap{{From: 1}}}
+	for i := range 430 {
+		u := declarer.Upstream{Name: "u", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Zone: "z"}
+		s.Maps[0].Shards = append(s.Maps[0].Shards, declarer.Shard{ID: i, Replicas: []declarer.Upstream{u, u, u}})
+	}
+	return declarer.Object{Key: declarer.Key{Kind: declarer.KindService, Name: name}, Version: version, Service: s}
+}
+
+func testInstance(n int) declarer.Instance {
+	return declarer.Instance{
+		ID:     fmt.Sprintf("i%d", n),
+		Zone:   "z",
+		Region: "r",
+		Peer:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1),
+	}
+}
--- a/internal/operator/commander/settle.go
+++ b/internal/operator/commander/settle.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	cur, err := c.read(r.Context(), key, c.known(key))
+	cur, err := c.read(r.Context(), key, 0)
 	if err != nil {
 		return 0, nil, platformRefusal(err)
 	}
@@ -61,7 +61,7 @@
 // settle settles a change that was made when after was the object's last change;
 // after is empty when it is not known.
 func (c *Commander) settle(ctx context.Context, key declarer.Key, id, after string) (settlement, error) {
-	least := c.known(key)
+	least := uint64(0)
 	for range maxAttempts {
 		cur, err := c.read(ctx, key, least)
 		if err != nil {
