--- a/internal/daemon/assembler/services.go
+++ b/internal/daemon/assembler/services.go
@@ -11,6 +11,7 @@
 	"cornelwood.example/internal/caller/receiver"
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/control/viewer"
 	"cornelwood.example/internal/peer/assigner"
 )
 
@@ -87,16 +88,15 @@
 }
 
 // inFlightFor returns the number of sub-requests that run at upstreams for which
-// another instance ranks before this one.
-func (d *Daemon) inFlightFor(other string) int {
+// another instance ranks before this one; all of them while this one leaves.
+func (d *Daemon) inFlightFor(other string, leaving bool) int {
+	if leaving {
+		return d.inFlight()
+	}
 	pair := []declarer.Instance{{ID: d.self.ID}, {ID: other}}
 	n := 0
 	for _, u := range d.owner.Snapshot() {
-		if u.InFlight == 0 {
-			continue
-		}
-		key := u.Service + "/" + u.Upstream
-		if assigner.Owner(key, pair) == 1 {
+		if u.InFlight > 0 && assigner.Owner(viewer.UpstreamKey(u.Service, u.Upstream), pair) == 1 {
 			n += u.InFlight
 		}
 	}
