--- a/cmd/cornelwood/main.go
+++ b/cmd/cornelwood/main.go
@@ -3,21 +3,12 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"cornelwood.example/internal/cli/builder"
+	"cornelwood.example/internal/cli/executor"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := builder.New(os.Stdout, os.Stderr).Run(ctx, os.Args)
-	stop()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "cornelwood:", err)
-	}
-	os.Exit(builder.ExitCode(err))
+	os.Exit(executor.Execute(builder.New(os.Stdout, os.Stderr), os.Args))
 }
--- a/internal/cli/builder/builder.go
+++ b/internal/cli/builder/builder.go
@@ -4,18 +4,9 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 
 	"github.com/urfave/cli/v3"
-
-	"cornelwood.example/internal/contract/answerer"
-)
-
-// Exit codes of the program.
-const (
-	exitFault   = 1
-	exitRefused = 2
 )
 
 // flagJSON is the name of the flag that asks for JSON.
@@ -50,20 +41,6 @@
 	}
 }
 
-// ExitCode returns the program's exit code for the error of a command: 0 for
-// none, 2 for a refusal, else 1.
-func ExitCode(err error) int {
-	var ref *answerer.RefusalError
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &ref):
-		return exitRefused
-	default:
-		return exitFault
-	}
-}
-
 func jsonFlag() cli.Flag {
 	return &cli.BoolFlag{Name: flagJSON, Usage: "write JSON, for machines"}
 }
