--- a/internal/control/reconciler/config.go
+++ b/internal/control/reconciler/config.go
@@ -60,8 +60,8 @@
 	expireInterval = 10 * time.Second
 	// postTimeout bounds the wait of a peer's call for the loop.
 	postTimeout = time.Second
-	// pingTimeout bounds a ping of the group protocol.
-	pingTimeout = time.Second
+	// maxRelays bounds the members that pass on a ping that is not acked.
+	maxRelays = 2
 	// replacedAfter is the age from which a daemon that meets a newer record of its
 	// own ID at another address takes itself for replaced.
 	replacedAfter = 10 * time.Second
--- a/internal/control/reconciler/fleet_test.go
+++ b/internal/control/reconciler/fleet_test.go
@@ -16,6 +16,7 @@
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/viewer"
 	"cornelwood.example/internal/control/watcher"
+	"cornelwood.example/internal/peer/detector"
 )
 
 // fleet is a set of daemons on one network and one platform.
@@ -63,6 +64,12 @@
 		Seeds:    seeds,
 		Rand:     rand.New(rand.NewPCG(1, h.Sum64())),
 		InFlight: func() int { return d.busy },
+		Detector: detector.Config{
+			Interval: 250 * time.Millisecond,
+			Fence:    time.Second,
+			Takeover: 2 * time.Second,
+			InFlight: func(string, bool) int { return d.busy },
+		},
 	}
 	reg := prometheus.NewRegistry()
 	r, wait := New(cfg, &port{n: f.network, self: self.Peer}, d.views, hclog.NewNullLogger(), NewMetrics(reg))
--- a/internal/control/reconciler/group.go
+++ b/internal/control/reconciler/group.go
@@ -1,15 +1,11 @@
 package reconciler
 
 import (
-	"context"
-	"errors"
-	"net/netip"
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/peer/assigner"
 	"cornelwood.example/internal/peer/detector"
-	"cornelwood.example/internal/peer/linker"
 )
 
 // group is this daemon's part in its owner group. It belongs to the control
@@ -39,63 +35,6 @@
 	return assigner.Group(in.ID, g.groups) == assigner.Group(self.ID, g.groups)
 }
 
-// pingEvent is a ping of a member of the group.
-type pingEvent struct {
-	ping  detector.Ping
-	reply chan detector.Ack
-}
-
-func (e *pingEvent) apply(_ context.Context, r *Reconciler, now time.Time) {
-	e.reply <- r.group.node.HandlePing(now, e.ping)
-	r.syncGroup(now)
-}
-
-// ackEvent is the answer to a ping of this daemon.
-type ackEvent struct {
-	to  declarer.Instance
-	ack detector.Ack
-	err error
-}
-
-func (e *ackEvent) apply(_ context.Context, r *Reconciler, now time.Time) {
-	var ue *linker.UnreachableError
-	switch {
-	case e.err == nil:
-		r.group.node.HandleAck(now, e.to.ID, e.ack)
-	case errors.As(e.err, &ue) && ue.Refused:
-		r.confirm(now, e.to)
-	}
-	r.syncGroup(now)
-}
-
-// handleGroup answers a ping of a member of the group.
-func (r *Reconciler) handleGroup(ctx context.Context, _ netip.AddrPort, body []byte) (any, error) {
-	e := &pingEvent{reply: make(chan detector.Ack, 1)}
-	if err := decode(body, &e.ping); err != nil {
-		return nil, err
-	}
-	return ask(ctx, r, e, e.reply)
-}
-
-// pingGroup sends the pings that are due.
-func (r *Reconciler) pingGroup(ctx context.Context, now time.Time) {
-	for _, out := range r.group.node.Tick(now) {
-		r.ping(ctx, out)
-	}
-	r.syncGroup(now)
-}
-
-// ping calls a member in a goroutine of its own, which posts the answer.
-func (r *Reconciler) ping(ctx context.Context, out detector.Outgoing) {
-	r.calls.Go(func() {
-		e := &ackEvent{to: out.To}
-		callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-		defer cancel()
-		e.err = r.link.Call(callCtx, out.To.Peer, CallGroup, &out.Ping, &e.ack)
-		_ = r.post(ctx, e) // fails only when the loop ends
-	})
-}
-
 // syncGroup takes over what the group protocol decided.
 func (r *Reconciler) syncGroup(now time.Time) {
 	r.adoptSelf(now)
--- a/internal/control/reconciler/reconciler.go
+++ b/internal/control/reconciler/reconciler.go
@@ -15,6 +15,7 @@
 	"cornelwood.example/internal/control/viewer"
 	"cornelwood.example/internal/control/watcher"
 	"cornelwood.example/internal/peer/detector"
+	"cornelwood.example/internal/peer/linker"
 )
 
 // Reconciler is the service that runs the control goroutine.
@@ -242,7 +243,7 @@
 // handleSpread answers a peer's message of an exchange.
 func (r *Reconciler) handleSpread(ctx context.Context, _ netip.AddrPort, body []byte) (any, error) {
 	e := &spreadEvent{reply: make(chan spreader.Message, 1)}
-	if err := decode(body, &e.req); err != nil {
+	if err := linker.Decode(body, &e.req); err != nil {
 		return nil, err
 	}
 	return ask(ctx, r, e, e.reply)
--- a/internal/control/reconciler/spread.go
+++ b/internal/control/reconciler/spread.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/spreader"
-	"cornelwood.example/internal/peer/linker"
 )
 
 // exchange opens an exchange with a random peer; with several until the daemon
@@ -153,8 +151,7 @@
 
 // confirmRefused notes that no process listens at a peer's address.
 func (r *Reconciler) confirmRefused(now time.Time, peer netip.AddrPort, err error) {
-	var ue *linker.UnreachableError
-	if !errors.As(err, &ue) || !ue.Refused {
+	if !isRefused(err) {
 		return
 	}
 	for _, in := range r.state.Instances() {
@@ -163,8 +160,3 @@
 		}
 	}
 }
-
-// decode reads the body of a peer's call.
-func decode(body []byte, out any) error {
-	return linker.Decode(body, out)
-}
