--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -141,13 +141,18 @@
 
 // build makes every part; each depends only on those before it.
 func (d *Daemon) build(opts Options) error {
+	var closer func()
 	d.views = viewer.New(viewer.Build(d.self, nil, nil))
-	d.link, _ = keep(d)(linker.New(linker.Config{Self: d.self.Peer}, worker{d}, d.log.Named("peer"), d.reg))
-	d.control, _ = keep(d)(reconciler.New(d.reconcilerConfig(), d.link, d.views, d.log.Named("control"), reconciler.NewMetrics(d.reg)))
+	d.link, closer = linker.New(linker.Config{Self: d.self.Peer}, worker{d}, d.log.Named("peer"), d.reg)
+	d.onClose(closer)
+	d.control, closer = reconciler.New(d.reconcilerConfig(), d.link, d.views, d.log.Named("control"), reconciler.NewMetrics(d.reg))
+	d.onClose(closer)
 	opts.Upstream.TakeoverMargin = d.set.Group.Takeover - d.set.Group.Fence
-	d.owner, _ = keep(d)(dispatcher.New(opts.Upstream, d.views, d.control, dispatcher.DialHTTP, d.log.Named("upstream"), d.reg))
+	d.owner, closer = dispatcher.New(opts.Upstream, d.views, d.control, dispatcher.DialHTTP, d.log.Named("upstream"), d.reg)
+	d.onClose(closer)
 	opts.Query.MaxQueries = d.set.Caller.Queries
-	d.entry, _ = keep(d)(gatherer.New(opts.Query, d.views, d.owner, d.link, d.log.Named("query"), d.reg))
+	d.entry, closer = gatherer.New(opts.Query, d.views, d.owner, d.link, d.log.Named("query"), d.reg)
+	d.onClose(closer)
 	if err := d.buildTickets(); err != nil {
 		return err
 	}
@@ -222,16 +227,13 @@
 		Rand:       rand.Float64,
 		Registerer: prometheus.WrapRegistererWith(prometheus.Labels{"user": user}, d.reg),
 	}, &http.Client{})
-	d.closers = append(d.closers, closer)
+	d.onClose(closer)
 	return s, nil
 }
 
-// keep returns a function that remembers a part's clean-up function.
-func keep[T any](d *Daemon) func(T, func()) (T, func()) {
-	return func(part T, closer func()) (T, func()) {
-		d.closers = append(d.closers, closer)
-		return part, closer
-	}
+// onClose remembers a part's clean-up function.
+func (d *Daemon) onClose(closer func()) {
+	d.closers = append(d.closers, closer)
 }
 
 // close frees what the daemon holds, last made first.
