query: cheaper planning and merging

Planning copied each reading twice and cleared a kilobyte for each shard; merging compared IDs of hits whose scores already decide. Readings are now filled in place, the sorter keeps one buffer, and one seed is the randomness of a plan.

--- a/internal/query/gatherer/config.go
+++ b/internal/query/gatherer/config.go
@@ -29,8 +29,8 @@
 	Margin time.Duration
 	// DiscoverTimeout bounds the learning of versions.
 	DiscoverTimeout time.Duration
-	// IntN returns a random number from 0 to n-1, from any goroutine.
-	IntN func(n int) int
+	// Seed returns random bits, to any goroutine.
+	Seed func() uint64
 }
 
 // DefaultConfig returns the policy with every mechanism on.
@@ -45,7 +45,7 @@
 		ExtraBurst:      256,
 		Margin:          2 * time.Millisecond,
 		DiscoverTimeout: time.Second,
-		IntN:            rand.IntN,
+		Seed:            rand.Uint64,
 	}
 }
 
@@ -54,8 +54,8 @@
 	if c.Baseline {
 		c.Hedge, c.Retry, c.ReplicaChoice = false, false, false
 	}
-	if c.IntN == nil {
-		c.IntN = rand.IntN
+	if c.Seed == nil {
+		c.Seed = rand.Uint64
 	}
 	return c
 }
--- a/internal/query/gatherer/discover.go
+++ b/internal/query/gatherer/discover.go
@@ -135,7 +135,7 @@
 
 // next returns the replica of a shard to ask, or -1.
 func (s *sweep) next(set []int32, busy map[int32]bool) int32 {
-	first := s.g.cfg.IntN(len(set))
+	first := s.g.startOf(len(set))
 	next := int32(-1)
 	for k := range set {
 		up := set[(first+k)%len(set)]
@@ -181,7 +181,7 @@
 	}
 	var ups []int32
 	n := len(r.layout.upstreams)
-	first := r.g.cfg.IntN(n)
+	first := r.g.startOf(n)
 	for k := range n {
 		up := int32((first + k) % n)
 		if len(ups) == maxRefreshes {
--- a/internal/query/gatherer/fleet_test.go
+++ b/internal/query/gatherer/fleet_test.go
@@ -188,7 +188,7 @@
 func (f *fleet) start(t testing.TB, change func(*Config)) *Gatherer {
 	t.Helper()
 	cfg := DefaultConfig()
-	cfg.IntN = func(int) int { return 0 }
+	cfg.Seed = func() uint64 { return 0 }
 	if change != nil {
 		change(&cfg)
 	}
--- a/internal/query/gatherer/gatherer.go
+++ b/internal/query/gatherer/gatherer.go
@@ -171,14 +171,19 @@
 func (g *Gatherer) plan(l *layout, exclude []uint64) *planner.Plan {
 	buf := g.readings.Get().(*[]tracker.Reading)
 	defer g.readings.Put(buf)
-	*buf = l.read((*buf)[:0], time.Now())
+	*buf = g.read(l, (*buf)[:0])
 	return l.Plan(*buf, planner.Options{
 		Choose:  g.cfg.ReplicaChoice,
 		Exclude: exclude,
-		IntN:    g.cfg.IntN,
+		Seed:    g.cfg.Seed(),
 	})
 }
 
+// startOf returns a random index of n things.
+func (g *Gatherer) startOf(n int) int {
+	return int(g.cfg.Seed() % uint64(n))
+}
+
 func refuse(q *answerer.Query, code answerer.Code, reason string) error {
 	return &answerer.RefusalError{Code: code, Reason: reason, Run: answerer.NotRun, Request: q.Request}
 }
--- a/internal/query/gatherer/layout.go
+++ b/internal/query/gatherer/layout.go
@@ -1,6 +1,7 @@
 package gatherer
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,16 +35,30 @@
 
 // read returns the readings of all upstreams; an upstream whose owner backs off
 // does too.
-func (l *layout) read(to []tracker.Reading, now time.Time) []tracker.Reading {
+func (g *Gatherer) read(l *layout, to []tracker.Reading) []tracker.Reading {
+	now := time.Now()
+	since := g.tracker.Since(now)
+	to = slices.Grow(to, len(l.upstreams))[:len(l.upstreams)]
 	for i, u := range l.upstreams {
-		to = append(to, u.Read(now))
-		if o := l.Upstreams[i].Owner; o >= 0 && l.peers[o].IsDown(now) {
-			to[i].Down = true
+		u.ReadTo(&to[i], since)
+	}
+	for o, p := range l.peers {
+		if p.IsDown(now) {
+			l.markDown(to, o)
 		}
 	}
 	return to
 }
 
+// markDown marks the upstreams of an owner.
+func (l *layout) markDown(readings []tracker.Reading, owner int) {
+	for i := range readings {
+		if l.Upstreams[i].Owner == owner {
+			readings[i].Down = true
+		}
+	}
+}
+
 // ownerNow returns the owner of an upstream in the current view, or nil when
 // that view does not use the upstream.
 func (l *layout) ownerNow(v *viewer.View, up int32) *declarer.Instance {
--- a/internal/query/gatherer/run.go
+++ b/internal/query/gatherer/run.go
@@ -60,8 +60,8 @@
 // run tries the replicas one after the other, as long as each proves that it did
 // not run the action.
 func (d *dispatch) run() answerer.RunResult {
-	readings := d.layout.read(nil, time.Now())
-	ups, shards := d.layout.Order(readings, planner.Options{Choose: d.g.cfg.ReplicaChoice, IntN: d.g.cfg.IntN})
+	readings := d.g.read(d.layout, nil)
+	ups, shards := d.layout.Order(readings, planner.Options{Choose: d.g.cfg.ReplicaChoice, Seed: d.g.cfg.Seed()})
 	reason := "no upstream is in use"
 	for _, up := range ups {
 		if d.ctx.Err() != nil || d.sends >= maxRunSends {
--- a/internal/query/gatherer/sender.go
+++ b/internal/query/gatherer/sender.go
@@ -127,7 +127,7 @@
 	now := time.Since(r.start)
 	n := len(r.shards)
 	// A random start shares a budget that does not reach for all.
-	first := r.g.cfg.IntN(n)
+	first := r.g.startOf(n)
 	for k := range n {
 		i := int32((first + k) % n)
 		s := &r.shards[i]
--- a/internal/query/merger/merger.go
+++ b/internal/query/merger/merger.go
@@ -142,19 +142,21 @@
 
 // checked returns the hits best first, sorted when the upstream did not.
 func checked(shard int, hits []answerer.Hit) ([]answerer.Hit, error) {
-	isSorted := true
+	isOrdered := true
+	last := math.Inf(1)
 	for i := range hits {
-		if math.IsNaN(hits[i].Score) || hits[i].ID == "" {
+		score := hits[i].Score
+		if math.IsNaN(score) || hits[i].ID == "" {
 			return nil, &RejectError{Shard: shard, Reason: answerer.ReasonInvalid, Detail: "a hit has no score or no id"}
 		}
-		if i > 0 && compareInShard(&hits[i-1], &hits[i]) > 0 {
-			isSorted = false
-		}
+		isOrdered = isOrdered && (score < last || i > 0 && score == last && hits[i-1].ID < hits[i].ID)
+		last = score
 	}
-	if !isSorted {
-		hits = slices.Clone(hits)
-		slices.SortFunc(hits, func(a, b answerer.Hit) int { return compareInShard(&a, &b) })
+	if isOrdered {
+		return hits, nil
 	}
+	hits = slices.Clone(hits)
+	slices.SortFunc(hits, func(a, b answerer.Hit) int { return compareInShard(&a, &b) })
 	for i := 1; i < len(hits); i++ {
 		if hits[i].ID == hits[i-1].ID {
 			detail := fmt.Sprintf("hit %q stands twice", hits[i].ID)
--- a/internal/query/planner/layout.go
+++ b/internal/query/planner/layout.go
@@ -21,6 +21,7 @@
 	// Owners holds each instance that owns one of the upstreams once.
 	Owners []*declarer.Instance
 	maps   []shardMap
+	traits []trait
 	// shardOf holds a shard of each of Upstreams.
 	shardOf []int
 }
@@ -36,6 +37,13 @@
 	Near bool
 }
 
+// trait is what planning reads of each upstream, kept small for the cache.
+type trait struct {
+	owner  int32
+	usable bool
+	near   bool
+}
+
 // shardMap is a declarer.ShardMap with upstreams by index. It holds for the
 // versions from to last.
 type shardMap struct {
@@ -73,8 +81,7 @@
 
 // IsUsable reports whether an upstream may be given new work.
 func (l *Layout) IsUsable(up int) bool {
-	u := &l.Upstreams[up]
-	return !u.Out && u.Owner != noOwner
+	return l.traits[up].usable
 }
 
 // ReplicaSets returns the upstreams of each shard of every shard map, newest map
@@ -110,7 +117,8 @@
 			all = append(all, up)
 		}
 	}
-	s := sorter{layout: l, readings: readings, options: o, anyVersion: true}
+	s := newSorter(l, readings, o)
+	s.anyVersion = true
 	return s.order(nil, all), shards
 }
 
@@ -120,6 +128,7 @@
 	index := make(map[string]int32, len(ups))
 	owners := make(map[string]int)
 	l.Upstreams = make([]Upstream, len(ups))
+	l.traits = make([]trait, len(ups))
 	for i, u := range ups {
 		index[u.Name] = int32(i)
 		l.Upstreams[i] = Upstream{
@@ -128,10 +137,19 @@
 			Out:      l.View.IsOut(l.Service, &ups[i]),
 			Near:     u.Zone == l.View.Self.Zone,
 		}
+		l.traits[i] = l.Upstreams[i].trait()
 	}
 	return index
 }
 
+func (u *Upstream) trait() trait {
+	return trait{
+		owner:  int32(u.Owner),
+		usable: !u.Out && u.Owner != noOwner,
+		near:   u.Near,
+	}
+}
+
 func (l *Layout) layOwner(upstream string, owners map[string]int) int {
 	in, ok := l.View.Owner(l.Service.Name, upstream)
 	if !ok {
--- a/internal/query/planner/plan.go
+++ b/internal/query/planner/plan.go
@@ -14,8 +14,8 @@
 	Choose bool
 	// Exclude names versions that must not be pinned.
 	Exclude []uint64
-	// IntN returns a random number from 0 to n-1.
-	IntN func(n int) int
+	// Seed is the randomness of the choice.
+	Seed uint64
 }
 
 // Plan is one query's plan.
@@ -58,7 +58,8 @@
 	}
 	p.Shards = make([]Shard, len(m.shards))
 	arena := make([]int32, 0, len(m.shards)*(len(m.shards[0].replicas)+1))
-	s := sorter{layout: l, readings: readings, options: o, version: p.Version}
+	s := newSorter(l, readings, o)
+	s.version = p.Version
 	for i := range m.shards {
 		p.Shards[i].ID = m.shards[i].id
 		from := len(arena)
@@ -125,5 +126,5 @@
 	if len(p.Shards[i].Replicas) == 0 {
 		return noOwner
 	}
-	return l.Upstreams[p.Shards[i].Replicas[0]].Owner
+	return int(l.traits[p.Shards[i].Replicas[0]].owner)
 }
--- a/internal/query/planner/sorter.go
+++ b/internal/query/planner/sorter.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math/bits"
 	"time"
 
 	"cornelwood.example/internal/query/tracker"
@@ -27,20 +28,43 @@
 	baseCost = time.Millisecond
 	// inflightCost is the part of one latency that an open sub-request adds.
 	inflightCost = 0.25
-	// maxSorted is the number of replicas that are ordered without allocating.
-	maxSorted = 32
+	// usualReplicas is the number of replicas of a shard that need no more memory.
+	usualReplicas = 8
 )
 
 // sorter orders the replicas of shards.
 type sorter struct {
 	layout   *Layout
 	readings []tracker.Reading
-	options  Options
+	choosing bool
+	random   uint64
 	version  uint64
+	// buf is used again for each shard.
+	buf []candidate
 	// anyVersion ignores the versions that replicas hold.
 	anyVersion bool
 }
 
+func newSorter(l *Layout, readings []tracker.Reading, o Options) *sorter {
+	return &sorter{
+		layout:   l,
+		readings: readings,
+		choosing: o.Choose,
+		random:   o.Seed,
+		buf:      make([]candidate, 0, usualReplicas),
+	}
+}
+
+// intN returns the next random number from 0 to n-1 (SplitMix64).
+func (s *sorter) intN(n int) int {
+	s.random += 0x9e3779b97f4a7c15
+	z := s.random
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	hi, _ := bits.Mul64(z^z>>31, uint64(n))
+	return int(hi)
+}
+
 type candidate struct {
 	up   int32
 	rank int
@@ -50,14 +74,10 @@
 
 // order appends the replicas that can be asked, the best first.
 func (s *sorter) order(to, replicas []int32) []int32 {
-	var buf [maxSorted]candidate
-	cs := buf[:0]
-	if len(replicas) > maxSorted {
-		cs = make([]candidate, 0, len(replicas))
-	}
+	cs := s.buf[:0]
 	for _, up := range replicas {
 		c := s.candidate(up)
-		if c.rank == rankNone || len(cs) == cap(cs) {
+		if c.rank == rankNone {
 			continue
 		}
 		cs = append(cs, c)
@@ -65,7 +85,8 @@
 			cs[i], cs[i-1] = cs[i-1], cs[i]
 		}
 	}
-	if s.options.Choose && len(cs) > 1 {
+	s.buf = cs
+	if s.choosing && len(cs) > 1 {
 		s.choose(cs)
 	}
 	for i := range cs {
@@ -75,11 +96,11 @@
 }
 
 func (s *sorter) candidate(up int32) candidate {
-	u, r := &s.layout.Upstreams[up], &s.readings[up]
-	if u.Out || u.Owner == noOwner {
+	u, r := &s.layout.traits[up], &s.readings[up]
+	if !u.usable {
 		return candidate{rank: rankNone}
 	}
-	return candidate{up: up, rank: s.rank(r), near: u.Near, cost: cost(r)}
+	return candidate{up: up, rank: s.rank(r), near: u.near, cost: cost(r)}
 }
 
 func (s *sorter) rank(r *tracker.Reading) int {
@@ -100,7 +121,7 @@
 }
 
 func (s *sorter) isBefore(a, b *candidate) bool {
-	if a.rank != b.rank || !s.options.Choose {
+	if a.rank != b.rank || !s.choosing {
 		return a.rank < b.rank
 	}
 	return a.weighted() < b.weighted()
@@ -117,6 +138,9 @@
 		}
 		n++
 	}
+	if cs[0].near && near == 1 {
+		return
+	}
 	a := s.pickOfTwo(cs[:n], true, near)
 	b := s.pickOfTwo(cs[:n], false, n-near)
 	first := a
@@ -131,14 +155,14 @@
 // pickOfTwo returns the index of the cheaper of two random candidates among the
 // count that are near or not, or -1 when there are none.
 func (s *sorter) pickOfTwo(cs []candidate, near bool, count int) int {
-	if count == 0 {
+	switch count {
+	case 0:
 		return -1
+	case 1:
+		return nth(cs, near, 0)
 	}
-	i := s.options.IntN(count)
-	if count == 1 {
-		return nth(cs, near, i)
-	}
-	j := s.options.IntN(count - 1)
+	i := s.intN(count)
+	j := s.intN(count - 1)
 	if j >= i {
 		j++
 	}
--- a/internal/query/tracker/tracker.go
+++ b/internal/query/tracker/tracker.go
@@ -47,6 +47,11 @@
 	return p
 }
 
+// Since returns the time from the Tracker's start to now.
+func (t *Tracker) Since(now time.Time) time.Duration {
+	return now.Sub(t.start)
+}
+
 // Retain forgets the upstreams and peers that keep reports false for.
 func (t *Tracker) Retain(keepUpstream, keepPeer func(key string) bool) {
 	t.mu.Lock()
--- a/internal/query/tracker/upstream.go
+++ b/internal/query/tracker/upstream.go
@@ -13,6 +13,8 @@
 	// latencyHalfAge is the idle time after which the latency estimate counts
 	// half, so that an upstream that was slow is tried again.
 	latencyHalfAge = 5 * time.Second
+	// fadeAfter is the idle time from which the latency estimate fades.
+	fadeAfter = time.Second
 	// failuresToBackOff is the number of failures in a row, of requests that were
 	// sent, that makes an upstream back off.
 	failuresToBackOff = 3
@@ -29,9 +31,9 @@
 	// Latency is the moving average of successful answers; 0 when there is none.
 	Latency time.Duration
 	// Load is the owner's queue over the upstream's limit, in percent.
-	Load int
+	Load int32
 	// Inflight is the number of this daemon's open sub-requests.
-	Inflight int
+	Inflight int32
 	// Down is true while the upstream backs off after failures.
 	Down bool
 }
@@ -64,9 +66,17 @@
 
 // Read returns the state at now.
 func (u *Upstream) Read(now time.Time) Reading {
-	at := int64(now.Sub(u.start))
-	r := Reading{
-		Inflight: int(u.inflight.Load()),
+	var r Reading
+	u.ReadTo(&r, now.Sub(u.start))
+	return r
+}
+
+// ReadTo sets r to the state at a time since the Tracker's start. It is the form
+// of Read for many upstreams at once.
+func (u *Upstream) ReadTo(r *Reading, since time.Duration) {
+	at := int64(since)
+	*r = Reading{
+		Inflight: int32(u.inflight.Load()),
 		Down:     u.backoff.isDown(at),
 	}
 	if h := u.held.Load(); h != nil {
@@ -74,13 +84,19 @@
 		r.Age = time.Duration(at - u.heldAt.Load())
 	}
 	if at-u.loadAt.Load() < int64(loadAge) {
-		r.Load = int(u.load.Load())
+		r.Load = int32(u.load.Load())
 	}
 	if l := u.latency.Load(); l > 0 {
-		idle := max(at-u.latencyAt.Load(), 0)
-		r.Latency = time.Duration(float64(l) / (1 + float64(idle)/float64(latencyHalfAge)))
+		r.Latency = fade(time.Duration(l), time.Duration(at-u.latencyAt.Load()))
 	}
-	return r
+}
+
+// fade returns what a latency estimate counts after an idle time.
+func fade(latency, idle time.Duration) time.Duration {
+	if idle < fadeAfter {
+		return latency
+	}
+	return time.Duration(float64(latency) / (1 + float64(idle-fadeAfter)/float64(latencyHalfAge)))
 }
 
 // Hold records the versions that the upstream said it holds.
