--- a/internal/query/gatherer/discover.go
+++ b/internal/query/gatherer/discover.go
@@ -11,6 +11,8 @@
 const (
 	// discoverEvery is the least time between two discoveries of a service.
 	discoverEvery = 100 * time.Millisecond
+	// discoverMoreEvery is that time while queries are answered meanwhile.
+	discoverMoreEvery = time.Second
 	// refreshAge is the age at which an upstream's versions are asked for again.
 	refreshAge = 10 * time.Second
 	// maxRefreshes bounds the upstreams that one query asks for versions.
@@ -42,9 +44,8 @@
 	if f := s.flight.Load(); f != nil {
 		return f.done
 	}
-	now := int64(time.Since(g.start))
 	f := &flight{done: make(chan struct{})}
-	if now < s.discoverAt.Load() || g.ctx.Err() != nil || !s.flight.CompareAndSwap(nil, f) {
+	if !s.isDiscoveryDue(g.start, discoverEvery) || g.ctx.Err() != nil || !s.flight.CompareAndSwap(nil, f) {
 		if f := s.flight.Load(); f != nil {
 			return f.done
 		}
@@ -52,13 +53,27 @@
 	}
 	g.wg.Go(func() {
 		newSweep(g, l).run()
-		s.discoverAt.Store(int64(time.Since(g.start) + discoverEvery))
+		s.discoveredAt.Store(int64(time.Since(g.start)))
 		s.flight.Store(nil)
 		close(f.done)
 	})
 	return f.done
 }
 
+// discoverMore starts a discovery in the background, for shards of which nothing
+// is known while others can be answered from.
+func (g *Gatherer) discoverMore(s *service) {
+	if s.isDiscoveryDue(g.start, discoverMoreEvery) {
+		g.Discover(s.name)
+	}
+}
+
+// isDiscoveryDue reports whether no discovery ended within a time.
+func (s *service) isDiscoveryDue(start time.Time, within time.Duration) bool {
+	at := s.discoveredAt.Load()
+	return at == 0 || time.Since(start)-time.Duration(at) >= within
+}
+
 // sweep is the work of one discovery.
 type sweep struct {
 	g        *Gatherer
--- a/internal/query/gatherer/fleet_test.go
+++ b/internal/query/gatherer/fleet_test.go
@@ -91,6 +91,20 @@
 	})
 }
 
+// locked changes what the fleet answers.
+func (f *fleet) locked(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// probed returns the number of probes sent so far.
+func (f *fleet) probed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.probes
+}
+
 // sent returns the searches and runs sent so far.
 func (f *fleet) sent() []exchanger.Task {
 	f.mu.Lock()
@@ -158,11 +172,11 @@
 	return viewer.Build(ins[0], objects, ins)
 }
 
-// holding answers every task as a healthy upstream that holds versions oldest to
-// newest would, after took.
-func holding(oldest, newest uint64, took time.Duration) func(string, exchanger.Task) reply {
+// healthy answers every task as an upstream that holds versions 1 to 5 would, after
+// took.
+func healthy(took time.Duration) func(string, exchanger.Task) reply {
 	return func(_ string, t exchanger.Task) reply {
-		return reply{result: resultOf(t, oldest, newest), took: took}
+		return reply{result: resultOf(t, 1, 5), took: took}
 	}
 }
 
--- a/internal/query/gatherer/gather.go
+++ b/internal/query/gatherer/gather.go
@@ -55,6 +55,9 @@
 	if p.Version == 0 {
 		return nil, refuse(q, answerer.CodeNoSnapshot, "no upstream in use has told which snapshots it holds")
 	}
+	if !l.IsCurrent(p) {
+		g.discoverMore(l.service)
+	}
 	if l.service.pinned.Swap(p.Version) != p.Version {
 		g.log.Debug("snapshot pinned", "service", l.service.name, "version", p.Version, "covered", p.Covered)
 	}
--- a/internal/query/gatherer/gatherer_test.go
+++ b/internal/query/gatherer/gatherer_test.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// failing answers as holding, but for the upstreams of the first zone, which give
+// failing answers as healthy, but for the upstreams of the first zone, which give
 // the result of their own.
 func failing(r exchanger.Result, took time.Duration) func(string, exchanger.Task) reply {
 	return func(_ string, t exchanger.Task) reply {
@@ -85,7 +85,7 @@
 func TestQuery(t *testing.T) {
 	t.Run("complete", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(serviceOf(declarer.Search, 20), holding(1, 5, time.Millisecond))
+			f := newFleet(serviceOf(declarer.Search, 20), healthy(time.Millisecond))
 			a := ask(t, f.start(t, nil))
 			assertCoverage(t, a, answerer.Coverage{Shards: 20, Merged: 20, Documents: 200})
 			assertOneSnapshot(t, a, 5)
@@ -155,7 +155,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f, q := newFleet(s, holding(1, 5, 0)), query()
+				f, q := newFleet(s, healthy(0)), query()
 				tt.change(f, q)
 				_, err := f.start(t, nil).Query(context.Background(), q)
 				assertRefused(t, err, tt.want)
--- a/internal/query/gatherer/layout.go
+++ b/internal/query/gatherer/layout.go
@@ -20,9 +20,9 @@
 	metrics serviceMetrics
 	// flight is the discovery under way, or nil.
 	flight atomic.Pointer[flight]
-	// discoverAt is when the next discovery may start, on the Gatherer's clock.
-	discoverAt atomic.Int64
-	pinned     atomic.Uint64
+	// discoveredAt is when the last discovery ended, since the Gatherer's start.
+	discoveredAt atomic.Int64
+	pinned       atomic.Uint64
 }
 
 // layout is a service of one view with the state of its upstreams and owners.
--- a/internal/query/planner/layout.go
+++ b/internal/query/planner/layout.go
@@ -96,6 +96,12 @@
 	return sets
 }
 
+// IsCurrent reports whether a plan uses the newest shard map and covers all of it.
+func (l *Layout) IsCurrent(p *Plan) bool {
+	newest := &l.maps[len(l.maps)-1]
+	return p.Version >= newest.from && p.Covered == len(newest.shards)
+}
+
 // ShardOf returns the ID of a shard that an upstream holds in the newest shard map
 // that mentions it.
 func (l *Layout) ShardOf(up int32) int {
