--- a/internal/query/gatherer/gatherer.go
+++ b/internal/query/gatherer/gatherer.go
@@ -106,7 +106,7 @@
 	if err := q.Check(); err != nil {
 		return nil, err
 	}
-	l, err := g.find(q.Service, q.Request, declarer.Search)
+	l, err := g.find(q.Service, q.Request)
 	if err != nil {
 		return nil, err
 	}
@@ -134,8 +134,8 @@
 	return a, nil
 }
 
-// find returns the layout of a service of a class, or a refusal, not run.
-func (g *Gatherer) find(name, request string, class declarer.Class) (*layout, error) {
+// find returns the layout of a service, or a refusal, not run.
+func (g *Gatherer) find(name, request string) (*layout, error) {
 	refusal := &answerer.RefusalError{Run: answerer.NotRun, Request: request}
 	v := g.views.View()
 	if v == nil || v.Version == 0 {
@@ -148,11 +148,6 @@
 		refusal.Reason = "service " + strconv.Quote(name) + " is not declared"
 		return nil, refusal
 	}
-	if l.Service.Class != class {
-		refusal.Code, refusal.Field = answerer.CodeBadField, "service"
-		refusal.Reason = "service " + strconv.Quote(name) + " is of class " + strconv.Quote(string(l.Service.Class))
-		return nil, refusal
-	}
 	return l, nil
 }
 
--- a/internal/query/gatherer/run.go
+++ b/internal/query/gatherer/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"cornelwood.example/internal/contract/answerer"
@@ -36,11 +37,14 @@
 	if len(action) == 0 {
 		return notRun("the action is empty")
 	}
-	l, err := g.find(name, ticket, declarer.Action)
+	l, err := g.find(name, ticket)
 	var refusal *answerer.RefusalError
 	if errors.As(err, &refusal) {
 		return notRun(refusal.Reason)
 	}
+	if l.Service.Class != declarer.Action {
+		return notRun(fmt.Sprintf("service %q is of class %q", name, l.Service.Class))
+	}
 	ctx, cancel := context.WithTimeout(ctx, l.Service.Contract.Deadline.Duration)
 	defer cancel()
 	d := &dispatch{g: g, ctx: ctx, layout: l, ticket: ticket, action: action}
