--- /dev/null
+++ b/cmd/cornelwood/faults_test.go
@@ -0,0 +1,361 @@
+package main_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"cornelwood.example/internal/cli/requester"
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/load/driver"
+	"cornelwood.example/internal/standin/searcher"
+)
+
+// Bounds of the promises, as the users state them.
+const (
+	// inForce is the time within which a change is in force today.
+	inForce = 3 * time.Second
+	// newWork is the time after which what was taken out gets no new work.
+	newWork = 3 * time.Second
+)
+
+// TestKilledOwner kills a daemon while load runs. Its upstreams are handed over;
+// no searcher gets more than it bears.
+func TestKilledOwner(t *testing.T) {
+	s := withSite(t, siteOptions{zones: []string{"a", "a", "b"}})
+	warm(t, s)
+	rep := underLoad(t, s.daemons[1:], func(*balancer) {
+		s.daemons[0].kill()
+		awaitState(t, s.daemons[1], s.daemons[0].id, "")
+	})
+	assertAnswered(t, rep)
+	assertBorne(t, s)
+}
+
+// TestFrozenOwner stops a daemon for longer than the takeover time and resumes
+// it. It must not go on admitting.
+func TestFrozenOwner(t *testing.T) {
+	s := withSite(t, siteOptions{zones: []string{"a", "a", "a", "b"}})
+	warm(t, s)
+	rep := underLoad(t, s.daemons[1:], func(*balancer) {
+		s.daemons[0].signal(t, syscall.SIGSTOP)
+		awaitState(t, s.daemons[1], s.daemons[0].id, "missing")
+		s.daemons[0].signal(t, syscall.SIGCONT)
+		awaitState(t, s.daemons[1], s.daemons[0].id, "live")
+	})
+	assertAnswered(t, rep)
+	assertBorne(t, s)
+}
+
+// TestPlatformOutage takes the platform away: queries do not notice, changes are
+// refused as not run, and a restarted daemon takes its configuration from peers.
+func TestPlatformOutage(t *testing.T) {
+	s := withSite(t, siteOptions{})
+	warm(t, s)
+	faults(t, s.platform, map[string]any{"outage": "refuse"})
+	t.Run("queries go on", func(t *testing.T) {
+		assertComplete(t, s.daemons[0], "finder", 4)
+	})
+	t.Run("a change is refused, not run", func(t *testing.T) {
+		err := s.daemons[0].operate(t, http.MethodPost, "/v1/zones/a/out", map[string]string{"change": "c-1"}, nil)
+		var ref *answerer.RefusalError
+		if !errors.As(err, &ref) || ref.Code != answerer.CodeNoPlatform || ref.Run != answerer.NotRun {
+			t.Errorf("error = %v, want no_platform, not_run", err)
+		}
+	})
+	t.Run("a restarted daemon takes its configuration from peers", func(t *testing.T) {
+		s.daemons[2].kill()
+		s.restart(t, s.daemons[2])
+		s.awaitReady(t, s.daemons[2])
+		assertComplete(t, s.daemons[2], "finder", 4)
+	})
+	faults(t, s.platform, map[string]any{"outage": ""})
+	t.Run("changes are accepted again", func(t *testing.T) {
+		eventually(t, startWait, func() error {
+			return s.daemons[0].operate(t, http.MethodPost, "/v1/zones/a/out", map[string]string{"change": "c-2"}, nil)
+		})
+	})
+}
+
+// TestZoneOut takes a zone out under load and brings it back.
+func TestZoneOut(t *testing.T) {
+	s := withSite(t, siteOptions{})
+	warm(t, s)
+	rep := underLoad(t, s.daemons, func(*balancer) {
+		cornelwood(t, "zone", "out", "a", "--operator", "http://"+s.daemons[1].operator)
+		time.Sleep(newWork)
+		before := startedIn(t, s, "a")
+		time.Sleep(time.Second)
+		if after := startedIn(t, s, "a"); after != before {
+			t.Errorf("searchers of zone a began %d runs more than %s after it was taken out", after-before, newWork)
+		}
+		cornelwood(t, "zone", "in", "a", "--operator", "http://"+s.daemons[2].operator)
+		eventually(t, startWait, func() error {
+			if startedIn(t, s, "a") == before {
+				return errors.New("zone a gets no work after it was brought back")
+			}
+			return nil
+		})
+	})
+	assertAnswered(t, rep)
+	assertBorne(t, s)
+}
+
+// TestGracefulShutdown stops a daemon under load: none of its callers is cut.
+func TestGracefulShutdown(t *testing.T) {
+	s := withSite(t, siteOptions{zones: []string{"a", "a", "b"}, lag: "500ms"})
+	warm(t, s)
+	leaver := s.daemons[0]
+	rep := underLoad(t, s.daemons, func(b *balancer) {
+		leaver.signal(t, syscall.SIGTERM)
+		eventually(t, startWait, func() error {
+			if leaver.get(t, "/ready", nil) == nil {
+				return errors.New("still ready")
+			}
+			return nil
+		})
+		b.out.Store(leaver)
+		<-leaver.done
+	})
+	if code := leaver.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("the daemon ended with %d, want 0", code)
+	}
+	assertAnswered(t, rep)
+	assertBorne(t, s)
+}
+
+// TestRunThroughAnotherInstance retries an action through another instance, then
+// without its issuer.
+func TestRunThroughAnotherInstance(t *testing.T) {
+	s := withSite(t, siteOptions{})
+	warm(t, s)
+	issuer, other := s.daemons[0], s.daemons[1]
+	tk := takeTicket(t, issuer)
+	for _, d := range []*daemon{other, issuer, other} {
+		if res := runTicket(t, d, tk); res.Outcome != answerer.Done {
+			t.Errorf("run through %s: %+v, want done", d.id, res)
+		}
+	}
+	issuer.kill()
+	if res := runTicket(t, other, tk); res.Outcome != answerer.Unknown {
+		t.Errorf("run without the issuer: %+v, want unknown", res)
+	}
+	s.restart(t, issuer)
+	s.awaitReady(t, issuer)
+	if res := runTicket(t, issuer, tk); res.Outcome != answerer.Unknown {
+		t.Errorf("run after the issuer's restart: %+v, want unknown", res)
+	}
+	if n := runsOf(t, s, tk); n != 1 {
+		t.Errorf("searchers ran the action %d times, want once", n)
+	}
+}
+
+// TestChangeInForce makes a change at one daemon and looks for it at the others.
+func TestChangeInForce(t *testing.T) {
+	s := withSite(t, siteOptions{})
+	var accepted declarer.Object
+	set := map[string]any{"change": "c-1", "set": map[string]string{"priority": "7"}}
+	if err := s.daemons[0].operate(t, http.MethodPost, "/v1/services/finder/contract", set, &accepted); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range s.daemons {
+		eventually(t, inForce, func() error {
+			var got declarer.Object
+			if err := d.operate(t, http.MethodGet, "/v1/services/finder", nil, &got); err != nil {
+				return err
+			}
+			if diff := cmp.Diff(accepted, got, cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+				return fmt.Errorf("object at %s (-accepted +got):\n%s", d.id, diff)
+			}
+			return nil
+		})
+	}
+}
+
+// warm waits until every daemon has answered completely.
+func warm(t *testing.T, s *site) {
+	t.Helper()
+	for _, d := range s.daemons {
+		assertComplete(t, d, "finder", 4)
+	}
+}
+
+// balancer sends queries to the daemons in turn, as the platform's balancer does:
+// none to those that are out.
+type balancer struct {
+	daemons  []*daemon
+	next     atomic.Int64
+	out      atomic.Pointer[daemon]
+	answered atomic.Int64
+}
+
+// Ask sends one query to the next daemon.
+func (b *balancer) Ask(ctx context.Context, q *answerer.Query) (*answerer.Answer, error) {
+	d := b.pick()
+	var out answerer.Answer
+	if err := requester.New("http://"+d.caller, httpClient).Do(ctx, http.MethodPost, "/v1/query", q, &out); err != nil {
+		return nil, fmt.Errorf("%s: %w", d.id, err)
+	}
+	b.answered.Add(1)
+	return &out, nil
+}
+
+func (b *balancer) pick() *daemon {
+	for {
+		d := b.daemons[b.next.Add(1)%int64(len(b.daemons))]
+		if d != b.out.Load() {
+			return d
+		}
+	}
+}
+
+// awaitAnswers waits until as many more queries are answered.
+func (b *balancer) awaitAnswers(t *testing.T, n int64) {
+	t.Helper()
+	want := b.answered.Load() + n
+	eventually(t, startWait, func() error {
+		if got := b.answered.Load(); got < want {
+			return fmt.Errorf("%d answers, want %d", got, want)
+		}
+		return nil
+	})
+}
+
+// leadAnswers is the number of answers before and after what happens under load.
+const leadAnswers = 30
+
+// underLoad runs during while queries arrive at the daemons, and returns what the
+// callers saw.
+func underLoad(t *testing.T, daemons []*daemon, during func(b *balancer)) *driver.Report {
+	t.Helper()
+	b := &balancer{daemons: daemons}
+	cfg := driver.Config{
+		Askers: []driver.Asker{b}, Services: []string{"finder"},
+		Rate: 60, Duration: 10 * startWait, Wait: 10 * time.Second, Seed: 1,
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan *driver.Report, 1)
+	go func() {
+		rep, err := driver.Run(ctx, cfg)
+		if err != nil {
+			t.Errorf("load: %v", err)
+		}
+		done <- rep
+	}()
+	b.awaitAnswers(t, leadAnswers)
+	during(b)
+	b.awaitAnswers(t, leadAnswers)
+	stop()
+	rep := <-done
+	t.Logf("load: %d sent, %d answered, %d complete, refused %v, missing %v, p99 %s", rep.Sent, rep.Answered, rep.Complete, rep.Refused, rep.Missing, rep.P99)
+	return rep
+}
+
+// assertAnswered fails when a caller got no answer, or another's.
+func assertAnswered(t *testing.T, rep *driver.Report) {
+	t.Helper()
+	got := map[string]int{"errors": rep.Errors, "wrong": rep.Wrong, "refused": len(rep.Refused), "unanswered": rep.Sent - rep.Answered}
+	want := map[string]int{"errors": 0, "wrong": 0, "refused": 0, "unanswered": 0}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("callers without an answer (-want +got):\n%s%v", diff, rep.Refused)
+	}
+}
+
+// eachCounts calls do with what each searcher counted.
+func eachCounts(t *testing.T, s *site, do func(u declarer.Upstream, c searcher.Counts)) {
+	t.Helper()
+	hc := &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, sv := range s.services {
+		for _, u := range sv.Upstreams() {
+			var c searcher.Counts
+			if err := requester.New("http://"+u.Addr.String(), hc).Do(t.Context(), http.MethodGet, "/counts", nil, &c); err != nil {
+				t.Fatalf("counts of %s: %v", u.Name, err)
+			}
+			do(u, c)
+		}
+	}
+}
+
+// assertBorne fails when a searcher got more than it bears.
+func assertBorne(t *testing.T, s *site) {
+	t.Helper()
+	eachCounts(t, s, func(u declarer.Upstream, c searcher.Counts) {
+		got := map[string]int{"overlaps": c.Overlaps, "cold overloads": c.ColdOverloads}
+		if diff := cmp.Diff(map[string]int{"overlaps": 0, "cold overloads": 0}, got); diff != "" {
+			t.Errorf("searcher %s (-want +got):\n%s", u.Name, diff)
+		}
+	})
+}
+
+func startedIn(t *testing.T, s *site, zone string) int {
+	t.Helper()
+	n := 0
+	eachCounts(t, s, func(u declarer.Upstream, c searcher.Counts) {
+		if u.Zone == zone {
+			n += c.Started
+		}
+	})
+	return n
+}
+
+func runsOf(t *testing.T, s *site, ticket string) int {
+	t.Helper()
+	n := 0
+	eachCounts(t, s, func(_ declarer.Upstream, c searcher.Counts) {
+		n += c.Runs[ticket]
+	})
+	return n
+}
+
+// awaitState waits until a daemon sees an instance in a state; "" means not at
+// all or gone.
+func awaitState(t *testing.T, d *daemon, id, want string) {
+	t.Helper()
+	eventually(t, startWait, func() error {
+		st, err := d.status(t)
+		if err != nil {
+			return err
+		}
+		got := ""
+		for _, m := range st.Members {
+			if m.ID == id && m.State != "gone" {
+				got = m.State
+			}
+		}
+		if got != want {
+			return fmt.Errorf("%s sees %s as %q, want %q", d.id, id, got, want)
+		}
+		return nil
+	})
+}
+
+func takeTicket(t *testing.T, d *daemon) string {
+	t.Helper()
+	var tk answerer.Ticket
+	in := map[string]string{"service": "roster"}
+	if err := requester.New("http://"+d.caller, httpClient).Do(t.Context(), http.MethodPost, "/v1/ticket", in, &tk); err != nil {
+		t.Fatalf("ticket: %v", err)
+	}
+	return tk.Ticket
+}
+
+func runTicket(t *testing.T, d *daemon, ticket string) answerer.RunResult {
+	t.Helper()
+	var res answerer.RunResult
+	in := answerer.Run{Ticket: ticket, Service: "roster", Action: json.RawMessage(`{"crew":7}`)}
+	if err := requester.New("http://"+d.caller, httpClient).Do(t.Context(), http.MethodPost, "/v1/run", in, &res); err != nil {
+		t.Fatalf("run: %v", err)
+	}
+	return res
+}
--- /dev/null
+++ b/cmd/cornelwood/path_test.go
@@ -0,0 +1,56 @@
+package main_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/standin/searcher"
+)
+
+// TestWholePath answers queries end to end through separate processes: three
+// daemons, a platform and searchers.
+func TestWholePath(t *testing.T) {
+	s := withSite(t, siteOptions{})
+	for _, d := range s.daemons {
+		t.Run("through "+d.id, func(t *testing.T) {
+			assertComplete(t, d, "finder", 4)
+		})
+	}
+	for i, d := range s.daemons {
+		if code := d.terminate(t); code != 0 {
+			t.Errorf("daemon %d ended with %d, want 0", i, code)
+		}
+	}
+}
+
+// assertComplete waits for a complete answer, since searchers start cold, and
+// compares it with the one right answer of its snapshot.
+func assertComplete(t *testing.T, d *daemon, service string, shards int) {
+	t.Helper()
+	const limit = 5
+	var a answerer.Answer
+	eventually(t, startWait, func() error {
+		var err error
+		a, err = d.query(t, answerer.Query{Request: "r-1", Service: service, Terms: "metal loss", Limit: limit})
+		if err == nil && !a.Coverage.Complete() {
+			err = fmt.Errorf("coverage %+v", a.Coverage)
+		}
+		return err
+	})
+	var all []int
+	for sh := range shards {
+		all = append(all, sh)
+	}
+	want := answerer.Answer{
+		Request: "r-1", Service: service, Snapshot: a.Snapshot,
+		Coverage: answerer.Coverage{Shards: shards, Merged: shards, Documents: a.Coverage.Documents},
+		Results:  searcher.Merged(service, all, a.Snapshot, "metal loss", limit),
+		Took:     a.Took,
+	}
+	if diff := cmp.Diff(want, a); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
--- a/internal/cli/builder/clients.go
+++ b/internal/cli/builder/clients.go
@@ -55,8 +55,8 @@
 }
 
 // call makes one call and prints its answer: as JSON when asked for, else with
-// print. A refusal is printed as JSON too when asked for.
-func call[T any](ctx context.Context, cmd *cli.Command, c *requester.Requester, method, path string, in any, print func(*T) error) error {
+// show. A refusal is printed as JSON too when asked for.
+func call[T any](ctx context.Context, cmd *cli.Command, c *requester.Requester, method, path string, in any, show func(*T) error) error {
 	var out T
 	err := c.Do(ctx, method, path, in, &out)
 	var ref *answerer.RefusalError
@@ -71,7 +71,7 @@
 	if cmd.Bool(flagJSON) {
 		return printer.JSON(cmd.Root().Writer, out)
 	}
-	return print(&out)
+	return show(&out)
 }
 
 // arg returns the positional argument i, which the usage calls name.
--- a/internal/demo/stager/stager.go
+++ b/internal/demo/stager/stager.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	platform, err := s.startPlatform(log)
+	platform, err := s.startPlatform(ctx, log)
 	if err != nil {
 		return err
 	}
@@ -106,10 +106,11 @@
 	return s.awaitReady(ctx)
 }
 
-func (s *Site) startPlatform(log hclog.Logger) (string, error) {
+func (s *Site) startPlatform(ctx context.Context, log hclog.Logger) (string, error) {
 	k, closer := keeper.New(keeper.Config{}, log.Named("platform"))
 	s.stops = append(s.stops, closer)
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	var lc net.ListenConfig
+	lis, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", fmt.Errorf("platform: %w", err)
 	}
--- a/internal/load/driver/driver.go
+++ b/internal/load/driver/driver.go
@@ -125,7 +125,8 @@
 	d.rec.sent()
 	d.wg.Go(func() {
 		defer func() { <-d.slots }()
-		d.ask(ctx, n, at)
+		// The end of ctx ends the arrivals, not the queries under way.
+		d.ask(context.WithoutCancel(ctx), n, at)
 	})
 }
 
