--- a/internal/control/reconciler/config.go
+++ b/internal/control/reconciler/config.go
@@ -40,7 +40,7 @@
 
 const (
 	// tickInterval is the interval of the loop's own work.
-	tickInterval = 50 * time.Millisecond
+	tickInterval = 100 * time.Millisecond
 	// spreadInterval is the mean interval between exchanges with a random peer.
 	spreadInterval = time.Second
 	// spreadTimeout bounds a call of an exchange.
--- a/internal/control/reconciler/fleet_test.go
+++ b/internal/control/reconciler/fleet_test.go
@@ -25,6 +25,8 @@
 	network  *network
 	platform *platform
 	daemons  []*daemon
+	// interval is the ping interval of the group protocol.
+	interval time.Duration
 }
 
 type daemon struct {
@@ -37,17 +39,18 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, network: newNetwork(), platform: newPlatform()}
-	return f
+	return &fleet{t: t, network: newNetwork(), platform: newPlatform(), interval: 250 * time.Millisecond}
 }
 
+var regions = []string{"north", "north", "south", "south"}
+
 // instance returns the n-th instance of a zone; zones are named by a letter.
 func instance(zone string, n int) declarer.Instance {
 	z := zone[0] - 'a'
 	return declarer.Instance{
 		ID:          fmt.Sprintf("%s-%d", zone, n),
 		Zone:        zone,
-		Region:      "region",
+		Region:      regions[z],
 		Peer:        netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, z, byte(n)}), 7000),
 		Incarnation: 1,
 	}
@@ -65,16 +68,16 @@
 		Rand:     rand.New(rand.NewPCG(1, h.Sum64())),
 		InFlight: func() int { return d.busy },
 		Detector: detector.Config{
-			Interval: 250 * time.Millisecond,
-			Fence:    time.Second,
-			Takeover: 2 * time.Second,
+			Interval: f.interval,
+			Fence:    4 * f.interval,
+			Takeover: 8 * f.interval,
 			InFlight: func(string, bool) int { return d.busy },
 		},
 	}
 	reg := prometheus.NewRegistry()
 	r, wait := New(cfg, &port{n: f.network, self: self.Peer}, d.views, hclog.NewNullLogger(), NewMetrics(reg))
 	d.Reconciler = r
-	w := watcher.New(f.platform, r, rand.New(rand.NewPCG(2, h.Sum64())), hclog.NewNullLogger(), watcher.NewMetrics(reg))
+	w := watcher.New(&access{f.platform, self.ID}, r, rand.New(rand.NewPCG(2, h.Sum64())), hclog.NewNullLogger(), watcher.NewMetrics(reg))
 	ctx, cancel := context.WithCancel(f.t.Context())
 	d.cancel = cancel
 	watched := make(chan struct{})
@@ -168,10 +171,11 @@
 	}
 }
 
-func zoneObject(name string, out bool) declarer.Object {
+// zoneObject declares zone a.
+func zoneObject(out bool) declarer.Object {
 	return declarer.Object{
-		Key:  declarer.Key{Kind: declarer.KindZone, Name: name},
-		Zone: &declarer.Zone{Name: name, Region: "region", Groups: 1, Out: out},
+		Key:  declarer.Key{Kind: declarer.KindZone, Name: "a"},
+		Zone: &declarer.Zone{Name: "a", Region: "north", Groups: 1, Out: out},
 	}
 }
 
--- a/internal/control/reconciler/platform_test.go
+++ b/internal/control/reconciler/platform_test.go
@@ -25,6 +25,8 @@
 	secondAt     time.Time
 
 	isDown bool
+	// isCut reports whether an instance is cut off from the platform.
+	isCut func(id string) bool
 	// lag is the number of last changes that lists do not show.
 	lag int
 	// mangle repeats, reorders and drops events of watches, and adds old ones.
@@ -52,7 +54,14 @@
 	fn()
 }
 
-func (p *platform) call(name string) error {
+// access is one daemon's way to the platform.
+type access struct {
+	*platform
+	id string
+}
+
+func (a *access) call(name string) error {
+	p := a.platform
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls[name]++
@@ -61,16 +70,17 @@
 	}
 	p.second++
 	p.peak = max(p.peak, p.second)
-	if p.isDown {
+	if p.isDown || p.isCut != nil && p.isCut(a.id) {
 		return &storer.UnavailableError{Call: name, Err: errors.New("down")}
 	}
 	return nil
 }
 
-func (p *platform) List(context.Context, declarer.Kind) ([]declarer.Object, uint64, error) {
-	if err := p.call("list"); err != nil {
+func (a *access) List(context.Context, declarer.Kind) ([]declarer.Object, uint64, error) {
+	if err := a.call("list"); err != nil {
 		return nil, 0, err
 	}
+	p := a.platform
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	shown := p.history[:max(0, len(p.history)-p.lag)]
@@ -85,14 +95,14 @@
 	return objects, p.revision - uint64(len(p.history)-len(shown)), nil
 }
 
-func (p *platform) Watch(ctx context.Context, from uint64, wait time.Duration) ([]declarer.Object, uint64, error) {
-	if err := p.call("watch"); err != nil {
+func (a *access) Watch(ctx context.Context, from uint64, wait time.Duration) ([]declarer.Object, uint64, error) {
+	if err := a.call("watch"); err != nil {
 		return nil, 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
-		objects, revision, changed := p.since(from)
+		objects, revision, changed := a.since(from)
 		if len(objects) > 0 {
 			return objects, max(from, revision), nil
 		}
@@ -121,10 +131,11 @@
 	return objects, p.revision, p.changed
 }
 
-func (p *platform) Instances(context.Context) ([]declarer.Instance, error) {
-	if err := p.call("instances"); err != nil {
+func (a *access) Instances(context.Context) ([]declarer.Instance, error) {
+	if err := a.call("instances"); err != nil {
 		return nil, err
 	}
+	p := a.platform
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Clone(p.instances), nil
--- a/internal/control/reconciler/reconciler_test.go
+++ b/internal/control/reconciler/reconciler_test.go
@@ -16,11 +16,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.end()
-		f.platform.put(zoneObject("a", false))
+		f.platform.put(zoneObject(false))
 		f.startAll(3, "a", "b", "c")
 		f.await("configuration after the start", 10*time.Second, func(d *daemon) bool { return d.views.View().Version > 0 })
 		f.await("instances after the start", 10*time.Second, knows(9))
-		o := f.platform.put(zoneObject("a", true))
+		o := f.platform.put(zoneObject(true))
 		f.await("change", inForce, has(o))
 	})
 }
@@ -29,7 +29,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.end()
-		o := f.platform.put(zoneObject("a", false))
+		o := f.platform.put(zoneObject(false))
 		f.startAll(2, "a", "b")
 		f.await("configuration", 10*time.Second, has(o))
 		f.platform.set(func() { f.platform.isDown = true })
@@ -65,7 +65,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.end()
-		first := f.platform.put(zoneObject("a", false))
+		first := f.platform.put(zoneObject(false))
 		f.startAll(2, "a", "b")
 		f.await("start", 10*time.Second, has(first))
 		f.await("instances", 10*time.Second, knows(4))
@@ -78,7 +78,7 @@
 			}
 		}
 		// Only a daemon of zone a learns of the change.
-		o := f.platform.put(zoneObject("a", true))
+		o := f.platform.put(zoneObject(true))
 		if err := f.daemons[0].Accept(t.Context(), o); err != nil {
 			t.Fatal(err)
 		}
@@ -95,7 +95,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.end()
-		f.platform.put(zoneObject("a", false))
+		f.platform.put(zoneObject(false))
 		f.startAll(2, "a", "b")
 		f.await("start", 10*time.Second, func(d *daemon) bool { return d.views.View().Version > 0 })
 		f.platform.set(func() {
@@ -105,7 +105,7 @@
 		seen := make(map[*daemon]uint64)
 		var last declarer.Object
 		for i := range 40 {
-			last = f.platform.put(zoneObject("a", i%2 == 0))
+			last = f.platform.put(zoneObject(i%2 == 0))
 			time.Sleep(700 * time.Millisecond)
 			for _, d := range f.daemons {
 				v := d.views.View().Objects[last.Key].Version
