--- /dev/null
+++ b/internal/control/reconciler/life_test.go
@@ -0,0 +1,221 @@
+package reconciler
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+)
+
+// newsWithin bounds the time until everybody knows that an instance left.
+const newsWithin = 3 * time.Second
+
+// startedFleet returns a fleet of n daemons in each zone that know one another
+// and the configuration.
+func startedFleet(t *testing.T, n int, zones ...string) *fleet {
+	f := newFleet(t)
+	o := f.platform.put(zoneObject(false))
+	f.startAll(n, zones...)
+	f.await("configuration", 10*time.Second, has(o))
+	f.await("instances", 10*time.Second, knows(n*len(zones)))
+	return f
+}
+
+// sees returns a condition: an instance is in a state, or not known any more for
+// Gone.
+func sees(id string, state declarer.State) func(d *daemon) bool {
+	return func(d *daemon) bool {
+		in, ok := d.views.View().Instance(id)
+		if !ok {
+			return state == declarer.Gone
+		}
+		return in.State == state
+	}
+}
+
+func TestLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startedFleet(t, 3, "a", "b")
+		defer f.end()
+		d := f.daemons[0]
+		d.busy = 1
+		short, cancel := context.WithTimeout(t.Context(), newsWithin)
+		defer cancel()
+		var ue *UndrainedError
+		if err := d.Leave(short); !errors.As(err, &ue) || ue.InFlight != 1 {
+			t.Fatalf("Leave with work in flight returned %v", err)
+		}
+		f.await("leaving", 0, sees("a-1", declarer.Leaving))
+		if ok, _ := d.Ready(); ok {
+			t.Error("a leaving daemon is ready for callers")
+		}
+		d.busy = 0
+		if err := d.Leave(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		f.kill(d)
+		f.await("gone", newsWithin, sees("a-1", declarer.Gone))
+	})
+}
+
+func TestKilledInstanceIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startedFleet(t, 3, "a", "b")
+		defer f.end()
+		f.kill(f.daemons[1])
+		f.await("gone", newsWithin, sees("a-2", declarer.Gone))
+	})
+}
+
+// An instance that is silent without a word is missing until the platform's list
+// lacks it twice.
+func TestSilentInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startedFleet(t, 3, "a")
+		defer f.end()
+		f.platform.set(func() { f.platform.instances = []declarer.Instance{instance("a", 1), instance("a", 2), instance("a", 3)} })
+		time.Sleep(15 * time.Second)
+		silent := f.daemons[2]
+		f.network.cut(func(a, b netip.AddrPort) bool { return a == silent.self.Peer || b == silent.self.Peer })
+		f.daemons = f.daemons[:2]
+		f.await("missing", 10*time.Second, sees("a-3", declarer.Missing))
+		time.Sleep(time.Minute)
+		f.await("missing while it is listed", 0, sees("a-3", declarer.Missing))
+		f.platform.set(func() { f.platform.instances = f.platform.instances[:2] })
+		f.await("gone", time.Minute, sees("a-3", declarer.Gone))
+		f.daemons = append(f.daemons, silent)
+		f.network.cut(func(_, _ netip.AddrPort) bool { return false })
+		f.await("live again", time.Minute, knows(3))
+		if self := silent.views.View().Self; self.Term == 0 {
+			t.Error("the instance did not join again under a higher term")
+		}
+	})
+}
+
+func TestOneWayCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startedFleet(t, 3, "a")
+		defer f.end()
+		from, to := f.daemons[0].self.Peer, f.daemons[1].self.Peer
+		f.network.cut(func(a, b netip.AddrPort) bool { return a == from && b == to })
+		for range 20 {
+			time.Sleep(time.Second)
+			f.await("live through the third", 0, knows(3))
+		}
+		f.await("change", inForce, has(f.platform.put(zoneObject(true))))
+		for _, d := range f.daemons {
+			if r := d.Share("s/u"); r.Num > 0 {
+				return
+			}
+		}
+		t.Error("nobody may admit work in spite of the third member")
+	})
+}
+
+func TestRestartWithLowerIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.end()
+		f.platform.put(zoneObject(false))
+		first := instance("a", 1)
+		first.Incarnation = 9
+		f.start(first, instance("a", 2).Peer)
+		f.start(instance("a", 2), first.Peer)
+		f.await("instances", 10*time.Second, knows(2))
+		f.kill(f.daemons[0])
+		f.start(instance("a", 1), instance("a", 2).Peer)
+		f.await("instances again", 10*time.Second, knows(2))
+		f.await("higher incarnation", 10*time.Second, func(d *daemon) bool {
+			in, ok := d.views.View().Instance("a-1")
+			return ok && in.Incarnation > first.Incarnation
+		})
+	})
+}
+
+// A process that was frozen while another took its ID must not fight for it.
+func TestReplacedProcessLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startedFleet(t, 2, "a")
+		defer f.end()
+		time.Sleep(replacedAfter)
+		old := f.daemons[0]
+		next := instance("a", 9)
+		next.ID, next.Incarnation = old.self.ID, old.self.Incarnation+1
+		f.start(next, f.daemons[1].self.Peer)
+		f.await("the new address", 10*time.Second, func(d *daemon) bool {
+			in, ok := d.views.View().Instance(next.ID)
+			return d == old || ok && in.Peer == next.Peer && in.State == declarer.Live
+		})
+		time.Sleep(5 * time.Second)
+		if ok, _ := old.Ready(); ok {
+			t.Error("the replaced process is ready for callers")
+		}
+		if s := old.Share("s/u"); s.Num != 0 {
+			t.Errorf("the replaced process may admit %d/%d", s.Num, s.Den)
+		}
+	})
+}
+
+// Both watchers of the zone are cut off from the platform, the others are not.
+func TestStandInWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startedFleet(t, 5, "a")
+		defer f.end()
+		s, err := f.daemons[0].Status(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		isWatcher := strings.Join(s.Watchers, " ")
+		f.platform.set(func() { f.platform.isCut = func(id string) bool { return strings.Contains(isWatcher, id) } })
+		f.await("change", contactTimeoutAndTurns, has(f.platform.put(zoneObject(true))))
+		time.Sleep(time.Minute)
+		f.await("change while a stand-in watches", inForce, has(f.platform.put(zoneObject(false))))
+	})
+}
+
+// contactTimeoutAndTurns bounds the time until another daemon of a zone of five
+// watches.
+const contactTimeoutAndTurns = time.Minute
+
+func TestFleetThatStartsAtOnceAsksThePlatformFewTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.end()
+		o := f.platform.put(zoneObject(false))
+		f.startAll(8, "a", "b", "c", "d")
+		f.await("configuration", inForceAtTarget, has(o))
+		time.Sleep(10 * time.Second)
+		f.platform.set(func() {
+			if lists := f.platform.calls["list"]; lists > 16 {
+				t.Errorf("32 daemons asked for %d lists, want at most 16", lists)
+			}
+		})
+	})
+}
+
+func TestZoneChangesItsGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startedFleet(t, 4, "a")
+		defer f.end()
+		o := zoneObject(true)
+		o.Zone.Groups = 2
+		o = f.platform.put(o)
+		f.await("change", inForce, has(o))
+		time.Sleep(5 * time.Second)
+		f.await("instances", 0, knows(4))
+		for _, d := range f.daemons {
+			s, err := d.Status(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if s.Self.Term == 0 {
+				t.Errorf("%s did not join its new group under a higher term", d.self.ID)
+			}
+		}
+	})
+}
