--- /dev/null
+++ b/internal/upstream/dialer/client_test.go
@@ -0,0 +1,169 @@
+package dialer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/upstream/limiter"
+)
+
+func assertResult(t *testing.T, want, got exchanger.Result) {
+	t.Helper()
+	if want.Reason == "" {
+		got.Reason = ""
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("result (-want +got):\n%s", d)
+	}
+}
+
+func TestAnswersAreChecked(t *testing.T) {
+	ok := exchanger.Result{ID: 1, Sent: true, Version: 7, Documents: 12, Oldest: 3, Newest: 9}
+	bad := exchanger.Result{ID: 1, Sent: true, Status: exchanger.Failed}
+	tests := map[string]struct {
+		handler http.HandlerFunc
+		want    exchanger.Result
+	}{
+		"right":           {answer(nil), ok},
+		"another request": {answer(map[string]any{"request": "r"}), bad},
+		"another attempt": {answer(map[string]any{"attempt": "a"}), bad},
+		"another service": {answer(map[string]any{"service": "s"}), bad},
+		"another shard":   {answer(map[string]any{"shard": 5}), bad},
+		"another version": {answer(map[string]any{"version": 8}), bad},
+		"too many hits":   {answer(map[string]any{"hits": make([]answerer.Hit, 11)}), bad},
+		"too long":        {answer(map[string]any{"pad": strings.Repeat("x", 1<<20)}), bad},
+		"truncated":       {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"request":"q"`) }, bad},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFake(t, tt.handler)
+				c := f.client(t, nil)
+				out := c.Do(t.Context(), search(1), within(time.Second))
+				assertResult(t, tt.want, out.Result)
+				dropped := map[Cause]int{}
+				if out.Invalid {
+					dropped[Dropped] = 1
+				}
+				if d := cmp.Diff(dropped, f.causes()); d != "" {
+					t.Errorf("connections closed (-want +got):\n%s", d)
+				}
+			})
+		})
+	}
+}
+
+func TestStatusesAreMapped(t *testing.T) {
+	tests := map[int]struct {
+		status exchanger.Status
+		kind   limiter.Kind
+	}{
+		404: {exchanger.Failed, limiter.Unused},
+		409: {exchanger.Out, limiter.Draining},
+		410: {exchanger.VersionGone, limiter.Unused},
+		429: {exchanger.Shed, limiter.Shed},
+		500: {exchanger.Failed, limiter.Unused},
+		503: {exchanger.Shed, limiter.Shed},
+		504: {exchanger.Late, limiter.Slow},
+	}
+	for code, tt := range tests {
+		t.Run(fmt.Sprint(code), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFake(t, func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(code)
+					fmt.Fprint(w, `{"oldest":3,"newest":9}`)
+				})
+				out := f.client(t, nil).Do(t.Context(), search(1), within(time.Second))
+				want := exchanger.Result{ID: 1, Sent: true, Status: tt.status}
+				if code == 410 {
+					want.Oldest, want.Newest = 3, 9
+				}
+				assertResult(t, want, out.Result)
+				if d := cmp.Diff(limiter.Sample{Kind: tt.kind}, out.Sample); d != "" {
+					t.Errorf("sample (-want +got):\n%s", d)
+				}
+			})
+		})
+	}
+}
+
+func TestRequestOnTheWire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var got http.Header
+		f := newFake(t, func(w http.ResponseWriter, r *http.Request) {
+			got = r.Header.Clone()
+			answer(nil)(w, r)
+		})
+		f.client(t, nil).Do(t.Context(), search(1), within(1500*time.Microsecond))
+		want := http.Header{
+			"Content-Type":   {"application/json"},
+			"Content-Length": got["Content-Length"],
+			"Deadline-Ms":    {"1"},
+			"User-Agent":     got["User-Agent"],
+		}
+		if d := cmp.Diff(want, got); d != "" {
+			t.Errorf("headers (-want +got):\n%s", d)
+		}
+	})
+}
+
+// TestActionIsNeverResent pins that an action whose connection breaks under it
+// reaches the upstream once.
+func TestActionIsNeverResent(t *testing.T) {
+	for _, http1 := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var runs atomic.Int32
+			f := newFake(t, func(http.ResponseWriter, *http.Request) {
+				if runs.Add(1) > 1 {
+					panic(http.ErrAbortHandler)
+				}
+			})
+			c := f.client(t, func(cfg *Config) { cfg.HTTP1 = http1 })
+			c.Do(t.Context(), action(), within(time.Second))
+			runs.Store(1)
+			out := c.Do(t.Context(), action(), within(time.Second))
+			assertResult(t, exchanger.Result{ID: 1, Status: exchanger.Failed, Sent: true}, out.Result)
+			if runs.Load() != 2 {
+				t.Errorf("HTTP/1.1 %v: runs %d, want 1", http1, runs.Load()-1)
+			}
+		})
+	}
+}
+
+func TestNothingIsSent(t *testing.T) {
+	refused := func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+	fence := exchanger.Result{ID: 1, Status: exchanger.NotOwner}
+	tests := map[string]struct {
+		change func(*Config)
+		admit  Admit
+		want   exchanger.Status
+		kind   limiter.Kind
+	}{
+		"connection refused": {func(c *Config) { c.Dial = refused }, within(time.Second), exchanger.Unreachable, limiter.Reset},
+		"fenced meanwhile":   {nil, func() (time.Duration, *exchanger.Result) { return 0, &fence }, exchanger.NotOwner, limiter.Unused},
+		"no time left":       {nil, within(time.Millisecond - 1), exchanger.Late, limiter.Unused},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFake(t, func(http.ResponseWriter, *http.Request) { t.Error("a request was sent") })
+				out := f.client(t, tt.change).Do(t.Context(), search(1), tt.admit)
+				assertResult(t, exchanger.Result{ID: 1, Status: tt.want}, out.Result)
+				if out.Sample.Kind != tt.kind || out.Hold != nil {
+					t.Errorf("sample %+v, hold %v, want kind %d and none", out.Sample, out.Hold, tt.kind)
+				}
+			})
+		})
+	}
+}
--- a/internal/upstream/dialer/conn.go
+++ b/internal/upstream/dialer/conn.go
@@ -51,10 +51,12 @@
 	return n, err
 }
 
-// Close closes the connection and tells the pool.
+// Close closes the connection and tells the pool. It marks the link first, so
+// that a read which fails for it is not taken for the upstream's doing.
 func (l *link) Close() error {
+	first := l.closed.CompareAndSwap(false, true)
 	err := l.Conn.Close()
-	if l.closed.CompareAndSwap(false, true) && l.onClose != nil {
+	if first && l.onClose != nil {
 		l.onClose(l)
 	}
 	return err
@@ -87,6 +89,8 @@
 	// takes no more; the pool's lock guards both.
 	busy    int
 	retired bool
+	// nudged is true while a nudge is under way.
+	nudged atomic.Bool
 }
 
 // usable reports whether the connection takes new requests.
--- a/internal/upstream/dialer/exchange.go
+++ b/internal/upstream/dialer/exchange.go
@@ -98,7 +98,7 @@
 	case ctx.Err() != nil:
 		out.Result.Status = exchanger.Failed
 		out.Result.Reason = "cancelled"
-		out.Sample.Kind = limiter.Unused
+		out.Sample = limiter.Sample{Kind: limiter.Unused, Latency: clock() - x.began}
 	case !out.Result.Sent:
 		out.Result.Status = exchanger.Unreachable
 		out.Result.Reason = fmt.Sprintf("send: %v", err)
--- a/internal/upstream/dispatcher/dispatcher.go
+++ b/internal/upstream/dispatcher/dispatcher.go
@@ -78,8 +78,8 @@
 // Busy returns the number of slots taken at an upstream, those included whose
 // cancelled requests may still be running.
 func (d *Dispatcher) Busy(upstreamKey string) int {
-	for n, u := range *d.upstreams.Load() {
-		if viewer.UpstreamKey(n.service, n.upstream) == upstreamKey {
+	for _, u := range *d.upstreams.Load() {
+		if u.key == upstreamKey {
 			return int(u.busy.Load())
 		}
 	}
--- a/internal/upstream/dispatcher/snapshot.go
+++ b/internal/upstream/dispatcher/snapshot.go
@@ -75,8 +75,9 @@
 	u.pages.health = p.Health
 	cold := u.lim.IsCold()
 	u.lim.Hint(time.Now(), limiter.Hint{
-		Cold: p.Health.State == prober.Cold || p.Health.State == prober.Draining,
-		Busy: p.Load.Slots > 0 && p.Load.InFlight >= p.Load.Slots && u.lim.InFlight() < p.Load.Slots,
+		Cold:     p.Health.State == prober.Cold || p.Health.State == prober.Draining,
+		Draining: p.Health.State == prober.Draining,
+		Busy:     p.Load.Slots > 0 && p.Load.InFlight >= p.Load.Slots && u.lim.InFlight() < p.Load.Slots,
 	})
 	u.turned(cold)
 }
--- a/internal/upstream/dispatcher/tenure.go
+++ b/internal/upstream/dispatcher/tenure.go
@@ -82,9 +82,9 @@
 		defer u.mu.Unlock()
 		return u.dead
 	}
-	held := u.renew(now, p, share) && u.lim.Allowed(now, share) > 0
+	refusal := u.refusal(now, p, share)
 	var gone []*job
-	if !held {
+	if refusal != nil {
 		gone = u.lim.Flush()
 	}
 	u.mirror(now)
@@ -97,20 +97,27 @@
 	u.mu.Unlock()
 	for _, j := range gone {
 		j.unwatch()
-		j.refuse(u.refusal(p, j.task.ID))
+		r := *refusal
+		r.ID = j.task.ID
+		j.refuse(&r)
 	}
-	if held {
+	if refusal == nil {
 		u.pump()
-		return false
 	}
 	return forget
 }
 
-func (u *upstream) refusal(p *placement, id uint64) *exchanger.Result {
-	if r := p.refusal(id); r != nil {
+// refusal renews the tenure and returns the Result, without an ID, of all that
+// waits when the upstream may be given no work, or nil.
+func (u *upstream) refusal(now time.Time, p *placement, share exchanger.Share) *exchanger.Result {
+	held := u.renew(now, p, share)
+	if r := p.refusal(0); r != nil {
 		return r
 	}
-	return fenced(id)
+	if !held {
+		return fenced(0)
+	}
+	return u.closed(now, share, 0)
 }
 
 // disconnect closes the connections once their requests have ended.
--- a/internal/upstream/dispatcher/upstream.go
+++ b/internal/upstream/dispatcher/upstream.go
@@ -82,11 +82,16 @@
 func (u *upstream) offer(now time.Time, v *viewer.View, j *job) {
 	share := u.d.permit.Share(u.key)
 	u.mu.Lock()
-	if !u.renew(now, u.placed(v), share) || u.lim.Allowed(now, share) == 0 {
+	if !u.renew(now, u.placed(v), share) {
 		u.mu.Unlock()
 		j.refuse(fenced(j.task.ID))
 		return
 	}
+	if r := u.closed(now, share, j.task.ID); r != nil {
+		u.mu.Unlock()
+		j.refuse(r)
+		return
+	}
 	verdict, evicted, shed := u.lim.Offer(now, share, j, j.task.Priority, j.deadline)
 	if verdict == limiter.Queued {
 		u.watch(j)
@@ -130,12 +135,23 @@
 func (u *upstream) fits(now time.Time, share exchanger.Share, id uint64) *exchanger.Result {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	allowed := u.lim.Allowed(now, share)
+	if r := u.closed(now, share, id); r != nil {
+		return r
+	}
+	if u.lim.InFlight() > u.lim.Allowed(now, share) {
+		return &exchanger.Result{ID: id, Status: exchanger.Shed, Reason: "limit fell before it was sent"}
+	}
+	return nil
+}
+
+// closed returns the Result of a job when the upstream may be given no work at
+// all, or nil.
+func (u *upstream) closed(now time.Time, share exchanger.Share, id uint64) *exchanger.Result {
 	switch {
-	case allowed == 0:
+	case u.lim.IsDraining(now):
+		return &exchanger.Result{ID: id, Status: exchanger.Out, Reason: "upstream is draining"}
+	case u.lim.Allowed(now, share) == 0:
 		return fenced(id)
-	case u.lim.InFlight() > allowed:
-		return &exchanger.Result{ID: id, Status: exchanger.Shed, Reason: "limit fell before it was sent"}
 	default:
 		return nil
 	}
--- a/internal/upstream/limiter/limiter.go
+++ b/internal/upstream/limiter/limiter.go
@@ -36,7 +36,7 @@
 		Slots:        slots,
 		Cold:         min(max(c.Cold, 1), slots),
 		Queue:        slots * queuePerSlot,
-		Warmup:       time.Second,
+		Warmup:       2 * time.Second,
 		Idle:         30 * time.Second,
 		SlowStart:    true,
 		EarlyRefusal: true,
@@ -168,6 +168,12 @@
 	return l.cfg.SlowStart && l.pace.limit <= l.cfg.Cold
 }
 
+// IsDraining reports whether the upstream said that it drains, and is not to be
+// tried yet.
+func (l *Limiter[T]) IsDraining(now time.Time) bool {
+	return now.Before(l.pace.pausedUntil)
+}
+
 // InFlight returns the number of slots taken.
 func (l *Limiter[T]) InFlight() int {
 	return l.inFlight
@@ -190,6 +196,9 @@
 
 // Allowed returns the tasks in flight that the share allows at now.
 func (l *Limiter[T]) Allowed(now time.Time, share exchanger.Share) int {
+	if l.IsDraining(now) {
+		return 0
+	}
 	if !l.IsCold() {
 		return share.Scale(l.pace.limit, now)
 	}
--- a/internal/upstream/limiter/pace.go
+++ b/internal/upstream/limiter/pace.go
@@ -7,15 +7,18 @@
 	// growRun is the run of successes that raises the limit by one.
 	growRun = 8
 	// maxBackoff bounds the doublings of growRun after falls.
-	maxBackoff = 4
+	maxBackoff = 3
 	// hintLag is how long a health page may lag: an older "warm" is not believed.
 	hintLag = 500 * time.Millisecond
 	// hintLife is how long a health page counts.
 	hintLife = 10 * time.Second
 	// vetoLife is how long a health page that says cold holds back growth.
 	vetoLife = 30 * time.Second
-	// steadyRun is the run of successes at full limit that ends the backoff.
-	steadyRun = 256
+	// steadyRun is the number of successes since the last cold time after which a
+	// fall does not count as a growth that came too early.
+	steadyRun = 64
+	// drainPause is the time without work after the upstream said that it drains.
+	drainPause = time.Second
 	// shiftRun is the run of slow answers that counts as a shift of latency.
 	shiftRun = 3
 	// shiftFactor is how many times the normal latency a slow answer takes.
@@ -43,21 +46,23 @@
 	Reset
 	// Draining is the upstream's word that it is leaving.
 	Draining
-	// Unused says nothing about the upstream, such as a cancelled task.
+	// Unused is the end of a task that was cancelled, or not sent.
 	Unused
 )
 
 // Sample is the end of one started task.
 type Sample struct {
 	Kind Kind
-	// Latency is the time from the write to the answer of a Success.
+	// Latency is the time from the write to the answer of a Success, or to the
+	// cancellation.
 	Latency time.Duration
 }
 
 // Hint is what an upstream's health and load pages say. They lag and mislead.
 type Hint struct {
-	// Cold is true when the upstream says that it is cold or draining.
-	Cold bool
+	// Cold is true when the upstream says that it is cold or draining, and
+	// Draining when it says that it is draining.
+	Cold, Draining bool
 	// Busy is true when the upstream says that all its slots are taken.
 	Busy bool
 }
@@ -69,7 +74,9 @@
 	run int
 	// slow counts slow answers in a row.
 	slow int
-	// backoff counts falls since the limit was last steady.
+	// warm counts successes since the limit last left the cold one.
+	warm int
+	// backoff counts the falls in a row that came soon after the growth.
 	backoff int
 	// normal is the latency that successes are compared with, 0 when unknown.
 	normal time.Duration
@@ -80,6 +87,8 @@
 	last, coldSince time.Time
 	hinted          Hint
 	hintedAt        time.Time
+	// pausedUntil is when a draining upstream may be tried again.
+	pausedUntil time.Time
 }
 
 // reset forgets everything but the health page's last word.
@@ -106,9 +115,16 @@
 	case Slow:
 		p.run = 0
 		p.slowed(cfg, now)
-	case Shed, Reset, Draining:
+	case Draining:
+		p.pausedUntil = now.Add(drainPause)
+		p.fall(cfg, now)
+	case Shed, Reset:
 		p.fall(cfg, now)
 	case Unused:
+		if p.isSlow(s.Latency) {
+			p.run = 0
+			p.slowed(cfg, now)
+		}
 	}
 }
 
@@ -121,6 +137,9 @@
 	if h.Busy && !p.hinted.Busy {
 		p.lower(cfg, now, p.limit-1)
 	}
+	if h.Draining && now.Before(p.pausedUntil.Add(drainPause)) {
+		p.pausedUntil = now.Add(2 * drainPause)
+	}
 	p.hinted = h
 	p.hintedAt = now
 }
@@ -130,7 +149,7 @@
 	if p.normal == 0 {
 		p.normal = latency
 	}
-	if latency > p.normal*shiftFactor && latency-p.normal > shiftFloor {
+	if p.isSlow(latency) {
 		p.run = 0
 		p.settle(cfg, latency)
 		p.slowed(cfg, now)
@@ -144,20 +163,26 @@
 		return
 	}
 	p.run++
+	p.warm++
 	p.grow(cfg, now)
 }
 
+// isSlow reports whether a latency is far above the normal one.
+func (p *pace) isSlow(latency time.Duration) bool {
+	return p.normal > 0 && latency > p.normal*shiftFactor && latency-p.normal > shiftFloor
+}
+
 // grow raises the limit after a long enough run.
 func (p *pace) grow(cfg *Config, now time.Time) {
 	if p.limit >= cfg.Slots {
-		if p.run >= steadyRun {
-			p.backoff = 0
-		}
 		return
 	}
 	if p.run < growRun<<p.backoff || p.limit <= cfg.Cold && p.mayBeCold(cfg, now) {
 		return
 	}
+	if p.limit <= cfg.Cold {
+		p.warm = 0
+	}
 	p.run = 0
 	p.limit++
 }
@@ -184,10 +209,14 @@
 }
 
 // fall makes the upstream cold after distress. The next growth takes longer when
-// the limit had grown.
+// the limit had grown a short while ago.
 func (p *pace) fall(cfg *Config, now time.Time) {
-	if p.limit > cfg.Cold && cfg.SlowStart {
+	switch {
+	case p.limit <= cfg.Cold:
+	case p.warm < steadyRun:
 		p.backoff = min(p.backoff+1, maxBackoff)
+	default:
+		p.backoff = 0
 	}
 	p.lower(cfg, now, cfg.Cold)
 }
