--- a/internal/upstream/dialer/client.go
+++ b/internal/upstream/dialer/client.go
@@ -39,8 +39,9 @@
 	Sample limiter.Sample
 	// Invalid is true when an answer came that was not to this task.
 	Invalid bool
-	// Hold is not nil while the upstream may still be running the task.
-	Hold *Hold
+	// Hold is not nil while the upstream may still be running the task; its Wait
+	// returns when it has stopped.
+	Hold interface{ Wait() }
 }
 
 // Do sends one task and waits for its answer, for the cancellation of ctx, or
--- a/internal/upstream/dispatcher/fake_test.go
+++ b/internal/upstream/dispatcher/fake_test.go
@@ -52,9 +52,7 @@
 		Name:     "finder",
 		Class:    declarer.Search,
 		Capacity: declarer.Capacity{Slots: 3, Cold: 1, Connections: 30},
-		Maps: []declarer.ShardMap{{From: 1, Shards: []declarer.Shard{
-			{ID: 0, Replicas: []declarer.Upstream{{Name: "u", Zone: "addis-a", Addr: netip.MustParseAddrPort(addr)}}},
-		}}},
+		Maps:     shardMaps(addr),
 	}
 	b.views = viewer.New(b.view(b.self))
 	b.permits.set(whole())
@@ -72,6 +70,20 @@
 	}}, instances)
 }
 
+// shardMaps returns a shard map with one upstream at addr.
+func shardMaps(addr string) []declarer.ShardMap {
+	u := declarer.Upstream{Name: "u", Zone: "addis-a", Addr: netip.MustParseAddrPort(addr)}
+	return []declarer.ShardMap{{From: 1, Shards: []declarer.Shard{{Replicas: []declarer.Upstream{u}}}}}
+}
+
+// publish publishes a view with a changed copy of the service.
+func (b *bench) publish(change func(*declarer.Service)) {
+	s := *b.service
+	change(&s)
+	b.service = &s
+	b.views.Publish(b.view(b.self))
+}
+
 func search(id uint64, remaining time.Duration) exchanger.Task {
 	return exchanger.Task{ID: id, Request: "q", Service: "finder", Upstream: "u", Version: 7, Remaining: remaining}
 }
