dispatcher: drain waits for the delivery of every result

A slot was freed before its result was delivered, so that Drain could return while a result was on its way: the race detector showed it in the test of cancelled work.

--- a/internal/upstream/dispatcher/dispatcher.go
+++ b/internal/upstream/dispatcher/dispatcher.go
@@ -86,7 +86,7 @@
 	return 0
 }
 
-// Drain waits until no task runs or waits. It returns the cause when ctx ends
+// Drain waits until no task runs or waits, and every result is delivered. It returns the cause when ctx ends
 // first.
 func (d *Dispatcher) Drain(ctx context.Context) error {
 	tick := time.NewTicker(drainPoll)
--- a/internal/upstream/dispatcher/dispatcher_test.go
+++ b/internal/upstream/dispatcher/dispatcher_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,12 +25,13 @@
 type runner struct {
 	connect, service, stop time.Duration
 	mu                     sync.Mutex
-	inside, most, closed   int
+	inside, most           int
+	closed                 atomic.Int32
 	given                  []time.Duration
 }
 
 func (r *runner) dial(netip.AddrPort, declarer.Capacity, dialer.Events) (Client, func()) {
-	return r, func() { r.closed++ }
+	return r, func() { r.closed.Add(1) }
 }
 
 func (r *runner) enter(n int) {
@@ -305,13 +307,12 @@
 		b.Do(t.Context(), search(1, time.Second), got.add)
 		synctest.Wait()
 		b.views.Publish(b.view())
-		var closed []int
-		for range 2 {
-			b.sweep()
-			closed = append(closed, r.closed)
-			time.Sleep(60 * time.Millisecond)
+		var closed []int32
+		for _, d := range []time.Duration{45 * time.Millisecond, 30 * time.Millisecond} {
+			time.Sleep(d)
+			closed = append(closed, r.closed.Load())
 		}
-		if d := cmp.Diff([]int{0, 1}, closed); d != "" {
+		if d := cmp.Diff([]int32{0, 1}, closed); d != "" {
 			t.Errorf("closed (-want +got):\n%s", d)
 		}
 		got.assert(t, map[uint64][]exchanger.Status{1: {exchanger.OK}})
--- a/internal/upstream/dispatcher/job.go
+++ b/internal/upstream/dispatcher/job.go
@@ -63,18 +63,24 @@
 		r.Status, r.Reason = exchanger.Shed, "queue is full of more urgent work"
 		j.upstream.counts.sheds.Inc()
 	}
-	j.deliver(r)
+	j.finish(&r)
 }
 
 // refuse delivers a refusal of a job that was not started.
 func (j *job) refuse(r *exchanger.Result) {
 	r.Load = j.upstream.load()
+	j.finish(r)
+}
+
+// finish delivers the result.
+func (j *job) finish(r *exchanger.Result) {
 	j.deliver(*r)
+	j.upstream.pending.Add(-1)
 }
 
 // cancelled ends a waiting job whose sender has given up.
 func (j *job) cancelled() {
 	if j.upstream.withdraw(j) {
-		j.deliver(exchanger.Result{ID: j.task.ID, Status: exchanger.Failed, Reason: "cancelled"})
+		j.finish(&exchanger.Result{ID: j.task.ID, Status: exchanger.Failed, Reason: "cancelled"})
 	}
 }
--- a/internal/upstream/dispatcher/upstream.go
+++ b/internal/upstream/dispatcher/upstream.go
@@ -21,8 +21,9 @@
 	key    string
 	counts counts
 	place  atomic.Pointer[placement]
-	// busy and queue mirror the limiter for readers without the lock.
-	busy, queue, percent atomic.Int64
+	// pending counts the jobs without a result. busy and percent mirror the
+	// limiter's slots taken and load for readers without the lock.
+	pending, busy, percent atomic.Int64
 
 	mu     sync.Mutex
 	lim    *limiter.Limiter[*job]
@@ -80,6 +81,7 @@
 
 // offer starts the job, lets it wait, or ends it.
 func (u *upstream) offer(now time.Time, v *viewer.View, j *job) {
+	u.pending.Add(1)
 	share := u.d.permit.Share(u.key)
 	u.mu.Lock()
 	if !u.renew(now, u.placed(v), share) {
@@ -171,7 +173,7 @@
 		u.release()
 	}
 	out.Result.Load = u.load()
-	j.deliver(out.Result)
+	j.finish(&out.Result)
 	if out.Hold != nil {
 		out.Hold.Wait()
 		u.release()
@@ -230,7 +232,6 @@
 // mirror publishes the limiter's counts and sets the timer for the queue.
 func (u *upstream) mirror(now time.Time) {
 	u.busy.Store(int64(u.lim.InFlight()))
-	u.queue.Store(int64(u.lim.Waiting()))
 	u.percent.Store(int64(u.lim.Load()))
 	if at, ok := u.lim.Wake(); ok {
 		u.timer.Reset(max(at.Sub(now), 0))
@@ -242,7 +243,7 @@
 }
 
 func (u *upstream) idle() bool {
-	return u.busy.Load() == 0 && u.queue.Load() == 0
+	return u.pending.Load() == 0 && u.busy.Load() == 0
 }
 
 func (u *upstream) connected() Client {
