--- a/internal/upstream/dispatcher/dispatcher.go
+++ b/internal/upstream/dispatcher/dispatcher.go
@@ -78,15 +78,15 @@
 // Busy returns the number of slots taken at an upstream, those included whose
 // cancelled requests may still be running.
 func (d *Dispatcher) Busy(upstreamKey string) int {
-	for n, u := range *d.upstreams.Load() {
-		if viewer.UpstreamKey(n.service, n.upstream) == upstreamKey {
+	for _, u := range *d.upstreams.Load() {
+		if u.key == upstreamKey {
 			return int(u.busy.Load())
 		}
 	}
 	return 0
 }
 
-// Drain waits until no task runs or waits. It returns the cause when ctx ends
+// Drain waits until no task runs or waits, and every result is delivered. It returns the cause when ctx ends
 // first.
 func (d *Dispatcher) Drain(ctx context.Context) error {
 	tick := time.NewTicker(drainPoll)
