--- a/internal/cli/builder/daemon.go
+++ b/internal/cli/builder/daemon.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	d, closer, err := assembler.New(set, assembler.DefaultOptions(), newLogger(set.Log, cmd.Root().ErrWriter))
+	d, closer, err := assembler.New(set, newLogger(set.Log, cmd.Root().ErrWriter))
 	if err != nil {
 		return eris.Wrap(err, "start")
 	}
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -39,18 +39,6 @@
 // keyBytes is the length of the key that signs tickets.
 const keyBytes = 32
 
-// Options are what a daemon takes besides its settings.
-type Options struct {
-	// Query and Upstream hold the policies of traffic.
-	Query    gatherer.Config
-	Upstream dispatcher.Config
-}
-
-// DefaultOptions returns the policies in force unless a measurement changes them.
-func DefaultOptions() Options {
-	return Options{Query: gatherer.DefaultConfig(), Upstream: dispatcher.Default()}
-}
-
 // Daemon is one instance's daemon.
 type Daemon struct {
 	set *reader.Settings
@@ -77,14 +65,14 @@
 
 // New listens on the settings' addresses and puts a daemon together. The
 // function returned frees what it holds; call it after Serve has returned.
-func New(set *reader.Settings, opts Options, log hclog.Logger) (*Daemon, func(), error) {
+func New(set *reader.Settings, log hclog.Logger) (*Daemon, func(), error) {
 	d := &Daemon{set: set, log: log, reg: prometheus.NewRegistry()}
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, nil, err
 	}
 	d.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	if err := d.build(opts); err != nil {
+	if err := d.build(); err != nil {
 		d.close()
 		return nil, nil, err
 	}
@@ -140,18 +128,16 @@
 }
 
 // build makes every part; each depends only on those before it.
-func (d *Daemon) build(opts Options) error {
+func (d *Daemon) build() error {
 	var closer func()
 	d.views = viewer.New(viewer.Build(d.self, nil, nil))
 	d.link, closer = linker.New(linker.Config{Self: d.self.Peer}, worker{d}, d.log.Named("peer"), d.reg)
 	d.onClose(closer)
 	d.control, closer = reconciler.New(d.reconcilerConfig(), d.link, d.views, d.log.Named("control"), reconciler.NewMetrics(d.reg))
 	d.onClose(closer)
-	opts.Upstream.TakeoverMargin = d.set.Group.Takeover - d.set.Group.Fence
-	d.owner, closer = dispatcher.New(opts.Upstream, d.views, d.control, dispatcher.DialHTTP, d.log.Named("upstream"), d.reg)
+	d.owner, closer = dispatcher.New(d.ownerConfig(), d.views, d.control, dispatcher.DialHTTP, d.log.Named("upstream"), d.reg)
 	d.onClose(closer)
-	opts.Query.MaxQueries = d.set.Caller.Queries
-	d.entry, closer = gatherer.New(opts.Query, d.views, d.owner, d.link, d.log.Named("query"), d.reg)
+	d.entry, closer = gatherer.New(d.entryConfig(), d.views, d.owner, d.link, d.log.Named("query"), d.reg)
 	d.onClose(closer)
 	if err := d.buildTickets(); err != nil {
 		return err
@@ -159,6 +145,25 @@
 	return d.buildServers()
 }
 
+func (d *Daemon) ownerConfig() dispatcher.Config {
+	cfg := dispatcher.Default()
+	cfg.TakeoverMargin = d.set.Group.Takeover - d.set.Group.Fence
+	cfg.SlowStart = d.set.Policy.SlowStart
+	cfg.EarlyRefusal = d.set.Policy.Refusal
+	return cfg
+}
+
+func (d *Daemon) entryConfig() gatherer.Config {
+	cfg := gatherer.DefaultConfig()
+	cfg.MaxQueries = d.set.Caller.Queries
+	cfg.Baseline = d.set.Policy.Baseline
+	cfg.Hedge = d.set.Policy.Hedge
+	cfg.Retry = d.set.Policy.Retry
+	cfg.ReplicaChoice = d.set.Policy.Choice
+	cfg.ExtraPercent = d.set.Policy.Extra
+	return cfg
+}
+
 func (d *Daemon) reconcilerConfig() reconciler.Config {
 	return reconciler.Config{
 		Self:  d.self,
--- a/internal/demo/stager/stager.go
+++ b/internal/demo/stager/stager.go
@@ -154,7 +154,7 @@
 	for _, in := range s.Daemons {
 		set.Peer.Seeds = append(set.Peer.Seeds, in.Peer)
 	}
-	d, closer, err := assembler.New(&set, assembler.DefaultOptions(), log)
+	d, closer, err := assembler.New(&set, log)
 	if err != nil {
 		return err
 	}
--- a/internal/settings/reader/settings.go
+++ b/internal/settings/reader/settings.go
@@ -20,6 +20,7 @@
 	Platform Platform
 	Group    Group
 	Shutdown Shutdown
+	Policy   Policy
 }
 
 // Daemon names the instance and its place.
@@ -77,6 +78,20 @@
 	Drain time.Duration
 }
 
+// Policy switches mechanisms of traffic off, for measurements.
+type Policy struct {
+	// Baseline is plain scatter-gather: the first replica, no hedge, no retry.
+	Baseline bool
+	Hedge    bool
+	Retry    bool
+	// Choice orders replicas by zone, load and latency.
+	Choice bool
+	// Extra bounds hedges and retries, in percent of the first sub-requests.
+	Extra     int
+	SlowStart bool
+	Refusal   bool
+}
+
 // section is one section of the settings file.
 type section struct {
 	name   string
@@ -208,5 +223,14 @@
 			{key: "lag", preset: "2s", help: "how long the balancer may go on sending after /ready says no", parse: duration(&s.Shutdown.Lag, 0)},
 			{key: "drain", preset: "30s", help: "time for what runs to finish", parse: duration(&s.Shutdown.Drain, 0)},
 		}},
+		{"policy", "mechanisms of traffic; changed only for measurements", []field{
+			{key: "baseline", preset: "false", help: "plain scatter-gather: the first replica, no hedge, no retry", parse: boolean(&s.Policy.Baseline)},
+			{key: "hedge", preset: "true", help: "ask another replica when one is slow", parse: boolean(&s.Policy.Hedge)},
+			{key: "retry", preset: "true", help: "ask another replica when one fails", parse: boolean(&s.Policy.Retry)},
+			{key: "choice", preset: "true", help: "order replicas by zone, load and latency", parse: boolean(&s.Policy.Choice)},
+			{key: "extra", preset: "5", help: "hedges and retries for 100 first sub-requests", parse: integer(&s.Policy.Extra, 0, 100)},
+			{key: "slowstart", preset: "true", help: "take an unknown upstream for cold", parse: boolean(&s.Policy.SlowStart)},
+			{key: "refusal", preset: "true", help: "refuse early what cannot finish in time", parse: boolean(&s.Policy.Refusal)},
+		}},
 	}
 }
--- a/internal/standin/commander/fleet.go
+++ b/internal/standin/commander/fleet.go
@@ -11,12 +11,14 @@
 	"github.com/urfave/cli/v3"
 
 	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/settings/reader"
 	"cornelwood.example/internal/standin/searcher"
 )
 
 func fleetCommand(out io.Writer) *cli.Command {
 	flags := []cli.Flag{
-		&cli.StringFlag{Name: "objects", Required: true, Usage: "`FILE` with a JSON list of objects; its services' upstreams are run"},
+		&cli.StringFlag{Name: "objects", Usage: "`FILE` with a JSON list of objects; its services' upstreams are run"},
+		&cli.StringFlag{Name: "schema", Usage: "schema `FILE` in place of objects"},
 		&cli.BoolFlag{Name: "any-port", Usage: "listen on free ports in place of the declared ones"},
 		&cli.StringMapFlag{Name: "connect", Usage: "`SERVICE=DURATION` for connect delays other than connect-delay"},
 	}
@@ -35,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	services, err := readServices(cmd.String("objects"))
+	services, err := declared(cmd)
 	if err != nil {
 		return err
 	}
@@ -71,6 +73,22 @@
 	return searcher.FleetConfig{Template: template, Configure: configure, AnyPort: cmd.Bool("any-port")}, nil
 }
 
+// declared returns the services of the file that the flags name.
+func declared(cmd *cli.Command) ([]declarer.Service, error) {
+	objects, schema := cmd.String("objects"), cmd.String("schema")
+	if (objects == "") == (schema == "") {
+		return nil, fmt.Errorf("want either objects or schema")
+	}
+	if objects != "" {
+		return readServices(objects)
+	}
+	read, err := reader.ReadSchema(schema)
+	if err != nil {
+		return nil, err
+	}
+	return read.Services, nil
+}
+
 // readServices returns the services in a file with a list of objects.
 func readServices(path string) ([]declarer.Service, error) {
 	data, err := os.ReadFile(path)
