--- a/internal/cli/builder/service.go
+++ b/internal/cli/builder/service.go
@@ -190,8 +190,8 @@
 		Description: "Lists each " + singular + " in force at the daemon asked, with its version.",
 		Flags:       operatorFlags(),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			return call(ctx, cmd, operator(cmd), http.MethodGet, "/v1/"+plural, nil, func(objs *[]declarer.Object) error {
-				return printObjects(cmd, *objs)
+			return call(ctx, cmd, operator(cmd), http.MethodGet, "/v1/"+plural, nil, func(list *objectList) error {
+				return printObjects(cmd, list.Objects)
 			})
 		},
 	}
@@ -216,6 +216,11 @@
 	}
 }
 
+// objectList is the answer to a call that lists objects.
+type objectList struct {
+	Objects []declarer.Object `json:"objects"`
+}
+
 func printObjects(cmd *cli.Command, objs []declarer.Object) error {
 	rows := make([][]string, 0, len(objs))
 	for i := range objs {
--- a/internal/cli/builder/zone.go
+++ b/internal/cli/builder/zone.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 
 	"github.com/urfave/cli/v3"
 )
@@ -75,41 +74,3 @@
 		},
 	}
 }
-
-// settled is the answer about a change whose own answer was lost.
-type settled struct {
-	Outcome string `json:"outcome"`
-	Version uint64 `json:"version"`
-}
-
-func changeCommand() *cli.Command {
-	return &cli.Command{
-		Name:        "change",
-		Usage:       "settle changes whose answer was lost",
-		Description: "When a change ends as unknown, its refusal names the command that settles it.",
-		Commands: []*cli.Command{{
-			Name:        "settle",
-			Usage:       "ask whether a change took effect",
-			ArgsUsage:   "KIND/NAME CHANGE",
-			Description: "Prints done, not_run or unknown for the change with this id, such as \"service/anomaly-finder 4fz2\".",
-			Flags:       operatorFlags(),
-			Action: func(ctx context.Context, cmd *cli.Command) error {
-				key, err := arg(cmd, 0, "KIND/NAME")
-				if err != nil {
-					return err
-				}
-				id, err := arg(cmd, 1, "CHANGE")
-				if err != nil {
-					return err
-				}
-				if strings.Count(key, "/") != 1 {
-					return fmt.Errorf("argument %q: want KIND/NAME, got %q", "KIND/NAME", key)
-				}
-				return call(ctx, cmd, operator(cmd), http.MethodGet, "/v1/changes/"+key+"/"+id, nil, func(s *settled) error {
-					_, err := fmt.Fprintf(cmd.Root().Writer, "%s (version %d)\n", s.Outcome, s.Version)
-					return err
-				})
-			},
-		}},
-	}
-}
--- a/internal/contract/answerer/refusal.go
+++ b/internal/contract/answerer/refusal.go
@@ -43,12 +43,13 @@
 	Version uint64 `json:"version,omitempty"`
 }
 
-// Error returns the code, the field and the reason.
+// Error returns the code, the field, the reason, and whether the request was run.
 func (r *RefusalError) Error() string {
+	field := ""
 	if r.Field != "" {
-		return fmt.Sprintf("%s: field %q: %s", r.Code, r.Field, r.Reason)
+		field = fmt.Sprintf("field %q: ", r.Field)
 	}
-	return fmt.Sprintf("%s: %s", r.Code, r.Reason)
+	return fmt.Sprintf("%s: %s%s (%s)", r.Code, field, r.Reason, r.Run)
 }
 
 // Status returns the HTTP status that goes with the refusal.
