--- /dev/null
+++ b/internal/query/gatherer/faults_test.go
@@ -0,0 +1,99 @@
+package gatherer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/contract/exchanger"
+)
+
+// faulty answers with random faults: every status, wrong versions, results twice,
+// late or never, and upstreams whose versions move.
+func faulty(rng *rand.Rand) func(string, exchanger.Task) reply {
+	return func(_ string, t exchanger.Task) reply {
+		newest := 3 + uint64(rng.IntN(3))
+		r := reply{result: resultOf(t, newest-uint64(rng.IntN(2)), newest)}
+		r.took = time.Duration(rng.ExpFloat64() * float64(3*time.Millisecond))
+		switch rng.IntN(20) {
+		case 0:
+			r.result.Status = exchanger.Status(rng.IntN(int(exchanger.Late) + 1))
+		case 1:
+			r.result.Version += uint64(rng.IntN(3))
+		case 2:
+			r.silent = true
+		case 3:
+			r.twice = true
+		case 4:
+			r.took *= 30
+		}
+		return r
+	}
+}
+
+// TestFaults checks what must always hold of answers, whatever the upstreams do.
+func TestFaults(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const shards, queries, burst = 12, 15, 20
+				rng := rand.New(rand.NewPCG(seed, 1))
+				f := newFleet(serviceOf(declarer.Search, shards), faulty(rng))
+				var seeds atomic.Uint64
+				g := f.start(t, func(c *Config) {
+					c.ExtraBurst = burst
+					c.Seed = func() uint64 { return (seed<<32 + seeds.Add(1)) * 0x9e3779b97f4a7c15 }
+				})
+				for range queries {
+					start := time.Now()
+					a, err := g.Query(t.Context(), query())
+					if time.Since(start) > 200*time.Millisecond {
+						t.Errorf("answered after %s", time.Since(start))
+					}
+					if err == nil {
+						assertTrue(t, a, shards)
+					}
+				}
+				synctest.Wait()
+				assertNothingOpen(t, g)
+			})
+		})
+	}
+}
+
+// assertTrue checks that an answer is of one snapshot, that no shard is in it twice,
+// and that its coverage counts what is in it.
+func assertTrue(t *testing.T, a *answerer.Answer, shards int) {
+	t.Helper()
+	assertOneSnapshot(t, a, a.Snapshot)
+	c := a.Coverage
+	if c.Shards != shards || c.Merged+len(c.Missing) != shards || c.Documents != uint64(10*c.Merged) {
+		t.Errorf("coverage %+v does not add up to %d shards", c, shards)
+	}
+	if len(a.Results) != min(c.Merged, 10) {
+		t.Errorf("%d results of %d shards merged with one each", len(a.Results), c.Merged)
+	}
+	for _, m := range c.Missing {
+		for _, h := range a.Results {
+			if h.Shard == m.Shard {
+				t.Errorf("shard %d is named missing and has a hit", m.Shard)
+			}
+		}
+	}
+}
+
+// assertNothingOpen checks that every sub-request was counted out.
+func assertNothingOpen(t *testing.T, g *Gatherer) {
+	t.Helper()
+	l, _ := g.layout(g.views.View(), "anomaly-finder")
+	for i, u := range l.upstreams {
+		if n := u.Read(time.Now()).Inflight; n != 0 {
+			t.Errorf("%s has %d sub-requests open after all queries", l.Upstreams[i].Name, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/query/hedger/hedger_test.go
@@ -0,0 +1,97 @@
+package hedger
+
+import (
+	"flag"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(0, 0)
+
+// TestBudget checks the bound: a percentage of the deposits plus the burst.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		percent := rapid.IntRange(1, 20).Draw(t, "percent")
+		burst := rapid.IntRange(1, 20).Draw(t, "burst")
+		b := NewBudget(percent, burst)
+		first, taken := 0, 0
+		for range rapid.IntRange(0, 200).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "deposit") {
+				n := rapid.IntRange(1, 430).Draw(t, "attempts")
+				b.Deposit(n)
+				first += n
+				continue
+			}
+			if b.Take() {
+				taken++
+			}
+		}
+		if taken*100 > first*percent+burst*100 {
+			t.Fatalf("%d extra for %d first ones, want at most %d in 100 and %d", taken, first, percent, burst)
+		}
+	})
+}
+
+func TestEstimator(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, quantile := range []float64{0.5, 0.95, 0.99} {
+		e := NewEstimator(quantile, epoch)
+		var all []time.Duration
+		for range 5000 {
+			d := time.Duration(rng.ExpFloat64() * float64(10*time.Millisecond))
+			all = append(all, d)
+			e.Add(d)
+		}
+		slices.Sort(all)
+		want := all[int(quantile*float64(len(all)))]
+		got, ok := e.Estimate(epoch.Add(estimateEvery))
+		if ratio := float64(got) / float64(want); !ok || ratio < 0.9 || ratio > 1.2 {
+			t.Errorf("quantile %v estimated as %s, %v, want about %s", quantile, got, ok, want)
+		}
+	}
+}
+
+// TestEstimatorFollows checks that the estimate follows a shift of the latencies.
+func TestEstimatorFollows(t *testing.T) {
+	e := NewEstimator(0.95, epoch)
+	now := epoch
+	for _, d := range []time.Duration{time.Millisecond, 50 * time.Millisecond} {
+		for range 8 {
+			for range 1000 {
+				e.Add(d)
+			}
+			now = now.Add(estimateEvery)
+			e.Estimate(now)
+		}
+		if got, _ := e.Estimate(now); got < d || got > d*6/5 {
+			t.Errorf("estimated %s, want about %s", got, d)
+		}
+	}
+}
+
+func TestDelay(t *testing.T) {
+	h := New(Config{Quantile: 0.95, Percent: 5, Burst: 1}, epoch)
+	if got, want := h.Delay(epoch, 120*time.Millisecond), 40*time.Millisecond; got != want {
+		t.Errorf("without samples the delay is %s, want %s", got, want)
+	}
+	for range samplesPerEstimate {
+		h.Observe(100 * time.Microsecond)
+	}
+	if got := h.Delay(epoch, 120*time.Millisecond); got != minDelay {
+		t.Errorf("with fast answers the delay is %s, want %s", got, minDelay)
+	}
+	if got, want := h.Delay(epoch, 3*time.Millisecond), 1500*time.Microsecond; got != want {
+		t.Errorf("with little time left the delay is %s, want %s", got, want)
+	}
+}
+
+// TestMain fixes the seed of property tests; -rapid.seed on the command line
+// overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	m.Run()
+}
