--- a/internal/query/gatherer/discover.go
+++ b/internal/query/gatherer/discover.go
@@ -41,11 +41,11 @@
 		return closed
 	}
 	s := l.service
-	if f := s.flight.Load(); f != nil {
-		return f.done
+	if !s.isDiscoveryDue(g.start, discoverEvery) || g.ctx.Err() != nil {
+		return closed
 	}
 	f := &flight{done: make(chan struct{})}
-	if !s.isDiscoveryDue(g.start, discoverEvery) || g.ctx.Err() != nil || !s.flight.CompareAndSwap(nil, f) {
+	if !s.flight.CompareAndSwap(nil, f) {
 		if f := s.flight.Load(); f != nil {
 			return f.done
 		}
--- a/internal/query/gatherer/mechanism_test.go
+++ b/internal/query/gatherer/mechanism_test.go
@@ -10,8 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"cornelwood.example/internal/contract/answerer"
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/contract/exchanger"
@@ -51,12 +49,16 @@
 		{"unreachable, no retry", exchanger.Result{Status: exchanger.Unreachable}, false, noRetry, missingAll(shards, answerer.ReasonUnreachable)},
 		{"version gone, all on", exchanger.Result{Status: exchanger.VersionGone}, false, nil, full},
 		{"version gone, no retry", exchanger.Result{Status: exchanger.VersionGone}, false, noRetry, missingAll(shards, answerer.ReasonVersion)},
+		{"version gone, contract without hedge", exchanger.Result{Status: exchanger.VersionGone}, false, nil, full},
+		{"failed, contract without hedge", exchanger.Result{Status: exchanger.Failed}, false, nil, missingAll(shards, answerer.ReasonInvalid)},
 		{"out, baseline", exchanger.Result{Status: exchanger.Out}, false, baseline, missingAll(shards, answerer.ReasonOut)},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(serviceOf(declarer.Search, shards), nil)
+				s := serviceOf(declarer.Search, shards)
+				s.Contract.Hedge = !strings.Contains(tt.name, "contract without")
+				f := newFleet(s, nil)
 				answer := failing(tt.fault, time.Millisecond)
 				f.answer = func(owner string, t exchanger.Task) reply {
 					r := answer(owner, t)
@@ -115,14 +117,29 @@
 
 func TestLosersAreCancelled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(serviceOf(declarer.Search, 3), func(_ string, t exchanger.Task) reply {
-			return reply{result: resultOf(t, 1, 5), took: time.Millisecond, silent: t.Version != 0 && t.Upstream == "s1-a"}
+		const slow = 150 * time.Millisecond
+		s := serviceOf(declarer.Search, 3)
+		f := newFleet(s, func(_ string, t exchanger.Task) reply {
+			r := reply{result: resultOf(t, 1, 5), took: time.Millisecond}
+			r.silent = t.Version != 0 && t.Upstream == "s1-a"
+			if t.Version != 0 && t.Shard == 0 {
+				r.took = slow
+			}
+			return r
 		})
-		ask(t, f.start(t, nil))
-		synctest.Wait()
-		if diff := cmp.Diff([]string{"s1-a"}, f.cancelled); diff != "" {
-			t.Errorf("cancelled (-want +got):\n%s", diff)
-		}
+		g := f.start(t, nil)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			ask(t, g)
+		}()
+		time.Sleep(slow - time.Millisecond)
+		f.locked(func() {
+			if !slices.Contains(f.cancelled, "s1-a") {
+				t.Errorf("cancelled %q before the query ended, want s1-a", f.cancelled)
+			}
+		})
+		<-done
 	})
 }
 
@@ -141,7 +158,7 @@
 					if t.Version == 0 || len(f.tasks) > wrongs {
 						return reply{result: resultOf(t, 1, 5)}
 					}
-					to := map[string]string{asked: named, named: "d0b"}[owner]
+					to := map[string]string{asked: named, named: "d0b", "d0b": named}[owner]
 					return reply{result: exchanger.Result{Status: exchanger.NotOwner, Owner: to}}
 				}
 				a := ask(t, f.start(t, func(c *Config) { c.Retry = false }))
@@ -173,6 +190,27 @@
 			assertCoverage(t, a, answerer.Coverage{Shards: 10, Merged: 10, Documents: 100})
 		})
 	})
+	t.Run("the better of two partial answers", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			isLost := false
+			f := newFleet(serviceOf(declarer.Search, 10), nil)
+			f.answer = func(_ string, t exchanger.Task) reply {
+				if isLost && t.Shard == 3 {
+					return reply{result: resultOf(t, 1, 4), took: 2 * time.Millisecond}
+				}
+				return reply{result: resultOf(t, 1, 5), took: time.Millisecond, silent: t.Version == 4}
+			}
+			g := f.start(t, nil)
+			ask(t, g)
+			f.locked(func() { isLost = true })
+			a := ask(t, g)
+			assertOneSnapshot(t, a, 5)
+			assertCoverage(t, a, answerer.Coverage{
+				Shards: 10, Merged: 9, Documents: 90,
+				Missing: []answerer.Missing{{Shard: 3, Reason: answerer.ReasonVersion}},
+			})
+		})
+	})
 	t.Run("partial when no other snapshot covers more", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			isLost := false
