query: fewer shared writes and allocations for each sub-request

A query spent its time in the runtime: buffers of results grown and cleared, one logarithm and two contended counters for each latency, and eight locked writes for each upstream. Mailboxes are used again (late results are told apart by their IDs), latencies are tallied by query, ages have a resolution of 20 ms, and the look for old versions is made every 50 ms instead of by each query.

--- a/internal/query/gatherer/discover.go
+++ b/internal/query/gatherer/discover.go
@@ -15,7 +15,9 @@
 	discoverMoreEvery = time.Second
 	// refreshAge is the age at which an upstream's versions are asked for again.
 	refreshAge = 10 * time.Second
-	// maxRefreshes bounds the upstreams that one query asks for versions.
+	// refreshEvery is the time between two looks for such upstreams.
+	refreshEvery = 50 * time.Millisecond
+	// maxRefreshes bounds the upstreams that one look finds.
 	maxRefreshes = 8
 )
 
@@ -103,13 +105,11 @@
 func (s *sweep) run() {
 	ctx, cancel := context.WithDeadline(s.g.ctx, s.deadline)
 	defer cancel()
-	defer s.box.close()
 	s.ask(ctx)
-	var results []exchanger.Result
 	for len(s.open) > 0 {
 		select {
 		case <-s.box.ready:
-			results = s.box.take(results)
+			results := s.box.take()
 			for i := range results {
 				s.settle(&results[i])
 			}
@@ -191,7 +191,7 @@
 // refresh asks some upstreams, whose versions are old news, in the background.
 // Each takes its price from the budget.
 func (r *round) refresh() {
-	if r.g.cfg.Baseline {
+	if r.g.cfg.Baseline || !r.layout.service.isRefreshDue(r.start.Sub(r.g.start)) {
 		return
 	}
 	var ups []int32
@@ -215,6 +215,12 @@
 	}
 }
 
+// isRefreshDue reports, to one caller, that a look for old versions is due.
+func (s *service) isRefreshDue(since time.Duration) bool {
+	next := s.refreshAt.Load()
+	return int64(since) >= next && s.refreshAt.CompareAndSwap(next, int64(since+refreshEvery))
+}
+
 func (g *Gatherer) refresh(l *layout, ups []int32) {
 	deadline := time.Now().Add(g.cfg.DiscoverTimeout)
 	ctx, cancel := context.WithDeadline(g.ctx, deadline)
@@ -222,7 +228,6 @@
 	box := newMailbox()
 	g.wg.Go(func() {
 		defer cancel()
-		defer box.close()
 		g.probe(ctx, l, ups, deadline, func(id uint64, up int32) { open[id] = up }, box.put)
 		for len(open) > 0 {
 			select {
@@ -230,7 +235,7 @@
 			case <-ctx.Done():
 				return
 			}
-			for _, res := range box.take(nil) {
+			for _, res := range box.take() {
 				if up, ok := open[res.ID]; ok {
 					delete(open, res.ID)
 					l.upstreams[up].Hold(res.Oldest, res.Newest, time.Now())
--- a/internal/query/gatherer/gatherer.go
+++ b/internal/query/gatherer/gatherer.go
@@ -56,7 +56,8 @@
 	layouts  atomic.Pointer[layouts]
 	// services maps names to *service.
 	services sync.Map
-	readings sync.Pool
+	// readings holds *[]tracker.Reading and boxes *mailbox for use again.
+	readings, boxes sync.Pool
 	// ids is the last ID of a task given out.
 	ids atomic.Uint64
 
@@ -81,6 +82,7 @@
 		ctx:      ctx,
 	}
 	g.readings.New = func() any { return new([]tracker.Reading) }
+	g.boxes.New = func() any { return newMailbox() }
 	g.layouts.Store(&layouts{})
 	g.metrics = newMetrics(func() float64 { return float64(g.admitter.Running()) })
 	unregister := g.metrics.register(reg)
--- a/internal/query/gatherer/layout.go
+++ b/internal/query/gatherer/layout.go
@@ -22,6 +22,7 @@
 	flight atomic.Pointer[flight]
 	// discoveredAt is when the last discovery ended, since the Gatherer's start.
 	discoveredAt atomic.Int64
+	refreshAt    atomic.Int64
 	pinned       atomic.Uint64
 }
 
--- a/internal/query/gatherer/mailbox.go
+++ b/internal/query/gatherer/mailbox.go
@@ -6,14 +6,19 @@
 	"cornelwood.example/internal/contract/exchanger"
 )
 
-// mailbox carries results from any goroutine to the one that runs a query. It
-// never blocks a sender, and drops what comes after it is closed.
+// maxKept bounds the results that an empty mailbox keeps memory for.
+const maxKept = 4096
+
+// mailbox carries results from any goroutine to the one that waits for them. It
+// never blocks a sender. A mailbox may be used again: results that come late are
+// told apart by their IDs, which are unique in a Gatherer.
 type mailbox struct {
 	ready chan struct{}
 
 	mu      sync.Mutex
 	results []exchanger.Result
-	closed  bool
+	// taken is the buffer that take returned last.
+	taken []exchanger.Result
 }
 
 func newMailbox() *mailbox {
@@ -23,10 +28,6 @@
 // put adds a result.
 func (m *mailbox) put(r exchanger.Result) {
 	m.mu.Lock()
-	if m.closed {
-		m.mu.Unlock()
-		return
-	}
 	m.results = append(m.results, r)
 	isFirst := len(m.results) == 1
 	m.mu.Unlock()
@@ -39,21 +40,26 @@
 	}
 }
 
-// take returns the results that have come, and keeps the emptied buffer to fill
-// it next.
-func (m *mailbox) take(emptied []exchanger.Result) []exchanger.Result {
-	clear(emptied)
+// take returns the results that have come since the last call. They are valid
+// until the next one.
+func (m *mailbox) take() []exchanger.Result {
+	clear(m.taken)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rs := m.results
-	m.results = emptied[:0]
-	return rs
+	m.taken, m.results = m.results, m.taken[:0]
+	return m.taken
 }
 
-// close drops every later result.
-func (m *mailbox) close() {
+// empty drops all results, so that the mailbox can be used again.
+func (m *mailbox) empty() {
+	m.take()
+	m.take()
+	if cap(m.taken) > maxKept {
+		m.taken = nil
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.closed = true
-	m.results = nil
+	if cap(m.results) > maxKept {
+		m.results = nil
+	}
 }
--- a/internal/query/gatherer/round.go
+++ b/internal/query/gatherer/round.go
@@ -6,6 +6,7 @@
 
 	"cornelwood.example/internal/contract/answerer"
 	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/query/hedger"
 	"cornelwood.example/internal/query/merger"
 	"cornelwood.example/internal/query/planner"
 	"cornelwood.example/internal/query/tracker"
@@ -41,6 +42,7 @@
 	// pending is the number of shards that are neither merged nor given up.
 	pending int
 	extras  []request
+	tally   hedger.Tally
 	// delay is the time after which a sub-request is slow; 0 means never.
 	delay time.Duration
 	// canRetry lets failed sub-requests be asked of other replicas.
@@ -100,7 +102,7 @@
 	r := &round{
 		g: g, ctx: ctx, layout: l, query: q, plan: p,
 		merger:   merger.New(p.Version, n, q.Limit),
-		box:      newMailbox(),
+		box:      g.boxes.Get().(*mailbox),
 		start:    time.Now(),
 		attempts: make([]attempt, 0, n+n/8),
 		batches:  make([]batch, 0, len(p.Batches)+1),
@@ -133,12 +135,10 @@
 		defer timer.Stop()
 		tick = timer.C
 	}
-	var results []exchanger.Result
 	for r.pending > 0 && r.replan == nil {
 		select {
 		case <-r.box.ready:
-			results = r.box.take(results)
-			r.settleAll(results)
+			r.settleAll(r.box.take())
 		case <-tick:
 			r.hedgeAll()
 		case <-r.ctx.Done():
@@ -149,7 +149,8 @@
 
 // end cancels what is open and counts it as slow.
 func (r *round) end() {
-	r.box.close()
+	r.box.empty()
+	r.g.boxes.Put(r.box)
 	now := time.Now()
 	for i := range r.batches {
 		r.batches[i].cancel()
@@ -159,6 +160,7 @@
 			r.giveUp(a, now)
 		}
 	}
+	r.layout.service.hedger.Observe(&r.tally)
 }
 
 // giveUp counts an attempt that is cancelled.
@@ -168,7 +170,7 @@
 	u := r.layout.upstreams[a.upstream]
 	u.End()
 	u.Observe(took, now)
-	r.layout.service.hedger.Observe(took)
+	r.tally.Add(took)
 }
 
 // decide settles a shard; reason is empty when it was merged. Batches that now
--- a/internal/query/gatherer/run.go
+++ b/internal/query/gatherer/run.go
@@ -120,7 +120,6 @@
 		return exchanger.Result{Status: exchanger.Shed, Reason: "the deadline passed before it was sent"}, true
 	}
 	box := newMailbox()
-	defer box.close()
 	u := d.layout.upstreams[up]
 	u.Begin()
 	defer u.End()
@@ -132,7 +131,7 @@
 		case <-d.ctx.Done():
 			return exchanger.Result{}, false
 		}
-		for _, res := range box.take(nil) {
+		for _, res := range box.take() {
 			if res.ID == t.ID {
 				d.learn(up, &res, time.Since(sent))
 				return res, true
--- a/internal/query/gatherer/settle.go
+++ b/internal/query/gatherer/settle.go
@@ -94,7 +94,7 @@
 	err := r.merger.Add(int(a.shard), r.plan.Shards[a.shard].ID, res)
 	if err == nil {
 		r.layout.upstreams[a.upstream].Succeed(took, now)
-		r.layout.service.hedger.Observe(took)
+		r.tally.Add(took)
 		r.decide(a.shard, "")
 		return
 	}
--- a/internal/query/hedger/estimator.go
+++ b/internal/query/hedger/estimator.go
@@ -2,17 +2,20 @@
 
 import (
 	"math"
+	"math/bits"
 	"sync/atomic"
 	"time"
 )
 
 const (
-	// stepsPerOctave gives buckets of about 9 in 100 width.
-	stepsPerOctave = 8
+	// Buckets divide each octave in 8 equal steps, so they are at most 13 in 100
+	// wide.
+	stepBits       = 3
+	stepsPerOctave = 1 << stepBits
 	octaves        = 20
 	buckets        = stepsPerOctave * octaves
-	// firstBucket is the upper bound of the lowest bucket; the highest ends at 64 s.
-	firstBucket = 64 * time.Microsecond
+	// unit is the width of the lowest buckets; the highest ends at about 70 s.
+	unit = 16 * time.Microsecond
 	// minSamples is the number of samples below which nothing is estimated.
 	minSamples = 64
 	// estimateEvery is the time between two estimates; the counts are halved at
@@ -41,10 +44,31 @@
 	return e
 }
 
+// Tally collects latencies of one query before they are added to the Estimator
+// that all queries of the service share.
+type Tally struct {
+	counts [buckets]uint16
+	total  int
+}
+
 // Add records one latency.
-func (e *Estimator) Add(d time.Duration) {
-	e.counts[bucketOf(d)].Add(1)
-	e.fresh.Add(1)
+func (t *Tally) Add(d time.Duration) {
+	t.counts[bucketOf(d)]++
+	t.total++
+}
+
+// Add adds a tally and empties it.
+func (e *Estimator) Add(t *Tally) {
+	if t.total == 0 {
+		return
+	}
+	for i, n := range t.counts {
+		if n > 0 {
+			e.counts[i].Add(int64(n))
+		}
+	}
+	e.fresh.Add(int64(t.total))
+	*t = Tally{}
 }
 
 // Estimate returns the quantile, and false when there are too few samples. It
@@ -86,15 +110,24 @@
 	}
 }
 
+// bucketOf returns the bucket of a latency: its octave, and the eighth of it.
 func bucketOf(d time.Duration) int {
-	if d <= firstBucket {
-		return 0
+	units := uint64(max(d, 0)) / uint64(unit)
+	octave := bits.Len64(units)
+	if octave <= stepBits {
+		return int(units)
 	}
-	i := int(math.Ceil(math.Log2(float64(d)/float64(firstBucket)) * stepsPerOctave))
+	shift := octave - stepBits - 1
+	i := (shift+1)<<stepBits | int(units>>shift)&(stepsPerOctave-1)
 	return min(i, buckets-1)
 }
 
 // boundOf returns the upper bound of a bucket.
 func boundOf(i int) time.Duration {
-	return time.Duration(float64(firstBucket) * math.Exp2(float64(i)/stepsPerOctave))
+	if i < stepsPerOctave {
+		return time.Duration(i+1) * unit
+	}
+	shift := i>>stepBits - 1
+	units := (stepsPerOctave | i&(stepsPerOctave-1)) + 1
+	return time.Duration(units) << shift * unit
 }
--- a/internal/query/hedger/hedger.go
+++ b/internal/query/hedger/hedger.go
@@ -39,10 +39,10 @@
 	}
 }
 
-// Observe records the latency of a sub-request, or the time after which it was
-// given up for a faster one.
-func (h *Hedger) Observe(d time.Duration) {
-	h.latency.Add(d)
+// Observe records the latencies of sub-requests, or the times after which they
+// were given up for faster ones, and empties the tally.
+func (h *Hedger) Observe(t *Tally) {
+	h.latency.Add(t)
 }
 
 // Delay returns the time after which a sub-request is hedged, when remaining is
--- a/internal/query/hedger/hedger_test.go
+++ b/internal/query/hedger/hedger_test.go
@@ -41,11 +41,13 @@
 	for _, quantile := range []float64{0.5, 0.95, 0.99} {
 		e := NewEstimator(quantile, epoch)
 		var all []time.Duration
+		var tally Tally
 		for range 5000 {
 			d := time.Duration(rng.ExpFloat64() * float64(10*time.Millisecond))
 			all = append(all, d)
-			e.Add(d)
+			tally.Add(d)
 		}
+		e.Add(&tally)
 		slices.Sort(all)
 		want := all[int(quantile*float64(len(all)))]
 		got, ok := e.Estimate(epoch.Add(estimateEvery))
@@ -61,9 +63,11 @@
 	now := epoch
 	for _, d := range []time.Duration{time.Millisecond, 50 * time.Millisecond} {
 		for range 8 {
+			var tally Tally
 			for range 1000 {
-				e.Add(d)
+				tally.Add(d)
 			}
+			e.Add(&tally)
 			now = now.Add(estimateEvery)
 			e.Estimate(now)
 		}
@@ -73,14 +77,28 @@
 	}
 }
 
+// TestBuckets checks that each latency lies between the bounds of its bucket and of
+// the one below.
+func TestBuckets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "latency"))
+		i := bucketOf(d)
+		if d >= boundOf(i) || i > 0 && d < boundOf(i-1) {
+			t.Fatalf("%s is in bucket %d, which ends at %s", d, i, boundOf(i))
+		}
+	})
+}
+
 func TestDelay(t *testing.T) {
 	h := New(Config{Quantile: 0.95, Percent: 5, Burst: 1}, epoch)
 	if got, want := h.Delay(epoch, 120*time.Millisecond), 40*time.Millisecond; got != want {
 		t.Errorf("without samples the delay is %s, want %s", got, want)
 	}
+	var tally Tally
 	for range samplesPerEstimate {
-		h.Observe(100 * time.Microsecond)
+		tally.Add(100 * time.Microsecond)
 	}
+	h.Observe(&tally)
 	if got := h.Delay(epoch, 120*time.Millisecond); got != minDelay {
 		t.Errorf("with fast answers the delay is %s, want %s", got, minDelay)
 	}
--- a/internal/query/tracker/upstream.go
+++ b/internal/query/tracker/upstream.go
@@ -15,6 +15,8 @@
 	latencyHalfAge = 5 * time.Second
 	// fadeAfter is the idle time from which the latency estimate fades.
 	fadeAfter = time.Second
+	// stampEvery is the resolution of ages; it spares most writes of hot upstreams.
+	stampEvery = 20 * time.Millisecond
 	// failuresToBackOff is the number of failures in a row, of requests that were
 	// sent, that makes an upstream back off.
 	failuresToBackOff = 3
@@ -91,6 +93,13 @@
 	}
 }
 
+// stamp sets a time that is only used as an age, unless it was set just before.
+func stamp(at *atomic.Int64, since time.Duration) {
+	if int64(since)-at.Load() >= int64(stampEvery) || at.Load() == 0 {
+		at.Store(int64(since))
+	}
+}
+
 // fade returns what a latency estimate counts after an idle time.
 func fade(latency, idle time.Duration) time.Duration {
 	if idle < fadeAfter {
@@ -107,7 +116,7 @@
 	if h := u.held.Load(); h == nil || h.oldest != oldest || h.newest != newest {
 		u.held.Store(&held{oldest: oldest, newest: newest})
 	}
-	u.heldAt.Store(int64(now.Sub(u.start)))
+	stamp(&u.heldAt, now.Sub(u.start))
 }
 
 // Own records the instance that owns the upstream. A new owner ends the back-off
@@ -132,7 +141,9 @@
 // Succeed records an answer after took and ends any back-off.
 func (u *Upstream) Succeed(took time.Duration, now time.Time) {
 	u.Observe(took, now)
-	u.failures.Store(0)
+	if u.failures.Load() != 0 {
+		u.failures.Store(0)
+	}
 	u.backoff.reset()
 }
 
@@ -145,13 +156,15 @@
 		next = was + (int64(took)-was)/latencyWeight
 	}
 	u.latency.Store(max(next, 1))
-	u.latencyAt.Store(int64(now.Sub(u.start)))
+	stamp(&u.latencyAt, now.Sub(u.start))
 }
 
 // Report records the owner's load of the upstream, in percent.
 func (u *Upstream) Report(load int, now time.Time) {
-	u.load.Store(int64(load))
-	u.loadAt.Store(int64(now.Sub(u.start)))
+	if u.load.Load() != int64(load) {
+		u.load.Store(int64(load))
+	}
+	stamp(&u.loadAt, now.Sub(u.start))
 }
 
 // Fail records a sub-request that got no valid answer. Unreachable upstreams
