--- a/internal/query/gatherer/config.go
+++ b/internal/query/gatherer/config.go
@@ -40,7 +40,7 @@
 		Hedge:           true,
 		Retry:           true,
 		ReplicaChoice:   true,
-		HedgeQuantile:   0.95,
+		HedgeQuantile:   0.97,
 		ExtraPercent:    5,
 		ExtraBurst:      256,
 		Margin:          2 * time.Millisecond,
