--- a/internal/query/gatherer/gather.go
+++ b/internal/query/gatherer/gather.go
@@ -25,9 +25,16 @@
 	}
 	var best *round
 	var tried []uint64
-	for range maxRounds {
+	var rounds [maxRounds]*round
+	defer func() {
+		for _, r := range rounds {
+			g.release(r)
+		}
+	}()
+	for i := range maxRounds {
 		tried = append(tried, p.Version)
 		r := newRound(ctx, g, l, q, p)
+		rounds[i] = r
 		r.tried = tried
 		r.run()
 		if best == nil || r.merger.Count()*len(best.shards) >= best.merger.Count()*len(r.shards) {
@@ -42,11 +49,14 @@
 	return best.answer(), nil
 }
 
-// firstPlan plans a query, after a discovery when no version is known.
+// firstPlan plans a query, after a discovery when no version is known or the first
+// one is under way.
 func (g *Gatherer) firstPlan(ctx context.Context, l *layout, q *answerer.Query) (*planner.Plan, error) {
 	p := g.plan(l, nil)
-	if p.Version == 0 {
+	isFirst := l.service.discoveredAt.Load() == 0
+	if p.Version == 0 || isFirst && !l.IsCurrent(p) {
 		g.awaitVersions(ctx, l)
+		g.plans.Put(p)
 		p = g.plan(l, nil)
 	}
 	if ctx.Err() != nil {
--- a/internal/query/gatherer/round.go
+++ b/internal/query/gatherer/round.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cornelwood.example/internal/contract/answerer"
 	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/query/hedger"
 	"cornelwood.example/internal/query/merger"
 	"cornelwood.example/internal/query/planner"
 	"cornelwood.example/internal/query/tracker"
@@ -41,6 +43,7 @@
 	// pending is the number of shards that are neither merged nor given up.
 	pending int
 	extras  []request
+	tally   hedger.Tally
 	// delay is the time after which a sub-request is slow; 0 means never.
 	delay time.Duration
 	// canRetry lets failed sub-requests be asked of other replicas.
@@ -97,17 +100,20 @@
 
 func newRound(ctx context.Context, g *Gatherer, l *layout, q *answerer.Query, p *planner.Plan) *round {
 	n := len(p.Shards)
-	r := &round{
+	r := g.rounds.Get().(*round)
+	*r = round{
 		g: g, ctx: ctx, layout: l, query: q, plan: p,
 		merger:   merger.New(p.Version, n, q.Limit),
-		box:      newMailbox(),
+		box:      g.boxes.Get().(*mailbox),
 		start:    time.Now(),
-		attempts: make([]attempt, 0, n+n/8),
-		batches:  make([]batch, 0, len(p.Batches)+1),
-		shards:   make([]shardState, n),
+		attempts: r.attempts[:0],
+		batches:  r.batches[:0],
+		shards:   slices.Grow(r.shards[:0], n)[:n],
+		extras:   r.extras[:0],
 		pending:  n,
 		canRetry: g.cfg.Retry && l.Service.Contract.Hedge,
 	}
+	clear(r.shards)
 	r.put = r.box.put
 	r.deadline, _ = ctx.Deadline()
 	r.base = g.ids.Add(uint64(r.maxAttempts())) - uint64(r.maxAttempts())
@@ -117,6 +123,25 @@
 	return r
 }
 
+// release keeps the memory of a round, which may be nil, and of its plan for use
+// again.
+func (g *Gatherer) release(r *round) {
+	if r == nil {
+		return
+	}
+	g.plans.Put(r.plan)
+	clear(r.attempts)
+	clear(r.batches)
+	clear(r.extras)
+	*r = round{
+		attempts: r.attempts[:0],
+		batches:  r.batches[:0],
+		shards:   r.shards[:0],
+		extras:   r.extras[:0],
+	}
+	g.rounds.Put(r)
+}
+
 func (r *round) maxAttempts() int {
 	return attemptsPerShard * len(r.plan.Shards)
 }
@@ -133,12 +158,10 @@
 		defer timer.Stop()
 		tick = timer.C
 	}
-	var results []exchanger.Result
 	for r.pending > 0 && r.replan == nil {
 		select {
 		case <-r.box.ready:
-			results = r.box.take(results)
-			r.settleAll(results)
+			r.settleAll(r.box.take())
 		case <-tick:
 			r.hedgeAll()
 		case <-r.ctx.Done():
@@ -149,7 +172,8 @@
 
 // end cancels what is open and counts it as slow.
 func (r *round) end() {
-	r.box.close()
+	r.box.empty()
+	r.g.boxes.Put(r.box)
 	now := time.Now()
 	for i := range r.batches {
 		r.batches[i].cancel()
@@ -159,6 +183,7 @@
 			r.giveUp(a, now)
 		}
 	}
+	r.layout.service.hedger.Observe(&r.tally)
 }
 
 // giveUp counts an attempt that is cancelled.
@@ -168,7 +193,7 @@
 	u := r.layout.upstreams[a.upstream]
 	u.End()
 	u.Observe(took, now)
-	r.layout.service.hedger.Observe(took)
+	r.tally.Add(took)
 }
 
 // decide settles a shard; reason is empty when it was merged. Batches that now
--- a/internal/query/gatherer/settle.go
+++ b/internal/query/gatherer/settle.go
@@ -94,7 +94,7 @@
 	err := r.merger.Add(int(a.shard), r.plan.Shards[a.shard].ID, res)
 	if err == nil {
 		r.layout.upstreams[a.upstream].Succeed(took, now)
-		r.layout.service.hedger.Observe(took)
+		r.tally.Add(took)
 		r.decide(a.shard, "")
 		return
 	}
@@ -175,6 +175,7 @@
 	p := r.g.plan(r.layout, r.tried)
 	reachable := r.merger.Count() + r.pending
 	if p.Version == 0 || p.Covered*len(r.shards) <= reachable*len(p.Shards) {
+		r.g.plans.Put(p)
 		return
 	}
 	r.replan = p
--- a/internal/query/tracker/upstream.go
+++ b/internal/query/tracker/upstream.go
@@ -10,11 +10,11 @@
 	latencyWeight = 8
 	// loadAge is the age at which a load report no longer counts.
 	loadAge = time.Second
-	// latencyHalfAge is the idle time after which the latency estimate counts
-	// half, so that an upstream that was slow is tried again.
+	// latencyHalfAge is the idle time after which the latency estimate is halved,
+	// so that an upstream that was slow is tried again.
 	latencyHalfAge = 5 * time.Second
-	// fadeAfter is the idle time from which the latency estimate fades.
-	fadeAfter = time.Second
+	// stampEvery is the resolution of ages; it spares most writes of hot upstreams.
+	stampEvery = 20 * time.Millisecond
 	// failuresToBackOff is the number of failures in a row, of requests that were
 	// sent, that makes an upstream back off.
 	failuresToBackOff = 3
@@ -91,12 +91,19 @@
 	}
 }
 
+// stamp sets a time that is only used as an age, unless it was set just before.
+func stamp(at *atomic.Int64, since time.Duration) {
+	if int64(since)-at.Load() >= int64(stampEvery) || at.Load() == 0 {
+		at.Store(int64(since))
+	}
+}
+
 // fade returns what a latency estimate counts after an idle time.
 func fade(latency, idle time.Duration) time.Duration {
-	if idle < fadeAfter {
+	if idle < latencyHalfAge {
 		return latency
 	}
-	return time.Duration(float64(latency) / (1 + float64(idle-fadeAfter)/float64(latencyHalfAge)))
+	return latency >> min(idle/latencyHalfAge, 63)
 }
 
 // Hold records the versions that the upstream said it holds.
@@ -107,15 +114,14 @@
 	if h := u.held.Load(); h == nil || h.oldest != oldest || h.newest != newest {
 		u.held.Store(&held{oldest: oldest, newest: newest})
 	}
-	u.heldAt.Store(int64(now.Sub(u.start)))
+	stamp(&u.heldAt, now.Sub(u.start))
 }
 
 // Own records the instance that owns the upstream. A new owner ends the back-off
 // that failures of the one before have caused.
 func (u *Upstream) Own(id string) {
 	if was := u.owner.Swap(&id); was != nil && *was != id {
-		u.failures.Store(0)
-		u.backoff.reset()
+		u.Recover()
 	}
 }
 
@@ -132,7 +138,14 @@
 // Succeed records an answer after took and ends any back-off.
 func (u *Upstream) Succeed(took time.Duration, now time.Time) {
 	u.Observe(took, now)
-	u.failures.Store(0)
+	u.Recover()
+}
+
+// Recover ends any back-off.
+func (u *Upstream) Recover() {
+	if u.failures.Load() != 0 {
+		u.failures.Store(0)
+	}
 	u.backoff.reset()
 }
 
@@ -145,13 +158,15 @@
 		next = was + (int64(took)-was)/latencyWeight
 	}
 	u.latency.Store(max(next, 1))
-	u.latencyAt.Store(int64(now.Sub(u.start)))
+	stamp(&u.latencyAt, now.Sub(u.start))
 }
 
 // Report records the owner's load of the upstream, in percent.
 func (u *Upstream) Report(load int, now time.Time) {
-	u.load.Store(int64(load))
-	u.loadAt.Store(int64(now.Sub(u.start)))
+	if u.load.Load() != int64(load) {
+		u.load.Store(int64(load))
+	}
+	stamp(&u.loadAt, now.Sub(u.start))
 }
 
 // Fail records a sub-request that got no valid answer. Unreachable upstreams
