--- a/internal/cli/builder/builder.go
+++ b/internal/cli/builder/builder.go
@@ -41,6 +41,7 @@
 			upstreamCommand(),
 			changeCommand(),
 			statusCommand(),
+			reportCommand(),
 			loadCommand(),
 			demoCommand(),
 			docsCommand(),
--- /dev/null
+++ b/internal/report/plotter/plotter.go
@@ -0,0 +1,81 @@
+// Package plotter writes a burn report as an HTML page that opens without a
+// network: tables first, then plots as inline SVG, in light and dark.
+//
+//	plotter.go  the page
+//	page.html   its template
+//	row.go      the cells of its tables
+//	chart.go    the plots of one service
+//	svg.go      SVG that takes its colours from the page
+package plotter
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"time"
+
+	"cornelwood.example/internal/report/burner"
+	"cornelwood.example/internal/report/formatter"
+)
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
+
+// page is what the template shows.
+type page struct {
+	At       string
+	Report   *burner.Report
+	Alerts   []alertRow
+	Windows  []string
+	Covers   []string
+	Levels   []levelRow
+	Daemons  []daemonRow
+	Charts   []chartRow
+	Trailing string
+	Limits   string
+}
+
+// chartRow holds the plots of one service.
+type chartRow struct {
+	Name  string
+	Plots []plotRow
+}
+
+// plotRow is one plot with its caption.
+type plotRow struct {
+	Caption string
+	SVG     template.HTML
+}
+
+// Write writes the page of a report that was made at a time.
+func Write(w io.Writer, rep *burner.Report, at time.Time) error {
+	p := page{
+		At:       at.Format(time.RFC1123),
+		Report:   rep,
+		Alerts:   alertRows(rep),
+		Levels:   levelRows(rep),
+		Daemons:  daemonRows(rep),
+		Trailing: formatter.Span(rep.Scale.Trailing),
+		Limits:   fmt.Sprintf("%g pages, %g and %g open a ticket", burner.PageBurn, burner.TicketBurn, burner.SlowBurn),
+	}
+	for _, c := range rep.Windows {
+		p.Windows = append(p.Windows, formatter.Span(c.Window.Duration))
+		p.Covers = append(p.Covers, formatter.Percent(c.Share))
+	}
+	for i := range rep.Services {
+		row, err := newChartRow(&rep.Services[i], rep.Scale)
+		if err != nil {
+			return fmt.Errorf("plots of service %q: %w", rep.Services[i].Name, err)
+		}
+		if len(row.Plots) > 0 {
+			p.Charts = append(p.Charts, row)
+		}
+	}
+	if err := pageTemplate.Execute(w, p); err != nil {
+		return fmt.Errorf("write page: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/report/plotter/row.go
@@ -0,0 +1,117 @@
+package plotter
+
+import (
+	"cornelwood.example/internal/report/burner"
+	"cornelwood.example/internal/report/formatter"
+)
+
+// alertRow is one alert of one service.
+type alertRow struct {
+	Severity  burner.Severity
+	Service   string
+	Objective burner.Kind
+	Reason    string
+}
+
+// levelRow is one objective of one service.
+type levelRow struct {
+	Service   string
+	Objective string
+	Aim       string
+	Queries   uint64
+	Bad       uint64
+	Good      string
+	Budget    string
+	Spent     bool
+	Burns     []burnCell
+}
+
+// burnCell is the burn rate of one window.
+type burnCell struct {
+	Rate  string
+	Class string
+}
+
+// daemonRow is one daemon.
+type daemonRow struct {
+	URL, Instance, Recorded, State string
+	Missed                         bool
+}
+
+// alertRows returns the alerts of all services, pages first.
+func alertRows(rep *burner.Report) []alertRow {
+	var rows []alertRow
+	for _, severity := range []burner.Severity{burner.Page, burner.Ticket} {
+		for _, s := range rep.Services {
+			for _, o := range s.Objectives {
+				for _, a := range o.Alerts {
+					if a.Severity == severity {
+						rows = append(rows, alertRow{severity, s.Name, o.Kind, formatter.Reason(a)})
+					}
+				}
+			}
+		}
+	}
+	return rows
+}
+
+func levelRows(rep *burner.Report) []levelRow {
+	var rows []levelRow
+	for i := range rep.Services {
+		s := &rep.Services[i]
+		if len(s.Objectives) == 0 {
+			rows = append(rows, levelRow{
+				Service: s.Name, Objective: formatter.None, Aim: "no contract known", Queries: s.Counts.Total, Bad: s.Counts.Refused,
+				Good: formatter.None, Budget: formatter.None, Burns: make([]burnCell, len(rep.Windows)),
+			})
+		}
+		for j := range s.Objectives {
+			rows = append(rows, newLevelRow(s, &s.Objectives[j]))
+		}
+	}
+	return rows
+}
+
+func newLevelRow(s *burner.Service, o *burner.Objective) levelRow {
+	whole := o.Burns[len(o.Burns)-1]
+	row := levelRow{
+		Service:   s.Name,
+		Objective: string(o.Kind),
+		Aim:       formatter.Aim(s, o),
+		Queries:   whole.Total,
+		Bad:       whole.Bad,
+		Good:      formatter.Percent(o.Good),
+		Budget:    formatter.Budget(o.Budget),
+		Spent:     o.Budget <= 0,
+	}
+	for _, b := range o.Burns {
+		row.Burns = append(row.Burns, newBurnCell(b))
+	}
+	return row
+}
+
+func newBurnCell(b burner.Burn) burnCell {
+	if b.Total == 0 {
+		return burnCell{Rate: formatter.None}
+	}
+	cell := burnCell{Rate: formatter.Rate(b.Rate)}
+	switch {
+	case b.Rate > burner.PageBurn:
+		cell.Class = "page"
+	case b.Rate > burner.SlowBurn:
+		cell.Class = "ticket"
+	}
+	return cell
+}
+
+func daemonRows(rep *burner.Report) []daemonRow {
+	rows := make([]daemonRow, 0, len(rep.Daemons))
+	for _, d := range rep.Daemons {
+		row := daemonRow{URL: d.URL, Instance: d.Instance, Recorded: formatter.Span(d.Recorded.Duration), State: formatter.State(d)}
+		if d.Error != "" {
+			row.Instance, row.Recorded, row.Missed = formatter.None, formatter.None, true
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
