--- a/internal/query/gatherer/run.go
+++ b/internal/query/gatherer/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"cornelwood.example/internal/contract/answerer"
@@ -36,11 +37,14 @@
 	if len(action) == 0 {
 		return notRun("the action is empty")
 	}
-	l, err := g.find(name, ticket, declarer.Action)
+	l, err := g.find(name, ticket)
 	var refusal *answerer.RefusalError
 	if errors.As(err, &refusal) {
 		return notRun(refusal.Reason)
 	}
+	if l.Service.Class != declarer.Action {
+		return notRun(fmt.Sprintf("service %q is of class %q", name, l.Service.Class))
+	}
 	ctx, cancel := context.WithTimeout(ctx, l.Service.Contract.Deadline.Duration)
 	defer cancel()
 	d := &dispatch{g: g, ctx: ctx, layout: l, ticket: ticket, action: action}
@@ -60,8 +64,8 @@
 // run tries the replicas one after the other, as long as each proves that it did
 // not run the action.
 func (d *dispatch) run() answerer.RunResult {
-	readings := d.layout.read(nil, time.Now())
-	ups, shards := d.layout.Order(readings, planner.Options{Choose: d.g.cfg.ReplicaChoice, IntN: d.g.cfg.IntN})
+	readings := d.g.read(d.layout, nil)
+	ups, shards := d.layout.Order(readings, planner.Options{Choose: d.g.cfg.ReplicaChoice, Seed: d.g.cfg.Seed()})
 	reason := "no upstream is in use"
 	for _, up := range ups {
 		if d.ctx.Err() != nil || d.sends >= maxRunSends {
