--- a/internal/report/formatter/formatter.go
+++ b/internal/report/formatter/formatter.go
@@ -68,13 +68,16 @@
 	return strings.Join(parts, " ")
 }
 
-// Reason returns why an alert was raised.
-func Reason(a burner.Alert) string {
-	text := fmt.Sprintf("burn rate above %g over %s and %s", a.Limit, Span(a.Short.Duration), Span(a.Long.Duration))
-	if a.Few {
-		text += " (rests on few bad queries)"
+// Reasons returns why alerts of one objective were raised.
+func Reasons(alerts []burner.Alert) string {
+	parts := make([]string, len(alerts))
+	for i, a := range alerts {
+		parts[i] = fmt.Sprintf("above %g over %s and %s", a.Limit, Span(a.Short.Duration), Span(a.Long.Duration))
+		if a.Few {
+			parts[i] += " (on few bad queries)"
+		}
 	}
-	return text
+	return "burn rate " + strings.Join(parts, "; ")
 }
 
 // Aim returns what an objective asks for.
@@ -90,7 +93,7 @@
 func State(d burner.Daemon) string {
 	switch {
 	case d.Error != "":
-		return "no answer: " + d.Error
+		return d.Error
 	case d.Same != "":
 		return "same instance as " + d.Same + ", counted once"
 	default:
--- a/internal/report/plotter/chart.go
+++ b/internal/report/plotter/chart.go
@@ -23,6 +23,8 @@
 	lineWidth  vg.Length = 1.6
 	ruleWidth  vg.Length = 0.9
 	textSize   vg.Length = 10
+	// sideMargin leaves room for the half of a label that stands out.
+	sideMargin vg.Length = 14
 )
 
 const (
@@ -58,7 +60,7 @@
 	}{
 		{"Burn rate over the last " + trailing, c.burn},
 		{"Share of good queries over the last " + trailing, c.good},
-		{"Error budget left", c.budget},
+		{"Error budget left, drawn down to −100%", c.budget},
 	}
 	for _, d := range draws {
 		svg, err := c.draw(d.caption, d.make)
@@ -246,9 +248,13 @@
 			break
 		}
 	}
+	unit, size := "min", time.Minute
+	if step >= time.Hour {
+		unit, size = "h", time.Hour
+	}
 	ticks := []plot.Tick{{Value: 0, Label: "now"}}
 	for ago := step; ago <= span; ago += step {
-		ticks = append(ticks, plot.Tick{Value: -ago.Hours(), Label: "−" + formatter.Span(ago)})
+		ticks = append(ticks, plot.Tick{Value: -ago.Hours(), Label: fmt.Sprintf("−%d %s", ago/size, unit)})
 	}
 	return ticks
 }
--- a/internal/report/plotter/plotter.go
+++ b/internal/report/plotter/plotter.go
@@ -35,7 +35,6 @@
 	Daemons  []daemonRow
 	Charts   []chartRow
 	Trailing string
-	Limits   string
 }
 
 // chartRow holds the plots of one service.
@@ -59,7 +58,6 @@
 		Levels:   levelRows(rep),
 		Daemons:  daemonRows(rep),
 		Trailing: formatter.Span(rep.Scale.Trailing),
-		Limits:   fmt.Sprintf("%g pages, %g and %g open a ticket", burner.PageBurn, burner.TicketBurn, burner.SlowBurn),
 	}
 	for _, c := range rep.Windows {
 		p.Windows = append(p.Windows, formatter.Span(c.Window.Duration))
--- a/internal/report/plotter/row.go
+++ b/internal/report/plotter/row.go
@@ -10,7 +10,7 @@
 	Severity  burner.Severity
 	Service   string
 	Objective burner.Kind
-	Reason    string
+	Reasons   string
 }
 
 // levelRow is one objective of one service.
@@ -20,6 +20,7 @@
 	Aim       string
 	Queries   uint64
 	Bad       uint64
+	Refused   uint64
 	Good      string
 	Budget    string
 	Spent     bool
@@ -38,21 +39,23 @@
 	Missed                         bool
 }
 
-// alertRows returns the alerts of all services, pages first.
+// alertRows returns one row for each objective with an alert, pages first.
 func alertRows(rep *burner.Report) []alertRow {
-	var rows []alertRow
-	for _, severity := range []burner.Severity{burner.Page, burner.Ticket} {
-		for _, s := range rep.Services {
-			for _, o := range s.Objectives {
-				for _, a := range o.Alerts {
-					if a.Severity == severity {
-						rows = append(rows, alertRow{severity, s.Name, o.Kind, formatter.Reason(a)})
-					}
-				}
+	var pages, tickets []alertRow
+	for _, s := range rep.Services {
+		for _, o := range s.Objectives {
+			if len(o.Alerts) == 0 {
+				continue
+			}
+			row := alertRow{Severity: o.Alerts[0].Severity, Service: s.Name, Objective: o.Kind, Reasons: formatter.Reasons(o.Alerts)}
+			if row.Severity == burner.Page {
+				pages = append(pages, row)
+			} else {
+				tickets = append(tickets, row)
 			}
 		}
 	}
-	return rows
+	return append(pages, tickets...)
 }
 
 func levelRows(rep *burner.Report) []levelRow {
@@ -61,7 +64,7 @@
 		s := &rep.Services[i]
 		if len(s.Objectives) == 0 {
 			rows = append(rows, levelRow{
-				Service: s.Name, Objective: formatter.None, Aim: "no contract known", Queries: s.Counts.Total, Bad: s.Counts.Refused,
+				Service: s.Name, Objective: formatter.None, Aim: "no contract known", Queries: s.Counts.Total, Bad: s.Counts.Refused, Refused: s.Counts.Refused,
 				Good: formatter.None, Budget: formatter.None, Burns: make([]burnCell, len(rep.Windows)),
 			})
 		}
@@ -80,6 +83,7 @@
 		Aim:       formatter.Aim(s, o),
 		Queries:   whole.Total,
 		Bad:       whole.Bad,
+		Refused:   s.Counts.Refused,
 		Good:      formatter.Percent(o.Good),
 		Budget:    formatter.Budget(o.Budget),
 		Spent:     o.Budget <= 0,
--- a/internal/report/plotter/svg.go
+++ b/internal/report/plotter/svg.go
@@ -48,7 +48,7 @@
 // render returns a plot as an SVG element for an HTML page.
 func render(p *plot.Plot, label string) (template.HTML, error) {
 	c := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(c))
+	p.Draw(draw.Crop(draw.New(c), 0, -sideMargin, 0, 0))
 	var buf bytes.Buffer
 	if _, err := c.WriteTo(&buf); err != nil {
 		return "", fmt.Errorf("write SVG: %w", err)
--- /dev/null
+++ b/internal/report/recorder/memory_test.go
@@ -0,0 +1,51 @@
+package recorder
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkMemory reports the heap that services take after three full days, and
+// the bytes of the series as JSON.
+func BenchmarkMemory(b *testing.B) {
+	for _, services := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				r, closer := fill(services)
+				b.ReportMetric(float64(heap()-before)/float64(services), "heap-B/service")
+				data, err := json.Marshal(r.Series())
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(data))/float64(services), "json-B/service")
+				closer()
+			}
+		})
+	}
+}
+
+func fill(services int) (*Recorder, func()) {
+	now := time.Unix(0, 0)
+	r, closer := New(func() time.Time { return now })
+	for range ringBlocks * blockMinutes {
+		for i := range services {
+			for j := range 100 {
+				r.Record(fmt.Sprintf("service-%d", i), contract, time.Duration(j)*2*time.Millisecond, 1)
+			}
+		}
+		now = now.Add(time.Minute)
+	}
+	return r, closer
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/internal/report/recorder/recorder_test.go
@@ -0,0 +1,214 @@
+package recorder
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/contract/declarer"
+)
+
+const day = 24 * time.Hour
+
+var contract = declarer.Contract{
+	Latency:  declarer.Duration{Duration: 120 * time.Millisecond},
+	Quantile: 0.99,
+	Coverage: 0.95,
+}
+
+func assertBuckets(t *testing.T, r *Recorder, name string, want ...Bucket) {
+	t.Helper()
+	s := r.Series()
+	if err := s.Check(); err != nil {
+		t.Errorf("series: %v", err)
+	}
+	var got []Bucket
+	for _, one := range s.Services {
+		if one.Name == name {
+			got = one.Buckets
+		}
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("buckets of %q (-want +got):\n%s", name, diff)
+	}
+}
+
+func bucket(ago int, total, slow, partial, refused uint32) Bucket {
+	return Bucket{Ago: ago, Counts: Counts{Total: total, Slow: slow, Partial: partial, Refused: refused}}
+}
+
+func TestRing(t *testing.T) {
+	tests := []struct {
+		name string
+		run  func(r *Recorder, good func())
+		want []Bucket
+	}{
+		{"bounds of the contract are good", func(r *Recorder, _ func()) {
+			r.Record("s", contract, 120*time.Millisecond, 0.95)
+			r.Record("s", contract, 121*time.Millisecond, 0.95)
+			r.Record("s", contract, 120*time.Millisecond, 0.94)
+			r.Record("s", contract, 121*time.Millisecond, 0.94)
+			r.Refuse("s", answerer.CodeOverloaded)
+		}, []Bucket{bucket(0, 5, 2, 2, 1)}},
+		{"a minute ends", func(_ *Recorder, good func()) {
+			good()
+			time.Sleep(time.Minute - 1)
+			good()
+			time.Sleep(1)
+			good()
+		}, []Bucket{bucket(0, 1, 0, 0, 0), bucket(1, 2, 0, 0, 0)}},
+		{"the last minute in reach", func(_ *Recorder, good func()) {
+			good()
+			time.Sleep(3*day - 1)
+		}, []Bucket{bucket(Minutes-1, 1, 0, 0, 0)}},
+		{"the first minute out of reach", func(_ *Recorder, good func()) {
+			good()
+			time.Sleep(3 * day)
+		}, nil},
+		{"a block is used again", func(_ *Recorder, good func()) {
+			good()
+			time.Sleep(ringBlocks*time.Hour + time.Minute)
+			good()
+		}, []Bucket{bucket(0, 1, 0, 0, 0)}},
+		{"long idle", func(_ *Recorder, good func()) {
+			good()
+			time.Sleep(100 * day)
+			good()
+			time.Sleep(time.Hour)
+		}, []Bucket{bucket(60, 1, 0, 0, 0)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, closer := New(time.Now)
+				defer closer()
+				tt.run(r, func() { r.Record("s", contract, 0, 1) })
+				assertBuckets(t, r, "s", tt.want...)
+			})
+		})
+	}
+}
+
+func TestRingFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, closer := New(time.Now)
+		defer closer()
+		for range 2 * Minutes {
+			r.Record("s", contract, 0, 1)
+			time.Sleep(time.Minute)
+		}
+		var want []Bucket
+		for ago := 1; ago < Minutes; ago++ {
+			want = append(want, bucket(ago, 1, 0, 0, 0))
+		}
+		assertBuckets(t, r, "s", want...)
+	})
+}
+
+func TestClockBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r, closer := New(func() time.Time { return now })
+	defer closer()
+	now = now.Add(5 * time.Minute)
+	r.Record("s", contract, 0, 1)
+	now = now.Add(-time.Hour)
+	r.Record("s", contract, 0, 1)
+	assertBuckets(t, r, "s", bucket(0, 2, 0, 0, 0))
+}
+
+func TestRefuseCodes(t *testing.T) {
+	codes := map[answerer.Code]bool{
+		answerer.CodeOverloaded: true, answerer.CodeNoSnapshot: true, answerer.CodeDeadline: true,
+		answerer.CodeNoConfig: true, answerer.CodeLeaving: true, answerer.CodeInternal: true,
+		answerer.CodeBadField: false, answerer.CodeBadBody: false, answerer.CodeTooLarge: false,
+		answerer.CodeBadMethod: false, answerer.CodeNoService: false, answerer.CodeNotFound: false,
+	}
+	for code, isFault := range codes {
+		t.Run(string(code), func(t *testing.T) {
+			r, closer := New(time.Now)
+			defer closer()
+			r.Refuse("s", code)
+			if !isFault {
+				assertBuckets(t, r, "s")
+				return
+			}
+			assertBuckets(t, r, "s", bucket(0, 1, 0, 0, 1))
+		})
+	}
+}
+
+// Callers make names up; they must not take the room of declared services.
+func TestBounds(t *testing.T) {
+	now := time.Unix(0, 0)
+	r, closer := New(func() time.Time { return now })
+	for i := range 2 * maxUnknown {
+		r.Refuse(fmt.Sprintf("made-up-%d", i), answerer.CodeNoConfig)
+	}
+	assertState(t, r, maxUnknown, maxUnknown)
+	r.Record("oldest", contract, 0, 1)
+	now = now.Add(time.Minute)
+	for i := range maxServices - maxUnknown - 1 {
+		r.Record(fmt.Sprintf("declared-%d", i), contract, 0, 1)
+	}
+	r.Record("made-up-0", contract, 0, 1)
+	assertState(t, r, maxServices, maxUnknown)
+	for i := range maxUnknown {
+		r.Record(fmt.Sprintf("later-%d", i), contract, 0, 1)
+	}
+	assertState(t, r, maxServices, maxUnknown)
+	assertBuckets(t, r, "oldest")
+	assertBuckets(t, r, "made-up-0", bucket(0, 1, 0, 0, 0), bucket(1, 1, 0, 0, 1))
+	now = now.Add(3 * day)
+	r.Record("after", contract, 0, 1)
+	assertState(t, r, 1, maxUnknown)
+	closer()
+	r.Record("closed", contract, 0, 1)
+	assertState(t, r, 0, maxUnknown+1)
+}
+
+func assertState(t *testing.T, r *Recorder, services int, untracked uint64) {
+	t.Helper()
+	if n := len(*r.services.Load()); n != services {
+		t.Errorf("%d services are kept, want %d", n, services)
+	}
+	if n := r.untracked.Load(); n != untracked {
+		t.Errorf("%d queries are untracked, want %d", n, untracked)
+	}
+}
+
+func TestConcurrent(t *testing.T) {
+	const goroutines, each = 8, 500
+	start := time.Now()
+	r, closer := New(func() time.Time { return start })
+	defer closer()
+	var wg sync.WaitGroup
+	for range goroutines {
+		wg.Go(func() {
+			for i := range each {
+				r.Record(fmt.Sprintf("s%d", i%4), contract, 0, 1)
+				r.Refuse("s0", answerer.CodeOverloaded)
+				if i%100 == 0 {
+					r.Series()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	assertBuckets(t, r, "s0", bucket(0, goroutines*each*5/4, 0, 0, goroutines*each))
+	assertBuckets(t, r, "s1", bucket(0, goroutines*each/4, 0, 0, 0))
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r, closer := New(time.Now)
+	defer closer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r.Record("s", contract, 0, 1)
+		}
+	})
+}
