--- a/internal/cli/builder/report.go
+++ b/internal/cli/builder/report.go
@@ -132,7 +132,7 @@
 	if cmd.Bool(flagJSON) {
 		return printer.JSON(w, rep)
 	}
-	if err := printer.Table(w, []string{"SERVICE", "OBJECTIVE", "TARGET", "QUERIES", "BAD", "GOOD", "BUDGET", "BURN 5M", "1H", "6H", "3D"}, burnRows(rep)); err != nil {
+	if err := printer.Table(w, []string{"SERVICE", "OBJECTIVE", "TARGET", "QUERIES", "BAD", "REFUSED", "GOOD", "BUDGET", "BURN 5M", "1H", "6H", "3D"}, burnRows(rep)); err != nil {
 		return err
 	}
 	fmt.Fprintln(w)
@@ -156,7 +156,7 @@
 	for i := range rep.Services {
 		s := &rep.Services[i]
 		if s.Contract == nil {
-			rows = append(rows, []string{s.Name, formatter.None, "no contract known", fmt.Sprint(s.Counts.Total), fmt.Sprint(s.Counts.Refused)})
+			rows = append(rows, []string{s.Name, formatter.None, "no contract known", fmt.Sprint(s.Counts.Total), fmt.Sprint(s.Counts.Refused), fmt.Sprint(s.Counts.Refused)})
 		}
 		for j := range s.Objectives {
 			rows = append(rows, burnRow(s, &s.Objectives[j]))
@@ -169,7 +169,7 @@
 	whole := o.Burns[len(o.Burns)-1]
 	row := []string{
 		s.Name, string(o.Kind), formatter.Aim(s, o),
-		fmt.Sprint(whole.Total), fmt.Sprint(whole.Bad), formatter.Percent(o.Good), formatter.Budget(o.Budget),
+		fmt.Sprint(whole.Total), fmt.Sprint(whole.Bad), fmt.Sprint(s.Counts.Refused), formatter.Percent(o.Good), formatter.Budget(o.Budget),
 	}
 	for _, b := range o.Burns {
 		if b.Total == 0 {
@@ -186,11 +186,12 @@
 	n := 0
 	for _, s := range rep.Services {
 		for _, o := range s.Objectives {
-			for _, a := range o.Alerts {
-				n++
-				if _, err := fmt.Fprintf(w, "%s: %s, %s: %s\n", a.Severity, s.Name, o.Kind, formatter.Reason(a)); err != nil {
-					return err
-				}
+			if len(o.Alerts) == 0 {
+				continue
+			}
+			n++
+			if _, err := fmt.Fprintf(w, "%s: %s, %s: %s\n", o.Alerts[0].Severity, s.Name, o.Kind, formatter.Reasons(o.Alerts)); err != nil {
+				return err
 			}
 		}
 	}
--- a/internal/report/burner/burner.go
+++ b/internal/report/burner/burner.go
@@ -114,7 +114,7 @@
 	if wanted == 0 {
 		return 0
 	}
-	return float64(recorded) / float64(wanted)
+	return round(float64(recorded) / float64(wanted))
 }
 
 func (s *service) report(name string, scale Scale) Service {
--- a/internal/report/burner/history.go
+++ b/internal/report/burner/history.go
@@ -65,7 +65,7 @@
 func newLevel(kind Kind, target float64, c, spent, all *Counts) Level {
 	l := Level{Burn: burnRate(c, kind, target), Good: goodShare(c, kind), Budget: 1}
 	if all.Total > 0 {
-		l.Budget = 1 - float64(spent.bad(kind))/(float64(all.Total)*(1-target))
+		l.Budget = round(1 - float64(spent.bad(kind))/(float64(all.Total)*(1-target)))
 	}
 	return l
 }
--- a/internal/report/burner/objective.go
+++ b/internal/report/burner/objective.go
@@ -1,6 +1,7 @@
 package burner
 
 import (
+	"math"
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
@@ -18,6 +19,9 @@
 // marked: at a low rate a single bad query may raise the burn rate over a limit.
 const fewBad = 5
 
+// precision is the number of parts that figures are rounded to.
+const precision = 1e6
+
 // rules holds the alerts, the most severe first.
 var rules = [...]struct {
 	severity    Severity
@@ -37,7 +41,7 @@
 		Kind:   kind,
 		Target: target,
 		Good:   goodShare(&all, kind),
-		Budget: 1 - burnRate(&all, kind, target),
+		Budget: round(1 - burnRate(&all, kind, target)),
 		Alerts: []Alert{},
 	}
 	for _, w := range windows {
@@ -69,7 +73,7 @@
 	if c.Total == 0 {
 		return 1
 	}
-	return 1 - float64(c.bad(kind))/float64(c.Total)
+	return round(1 - float64(c.bad(kind))/float64(c.Total))
 }
 
 // burnRate returns the share of bad queries over the share that may be bad; 0 when
@@ -78,5 +82,10 @@
 	if c.Total == 0 {
 		return 0
 	}
-	return float64(c.bad(kind)) / float64(c.Total) / (1 - target)
+	return round(float64(c.bad(kind)) / float64(c.Total) / (1 - target))
+}
+
+// round drops what binary fractions add to a figure.
+func round(x float64) float64 {
+	return math.Round(x*precision) / precision
 }
--- a/internal/report/recorder/recorder.go
+++ b/internal/report/recorder/recorder.go
@@ -64,12 +64,12 @@
 	defer s.mu.Unlock()
 	s.adopt(&contract)
 	c := s.minute(r.minute())
-	raise(&c.Total)
+	raise(&c.Total, 1)
 	if latency > contract.Latency.Duration {
-		raise(&c.Slow)
+		raise(&c.Slow, 1)
 	}
 	if coverage < contract.Coverage {
-		raise(&c.Partial)
+		raise(&c.Partial, 1)
 	}
 }
 
@@ -92,8 +92,8 @@
 	defer s.mu.Unlock()
 	s.adopt(contract)
 	c := s.minute(r.minute())
-	raise(&c.Total)
-	raise(&c.Refused)
+	raise(&c.Total, 1)
+	raise(&c.Refused, 1)
 }
 
 // IsFault reports whether a refusal with the code is the service's fault and not
--- a/internal/report/recorder/series.go
+++ b/internal/report/recorder/series.go
@@ -28,7 +28,8 @@
 	Name string `json:"name"`
 	// Contract holds the objectives last in force; nil when the daemon knew none.
 	Contract *Objectives `json:"contract,omitempty"`
-	// Buckets holds the minutes with a query, newest first.
+	// Buckets holds the minutes with a query, newest first; minutes older than 6
+	// hours stand in groups of ten.
 	Buckets []Bucket `json:"buckets"`
 }
 
@@ -41,11 +42,11 @@
 	Coverage float64 `json:"coverage"`
 }
 
-// Bucket holds the counts of one minute. In JSON it is an array: ago, total, slow,
-// partial, refused.
+// Bucket holds the counts of one minute, or of a group. In JSON it is an array:
+// ago, total, slow, partial, refused.
 type Bucket struct {
-	// Ago is the age in whole minutes on the daemon's own clock; minute 0 is under
-	// way.
+	// Ago is the age in whole minutes on the daemon's own clock, that of the newest
+	// minute of a group; minute 0 is under way.
 	Ago int
 	Counts
 }
