--- a/internal/report/burner/burner.go
+++ b/internal/report/burner/burner.go
@@ -50,7 +50,8 @@
 
 // Miss lists a daemon that gave no series, and why.
 func (b *Burner) Miss(url, reason string) {
-	b.daemons = append(b.daemons, Daemon{URL: url, Error: reason})
+	// Each daemon takes one row.
+	b.daemons = append(b.daemons, Daemon{URL: url, Error: strings.Join(strings.Fields(reason), " ")})
 }
 
 // Report returns the burn of what was added; daemons are ordered by URL, services
--- a/internal/report/burner/burner_test.go
+++ b/internal/report/burner/burner_test.go
@@ -185,7 +185,7 @@
 	b.Add("http://10.0.0.2", series("b", 30*time.Minute, &objectives, stretch{0, 29, counts(200, 3, 1, 40)}))
 	b.Add("http://10.0.0.1", series("a", 100*time.Hour, &objectives, stretch{0, 4319, counts(1000, 5, 0, 0)}))
 	b.Add("http://10.0.0.3", series("b", 30*time.Minute, &objectives, stretch{0, 29, counts(200, 3, 1, 40)}))
-	b.Miss("http://10.0.0.4", "connection refused")
+	b.Miss("http://10.0.0.4", "connection\nrefused\n")
 	other := series("c", 2*time.Minute, nil, stretch{1, 1, counts(3, 0, 0, 3)})
 	other.Services[0].Name = "unknown"
 	other.Untracked = 7
