assembler: each daemon records its service level

Cause: the burn report had nothing to read. Change: queries are recorded under the contract in force; GET /v1/burn on the operators' service.

--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -31,6 +31,7 @@
 	"cornelwood.example/internal/peer/linker"
 	"cornelwood.example/internal/platform/storer"
 	"cornelwood.example/internal/query/gatherer"
+	"cornelwood.example/internal/report/recorder"
 	"cornelwood.example/internal/settings/reader"
 	"cornelwood.example/internal/upstream/dispatcher"
 	"cornelwood.example/internal/upstream/prober"
@@ -203,10 +204,13 @@
 	if err != nil {
 		return err
 	}
+	rec, closer := recorder.New(time.Now)
+	d.onClose(closer)
 	metrics := promhttp.HandlerFor(d.reg, promhttp.HandlerOpts{})
-	d.callers = newHTTPService("callers", d.lis.caller, receiver.New(d.entry, d.tickets, checker{d}, metrics))
+	callers := receiver.New(recorder.NewQuerier(d.entry, d.views, rec), d.tickets, checker{d}, metrics)
+	d.callers = newHTTPService("callers", d.lis.caller, callers)
 	ops := commander.New(store, d.control, d.views, d.log.Named("operator"), commander.NewMetrics(d.reg))
-	d.operators = newHTTPService("operators", d.lis.operator, ops)
+	d.operators = newHTTPService("operators", d.lis.operator, rec.Handler(d.self.ID, ops))
 	return nil
 }
 
--- a/internal/report/recorder/recorder_test.go
+++ b/internal/report/recorder/recorder_test.go
@@ -60,7 +60,7 @@
 			good()
 			time.Sleep(time.Minute - 1)
 			good()
-			time.Sleep(1)
+			time.Sleep(time.Nanosecond)
 			good()
 		}, []Bucket{bucket(0, 1, 0, 0, 0), bucket(1, 2, 0, 0, 0)}},
 		{"the last minute in reach", func(_ *Recorder, good func()) {
