--- a/internal/query/gatherer/discover.go
+++ b/internal/query/gatherer/discover.go
@@ -154,7 +154,7 @@
 	next := int32(-1)
 	for k := range set {
 		up := set[(first+k)%len(set)]
-		if busy[up] || s.layout.upstreams[up].Read(time.Now()).Known {
+		if busy[up] || s.isKnown(up) {
 			return -1
 		}
 		if !s.asked[up] && s.layout.IsUsable(int(up)) && next < 0 {
@@ -164,6 +164,15 @@
 	return next
 }
 
+// isKnown reports whether an upstream can be used and has told what it holds.
+func (s *sweep) isKnown(up int32) bool {
+	if !s.layout.IsUsable(int(up)) {
+		return false
+	}
+	r := s.layout.upstreams[up].Read(time.Now())
+	return r.Known && !r.Down
+}
+
 // told keeps what a probe has told. An upstream that answers one ends its back-off.
 func (l *layout) told(up int32, res *exchanger.Result) {
 	if res.Newest == 0 {
--- a/internal/query/gatherer/mechanism_test.go
+++ b/internal/query/gatherer/mechanism_test.go
@@ -264,6 +264,20 @@
 	})
 }
 
+// TestOutAfterDiscovery takes a zone out when only its upstreams have told what they
+// hold; the others are asked then.
+func TestOutAfterDiscovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := serviceOf(declarer.Search, 3)
+		f := newFleet(s, healthy(time.Millisecond))
+		g := f.start(t, func(c *Config) { c.Baseline = true })
+		ask(t, g)
+		f.viewer.Publish(viewOf(s, zones[0]))
+		time.Sleep(discoverEvery)
+		assertCoverage(t, ask(t, g), answerer.Coverage{Shards: 3, Merged: 3, Documents: 30})
+	})
+}
+
 func TestDiscoverOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const shards, queries = 5, 20
--- a/internal/query/gatherer/run.go
+++ b/internal/query/gatherer/run.go
@@ -78,9 +78,9 @@
 		case res.Status == exchanger.OK:
 			return answerer.RunResult{Outcome: answerer.Done, Reply: res.Reply}
 		case !isProvenNotRun(&res):
-			return unknown(res.Reason)
+			return unknown(describe(&res))
 		}
-		reason = res.Reason
+		reason = describe(&res)
 	}
 	return notRun(reason)
 }
@@ -169,6 +169,14 @@
 	}
 }
 
+// describe returns the reason of a result that is no success.
+func describe(res *exchanger.Result) string {
+	if res.Reason != "" {
+		return res.Reason
+	}
+	return "the sub-request ended as " + string(reasonOf(res.Status))
+}
+
 func notRun(reason string) answerer.RunResult {
 	return answerer.RunResult{Outcome: answerer.NotRun, Reason: reason}
 }
