--- a/internal/query/gatherer/bench_test.go
+++ b/internal/query/gatherer/bench_test.go
@@ -70,21 +70,6 @@
 	}
 }
 
-// BenchmarkQueryParallel runs queries on all processors at once.
-func BenchmarkQueryParallel(b *testing.B) {
-	_, g := newInstant(b)
-	b.ReportAllocs()
-	b.ResetTimer()
-	b.RunParallel(func(pb *testing.PB) {
-		for pb.Next() {
-			if _, err := g.Query(context.Background(), query()); err != nil {
-				b.Error(err)
-				return
-			}
-		}
-	})
-}
-
 // BenchmarkPlan reads the state of 1290 upstreams and plans 430 shards.
 func BenchmarkPlan(b *testing.B) {
 	f, g := newInstant(b)
@@ -99,15 +84,29 @@
 	}
 }
 
-// BenchmarkAdmit admits and releases one query.
-func BenchmarkAdmit(b *testing.B) {
+// BenchmarkParallel runs whole queries, and their admission alone, on all
+// processors at once.
+func BenchmarkParallel(b *testing.B) {
 	_, g := newInstant(b)
-	b.ReportAllocs()
-	b.RunParallel(func(pb *testing.PB) {
-		for pb.Next() {
-			if g.admitter.Admit(5) {
-				g.admitter.Release()
-			}
+	ctx := context.Background()
+	run := func(name string, f func()) {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					f()
+				}
+			})
+		})
+	}
+	run("query", func() {
+		if _, err := g.Query(ctx, query()); err != nil {
+			b.Error(err)
+		}
+	})
+	run("admit", func() {
+		if g.admitter.Admit(9) {
+			g.admitter.Release()
 		}
 	})
 }
--- a/internal/query/gatherer/faults_test.go
+++ b/internal/query/gatherer/faults_test.go
@@ -40,25 +40,23 @@
 // TestFaults checks what must always hold of answers, whatever the upstreams do.
 func TestFaults(t *testing.T) {
 	for seed := range uint64(60) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				const shards, queries, burst = 12, 15, 20
-				rng := rand.New(rand.NewPCG(seed, 1))
-				f := newFleet(serviceOf(declarer.Search, shards), faulty(rng))
-				var seeds atomic.Uint64
-				g := f.start(t, func(c *Config) {
-					c.ExtraBurst = burst
-					c.Seed = func() uint64 { return (seed<<32 + seeds.Add(1)) * 0x9e3779b97f4a7c15 }
-				})
-				var wg sync.WaitGroup
-				for i := range queries {
-					wg.Go(func() { askFaulty(t, g, fmt.Sprint("q", i), shards) })
-					time.Sleep(time.Duration(i) * 3 * time.Millisecond)
-				}
-				wg.Wait()
-				synctest.Wait()
-				assertNothingOpen(t, g)
+		bubble(t, fmt.Sprint(seed), func(t *testing.T) {
+			const shards, queries, burst = 12, 15, 20
+			rng := rand.New(rand.NewPCG(seed, 1))
+			f := newFleet(serviceOf(declarer.Search, shards), faulty(rng))
+			var seeds atomic.Uint64
+			g := f.start(t, func(c *Config) {
+				c.ExtraBurst = burst
+				c.Seed = func() uint64 { return (seed<<32 + seeds.Add(1)) * 0x9e3779b97f4a7c15 }
 			})
+			var wg sync.WaitGroup
+			for i := range queries {
+				wg.Go(func() { askFaulty(t, g, fmt.Sprint("q", i), shards) })
+				time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+			}
+			wg.Wait()
+			synctest.Wait()
+			assertNothingOpen(t, g)
 		})
 	}
 }
--- a/internal/query/gatherer/fleet_test.go
+++ b/internal/query/gatherer/fleet_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -105,6 +106,12 @@
 	return f.probes
 }
 
+// bubble runs a subtest in virtual time.
+func bubble(t *testing.T, name string, f func(t *testing.T)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { synctest.Test(t, f) })
+}
+
 // sent returns the searches and runs sent so far.
 func (f *fleet) sent() []exchanger.Task {
 	f.mu.Lock()
--- a/internal/query/gatherer/gatherer_test.go
+++ b/internal/query/gatherer/gatherer_test.go
@@ -83,53 +83,36 @@
 }
 
 func TestQuery(t *testing.T) {
-	t.Run("complete", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(serviceOf(declarer.Search, 20), healthy(time.Millisecond))
-			a := ask(t, f.start(t, nil))
-			assertCoverage(t, a, answerer.Coverage{Shards: 20, Merged: 20, Documents: 200})
-			assertOneSnapshot(t, a, 5)
-			assertSent(t, f, 20)
-			for _, task := range f.sent() {
-				if !strings.HasSuffix(task.Upstream, near) {
-					t.Errorf("asked %s, want one of this daemon's zone", task.Upstream)
-				}
+	bubble(t, "complete", func(t *testing.T) {
+		f := newFleet(serviceOf(declarer.Search, 20), healthy(time.Millisecond))
+		a := ask(t, f.start(t, nil))
+		assertCoverage(t, a, answerer.Coverage{Shards: 20, Merged: 20, Documents: 200})
+		assertOneSnapshot(t, a, 5)
+		assertSent(t, f, 20)
+		for _, task := range f.sent() {
+			if !strings.HasSuffix(task.Upstream, near) {
+				t.Errorf("asked %s, want one of this daemon's zone", task.Upstream)
 			}
-		})
+		}
 	})
-	t.Run("partial at the deadline", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(serviceOf(declarer.Search, 3), func(_ string, t exchanger.Task) reply {
-				return reply{result: resultOf(t, 1, 5), took: time.Millisecond, silent: t.Version != 0 && t.Shard == 1}
-			})
-			a := ask(t, f.start(t, nil))
-			assertCoverage(t, a, answerer.Coverage{
-				Shards: 3, Merged: 2, Documents: 20,
-				Missing: []answerer.Missing{{Shard: 1, Reason: answerer.ReasonDeadline}},
-			})
-			if a.Took.Duration > 200*time.Millisecond {
-				t.Errorf("took %s, want at most the deadline", a.Took)
-			}
+	bubble(t, "partial at the deadline", func(t *testing.T) {
+		f := newFleet(serviceOf(declarer.Search, 3), func(_ string, t exchanger.Task) reply {
+			return reply{result: resultOf(t, 1, 5), took: time.Millisecond, silent: t.Version != 0 && t.Shard == 1}
 		})
-	})
-	t.Run("late, duplicate and foreign results", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(serviceOf(declarer.Search, 3), func(_ string, t exchanger.Task) reply {
-				return reply{result: resultOf(t, 1, 5), took: time.Duration(1+t.Shard) * time.Millisecond, twice: true}
-			})
-			g := f.start(t, nil)
-			for range 3 {
-				assertCoverage(t, ask(t, g), answerer.Coverage{Shards: 3, Merged: 3, Documents: 30})
-			}
+		a := ask(t, f.start(t, nil))
+		assertCoverage(t, a, answerer.Coverage{
+			Shards: 3, Merged: 2, Documents: 20,
+			Missing: []answerer.Missing{{Shard: 1, Reason: answerer.ReasonDeadline}},
 		})
+		if a.Took.Duration > 200*time.Millisecond {
+			t.Errorf("took %s, want at most the deadline", a.Took)
+		}
 	})
-	t.Run("result of another version", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(serviceOf(declarer.Search, 3), failing(exchanger.Result{Version: 4, Documents: 10}, 0))
-			a := ask(t, f.start(t, nil))
-			assertCoverage(t, a, answerer.Coverage{Shards: 3, Merged: 3, Documents: 30})
-			assertOneSnapshot(t, a, 5)
-		})
+	bubble(t, "result of another version", func(t *testing.T) {
+		f := newFleet(serviceOf(declarer.Search, 3), failing(exchanger.Result{Version: 4, Documents: 10}, 0))
+		a := ask(t, f.start(t, nil))
+		assertCoverage(t, a, answerer.Coverage{Shards: 3, Merged: 3, Documents: 30})
+		assertOneSnapshot(t, a, 5)
 	})
 }
 
@@ -153,24 +136,20 @@
 		{"all out", func(f *fleet, _ *answerer.Query) { f.viewer.Publish(viewOf(s, zones...)) }, answerer.CodeNoSnapshot},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f, q := newFleet(s, healthy(0)), query()
-				tt.change(f, q)
-				_, err := f.start(t, nil).Query(context.Background(), q)
-				assertRefused(t, err, tt.want)
-				assertSent(t, f, 0)
-			})
+		bubble(t, tt.name, func(t *testing.T) {
+			f, q := newFleet(s, healthy(0)), query()
+			tt.change(f, q)
+			_, err := f.start(t, nil).Query(context.Background(), q)
+			assertRefused(t, err, tt.want)
+			assertSent(t, f, 0)
 		})
 	}
-	t.Run("overloaded", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(s, func(string, exchanger.Task) reply { return reply{silent: true} })
-			g := f.start(t, func(c *Config) { c.MaxQueries = 1 })
-			go g.Query(context.Background(), query()) //nolint:errcheck // only there to fill the daemon
-			synctest.Wait()
-			_, err := g.Query(context.Background(), query())
-			assertRefused(t, err, answerer.CodeOverloaded)
-		})
+	bubble(t, "overloaded", func(t *testing.T) {
+		f := newFleet(s, func(string, exchanger.Task) reply { return reply{silent: true} })
+		g := f.start(t, func(c *Config) { c.MaxQueries = 1 })
+		go g.Query(context.Background(), query()) //nolint:errcheck // only there to fill the daemon
+		synctest.Wait()
+		_, err := g.Query(context.Background(), query())
+		assertRefused(t, err, answerer.CodeOverloaded)
 	})
 }
--- a/internal/query/gatherer/mechanism_test.go
+++ b/internal/query/gatherer/mechanism_test.go
@@ -54,20 +54,18 @@
 		{"out, baseline", exchanger.Result{Status: exchanger.Out}, false, baseline, missingAll(shards, answerer.ReasonOut)},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := serviceOf(declarer.Search, shards)
-				s.Contract.Hedge = !strings.Contains(tt.name, "contract without")
-				f := newFleet(s, nil)
-				answer := failing(tt.fault, time.Millisecond)
-				f.answer = func(owner string, t exchanger.Task) reply {
-					r := answer(owner, t)
-					r.silent = tt.silent && t.Version != 0 && strings.HasSuffix(t.Upstream, near)
-					return r
-				}
-				a := ask(t, f.start(t, tt.change))
-				assertCoverage(t, a, tt.want)
-			})
+		bubble(t, tt.name, func(t *testing.T) {
+			s := serviceOf(declarer.Search, shards)
+			s.Contract.Hedge = !strings.Contains(tt.name, "contract without")
+			f := newFleet(s, nil)
+			answer := failing(tt.fault, time.Millisecond)
+			f.answer = func(owner string, t exchanger.Task) reply {
+				r := answer(owner, t)
+				r.silent = tt.silent && t.Version != 0 && strings.HasSuffix(t.Upstream, near)
+				return r
+			}
+			a := ask(t, f.start(t, tt.change))
+			assertCoverage(t, a, tt.want)
 		})
 	}
 }
@@ -76,18 +74,16 @@
 // with the choice off.
 func TestReplicaChoice(t *testing.T) {
 	for _, choose := range []bool{true, false} {
-		t.Run(fmt.Sprint(choose), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(serviceOf(declarer.Search, 4), failing(exchanger.Result{Version: 5, Newest: 5}, 50*time.Millisecond))
-				g := f.start(t, func(c *Config) { c.ReplicaChoice, c.Hedge = choose, false })
-				for range 4 {
-					ask(t, g)
-				}
-				took := ask(t, g).Took.Duration
-				if isFast := took < 10*time.Millisecond; isFast != choose {
-					t.Errorf("took %s with choice %v", took, choose)
-				}
-			})
+		bubble(t, fmt.Sprint(choose), func(t *testing.T) {
+			f := newFleet(serviceOf(declarer.Search, 4), failing(exchanger.Result{Version: 5, Newest: 5}, 50*time.Millisecond))
+			g := f.start(t, func(c *Config) { c.ReplicaChoice, c.Hedge = choose, false })
+			for range 4 {
+				ask(t, g)
+			}
+			took := ask(t, g).Took.Duration
+			if isFast := took < 10*time.Millisecond; isFast != choose {
+				t.Errorf("took %s with choice %v", took, choose)
+			}
 		})
 	}
 }
@@ -149,22 +145,20 @@
 		return o.ID, map[string]string{"d0a": "d1a", "d1a": "d0a"}[o.ID]
 	}
 	run := func(t *testing.T, name string, wrongs int, want answerer.Coverage, sent int) {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := serviceOf(declarer.Search, 1)
-				asked, named := owners(s)
-				f := newFleet(s, nil)
-				f.answer = func(owner string, t exchanger.Task) reply {
-					if t.Version == 0 || len(f.tasks) > wrongs {
-						return reply{result: resultOf(t, 1, 5)}
-					}
-					to := map[string]string{asked: named, named: "d0b", "d0b": named}[owner]
-					return reply{result: exchanger.Result{Status: exchanger.NotOwner, Owner: to}}
+		bubble(t, name, func(t *testing.T) {
+			s := serviceOf(declarer.Search, 1)
+			asked, named := owners(s)
+			f := newFleet(s, nil)
+			f.answer = func(owner string, t exchanger.Task) reply {
+				if t.Version == 0 || len(f.tasks) > wrongs {
+					return reply{result: resultOf(t, 1, 5)}
 				}
-				a := ask(t, f.start(t, func(c *Config) { c.Retry = false }))
-				assertCoverage(t, a, want)
-				assertSent(t, f, sent)
-			})
+				to := map[string]string{asked: named, named: "d0b", "d0b": named}[owner]
+				return reply{result: exchanger.Result{Status: exchanger.NotOwner, Owner: to}}
+			}
+			a := ask(t, f.start(t, func(c *Config) { c.Retry = false }))
+			assertCoverage(t, a, want)
+			assertSent(t, f, sent)
 		})
 	}
 	run(t, "one hop", 1, answerer.Coverage{Shards: 1, Merged: 1, Documents: 10}, 2)
@@ -191,24 +185,22 @@
 		{"partial when no other covers more", 5, 0, 6, 7, 5, partial},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				isLost := false
-				f := newFleet(serviceOf(declarer.Search, 10), nil)
-				f.answer = func(_ string, t exchanger.Task) reply {
-					if isLost && t.Shard == 3 {
-						return reply{result: resultOf(t, tt.lostOldest, tt.lostNewest), took: 2 * time.Millisecond}
-					}
-					isSilent := t.Version != 0 && t.Version == tt.silent
-					return reply{result: resultOf(t, tt.oldest, 5), took: time.Millisecond, silent: isSilent}
+		bubble(t, tt.name, func(t *testing.T) {
+			isLost := false
+			f := newFleet(serviceOf(declarer.Search, 10), nil)
+			f.answer = func(_ string, t exchanger.Task) reply {
+				if isLost && t.Shard == 3 {
+					return reply{result: resultOf(t, tt.lostOldest, tt.lostNewest), took: 2 * time.Millisecond}
 				}
-				g := f.start(t, nil)
-				assertOneSnapshot(t, ask(t, g), 5)
-				f.locked(func() { isLost = true })
-				a := ask(t, g)
-				assertOneSnapshot(t, a, tt.snapshot)
-				assertCoverage(t, a, tt.want)
-			})
+				isSilent := t.Version != 0 && t.Version == tt.silent
+				return reply{result: resultOf(t, tt.oldest, 5), took: time.Millisecond, silent: isSilent}
+			}
+			g := f.start(t, nil)
+			assertOneSnapshot(t, ask(t, g), 5)
+			f.locked(func() { isLost = true })
+			a := ask(t, g)
+			assertOneSnapshot(t, a, tt.snapshot)
+			assertCoverage(t, a, tt.want)
 		})
 	}
 }
--- a/internal/query/gatherer/run_test.go
+++ b/internal/query/gatherer/run_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -40,25 +39,23 @@
 		{"twice", reply{result: exchanger.Result{Status: exchanger.Shed}, twice: true}, answerer.Done, 2},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(serviceOf(declarer.Action, 1), func(_ string, t exchanger.Task) reply {
-					if t.Upstream == first {
-						return tt.first
-					}
-					return reply{result: resultOf(t, 1, 1)}
-				})
-				got := f.start(t, nil).Run(context.Background(), "anomaly-finder", "t1", json.RawMessage(`{"crew":7}`))
-				if got.Outcome != tt.want || got.Ticket != "t1" {
-					t.Errorf("got %+v, want outcome %q of ticket t1", got, tt.want)
-				}
-				assertSent(t, f, tt.sends)
-				for _, task := range f.sent() {
-					if !task.Once() || task.Request != "t1" || task.Hedge {
-						t.Errorf("task %+v, want an action with the ticket, not hedged", task)
-					}
+		bubble(t, tt.name, func(t *testing.T) {
+			f := newFleet(serviceOf(declarer.Action, 1), func(_ string, t exchanger.Task) reply {
+				if t.Upstream == first {
+					return tt.first
 				}
+				return reply{result: resultOf(t, 1, 1)}
 			})
+			got := f.start(t, nil).Run(context.Background(), "anomaly-finder", "t1", json.RawMessage(`{"crew":7}`))
+			if got.Outcome != tt.want || got.Ticket != "t1" {
+				t.Errorf("got %+v, want outcome %q of ticket t1", got, tt.want)
+			}
+			assertSent(t, f, tt.sends)
+			for _, task := range f.sent() {
+				if !task.Once() || task.Request != "t1" || task.Hedge {
+					t.Errorf("task %+v, want an action with the ticket, not hedged", task)
+				}
+			}
 		})
 	}
 }
@@ -86,20 +83,18 @@
 		}, `1`, 1},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(tt.service, shed)
-				if tt.change != nil {
-					tt.change(f, tt.service)
-				}
-				got := f.start(t, nil).Run(context.Background(), "anomaly-finder", "t1", json.RawMessage(tt.action))
-				got.Reason = ""
-				want := answerer.RunResult{Ticket: "t1", Service: "anomaly-finder", Outcome: answerer.NotRun}
-				if diff := cmp.Diff(want, got); diff != "" {
-					t.Errorf("result (-want +got):\n%s", diff)
-				}
-				assertSent(t, f, tt.sends)
-			})
+		bubble(t, tt.name, func(t *testing.T) {
+			f := newFleet(tt.service, shed)
+			if tt.change != nil {
+				tt.change(f, tt.service)
+			}
+			got := f.start(t, nil).Run(context.Background(), "anomaly-finder", "t1", json.RawMessage(tt.action))
+			got.Reason = ""
+			want := answerer.RunResult{Ticket: "t1", Service: "anomaly-finder", Outcome: answerer.NotRun}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+			assertSent(t, f, tt.sends)
 		})
 	}
 }
