driver: tests of open-loop arrivals, refusals by code, wrong answers and counts

Ruled out: latencies alone do not tell an open loop from a closed one that counts from planned arrivals; a mutant that waits for each answer passed the first form of the test, which now counts the queries that wait at the daemon at once.

--- /dev/null
+++ b/internal/load/driver/driver_test.go
@@ -0,0 +1,310 @@
+package driver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cornelwood.example/internal/cli/requester"
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/standin/dialer"
+	"cornelwood.example/internal/standin/searcher"
+	"cornelwood.example/internal/web/decoder"
+)
+
+const daemon = "10.0.0.1:80"
+
+// answer is a daemon's answer to query n, counted from 0, or its refusal.
+type answer func(ctx context.Context, n int, q *answerer.Query) (*answerer.Answer, error)
+
+// httpAsker asks over HTTP, as the command does.
+type httpAsker struct{ r *requester.Requester }
+
+func (a httpAsker) Ask(ctx context.Context, q *answerer.Query) (*answerer.Answer, error) {
+	var out answerer.Answer
+	if err := a.r.Do(ctx, http.MethodPost, "/v1/query", q, &out); err != nil {
+		return nil, err
+	}
+	return &out, nil
+}
+
+func config(rate float64, duration time.Duration) Config {
+	return Config{Services: []string{"s", "t"}, Rate: rate, Duration: duration, Wait: time.Minute, Seed: 7}
+}
+
+// run drives load at a daemon in memory and returns the report.
+func run(t *testing.T, cfg Config, reply answer) *Report {
+	t.Helper()
+	var rep *Report
+	synctest.Test(t, func(t *testing.T) {
+		network := dialer.New()
+		ln, err := network.Listen(netip.MustParseAddrPort(daemon))
+		if err != nil {
+			t.Fatal(err)
+		}
+		next := make(chan int, 1)
+		next <- 0
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			var q answerer.Query
+			if err := decoder.Decode(w, req, answerer.MaxBodyBytes, &q); err != nil {
+				t.Error(err)
+			}
+			n := <-next
+			next <- n + 1
+			a, err := reply(req.Context(), n, &q)
+			if err != nil {
+				decoder.WriteError(w, err)
+				return
+			}
+			decoder.Write(w, http.StatusOK, a)
+		})}
+		go func() { _ = srv.Serve(ln) }()
+		tr := &http.Transport{DialContext: network.DialContext, MaxIdleConnsPerHost: 1000}
+		cfg.Askers = []Asker{httpAsker{requester.New("http://"+daemon, &http.Client{Transport: tr})}}
+		if rep, err = Run(t.Context(), cfg); err != nil {
+			t.Error(err)
+		}
+		tr.CloseIdleConnections()
+		srv.Close()
+	})
+	return rep
+}
+
+// complete answers a query from both of two shards.
+func complete(q *answerer.Query) *answerer.Answer {
+	return &answerer.Answer{Request: q.Request, Service: q.Service, Coverage: answerer.Coverage{Shards: 2, Merged: 2}}
+}
+
+func assertEqual[T any](t *testing.T, what string, got, want T) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+func assertBetween(t *testing.T, what string, got declarer.Duration, least, most time.Duration) {
+	t.Helper()
+	if got.Duration < least || got.Duration > most {
+		t.Errorf("%s is %s, want %s to %s", what, got, least, most)
+	}
+}
+
+// A daemon that stands still for 5 of 10 s is met by half of the arrivals, evenly,
+// and they all wait there at once.
+func TestArrivalsAreOpenLoop(t *testing.T) {
+	cfg := config(100, 10*time.Second)
+	quick := run(t, cfg, func(_ context.Context, _ int, q *answerer.Query) (*answerer.Answer, error) {
+		return complete(q), nil
+	})
+	var (
+		stands time.Time
+		first  sync.Once
+	)
+	var waiting atomic.Int64
+	slow := run(t, cfg, func(_ context.Context, _ int, q *answerer.Query) (*answerer.Answer, error) {
+		first.Do(func() { stands = time.Now().Add(7 * time.Second) })
+		if left := time.Until(stands); 0 < left && left < 5*time.Second {
+			waiting.Add(1)
+			time.Sleep(left)
+		}
+		return complete(q), nil
+	})
+	assertEqual(t, "sent", slow.Sent, quick.Sent)
+	assertEqual(t, "answered", slow.Answered, slow.Sent)
+	assertBetween(t, "slowest answer of the quick daemon", quick.Max, 0, time.Millisecond)
+	assertBetween(t, "p50", slow.P50, 0, time.Second)
+	assertBetween(t, "p90", slow.P90, 3500*time.Millisecond, 4500*time.Millisecond)
+	assertBetween(t, "max", slow.Max, 4800*time.Millisecond, 5010*time.Millisecond)
+	// Four standard deviations below the mean.
+	if n := waiting.Load(); n < 500-90 {
+		t.Errorf("%d queries waited at the daemon at once, want about 500", n)
+	}
+}
+
+// Queries that the driver itself sends late are slow.
+func TestLatencyCountsFromPlannedArrival(t *testing.T) {
+	cfg := config(100, 10*time.Second)
+	var once sync.Once
+	cfg.Progress = func(Progress) { once.Do(func() { time.Sleep(3 * time.Second) }) }
+	rep := run(t, cfg, func(_ context.Context, _ int, q *answerer.Query) (*answerer.Answer, error) {
+		return complete(q), nil
+	})
+	assertBetween(t, "max", rep.Max, 2800*time.Millisecond, 3010*time.Millisecond)
+}
+
+// clock notes when queries come.
+type clock struct {
+	mu    sync.Mutex
+	start time.Time
+	at    []time.Duration
+}
+
+func (c *clock) Ask(_ context.Context, q *answerer.Query) (*answerer.Answer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = append(c.at, time.Since(c.start))
+	return complete(q), nil
+}
+
+func TestArrivals(t *testing.T) {
+	arrivals := func(seed uint64) []time.Duration {
+		var c clock
+		synctest.Test(t, func(t *testing.T) {
+			c.start = time.Now()
+			cfg := config(200, 30*time.Second)
+			cfg.Seed, cfg.Askers = seed, []Asker{&c}
+			if _, err := Run(t.Context(), cfg); err != nil {
+				t.Error(err)
+			}
+		})
+		return c.at
+	}
+	first, again, other := arrivals(7), arrivals(7), arrivals(8)
+	assertEqual(t, "arrivals with the same seed", again, first)
+	if cmp.Equal(first, other) {
+		t.Error("another seed gave the same arrivals")
+	}
+	// Four standard deviations of a Poisson process with a mean of 6000.
+	if n := len(first); n < 6000-310 || n > 6000+310 {
+		t.Errorf("%d arrivals, want about 6000", n)
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	refuse := func(code answerer.Code) error { return &answerer.RefusalError{Code: code, Run: answerer.NotRun} }
+	cfg := config(10, 10*time.Second)
+	cfg.Wait = time.Second
+	rep := run(t, cfg, func(ctx context.Context, n int, q *answerer.Query) (*answerer.Answer, error) {
+		a := complete(q)
+		switch n {
+		case 0, 1, 2:
+			return nil, refuse(answerer.CodeOverloaded)
+		case 3:
+			return nil, refuse(answerer.CodeNoService)
+		case 4:
+			a.Request = "load-7-9999"
+		case 5:
+			a.Service = "other"
+		case 6:
+			a.Coverage = answerer.Coverage{Shards: 2, Merged: 1, Missing: []answerer.Missing{{Shard: 1, Reason: answerer.ReasonShed}}}
+		case 7:
+			<-ctx.Done()
+		}
+		return a, nil
+	})
+	assertEqual(t, "refused", rep.Refused, map[answerer.Code]int{answerer.CodeOverloaded: 3, answerer.CodeNoService: 1})
+	assertEqual(t, "missing", rep.Missing, map[answerer.Reason]int{answerer.ReasonShed: 1})
+	assertEqual(t, "errors", rep.Errors, 1)
+	assertEqual(t, "wrong", rep.Wrong, 2)
+	assertEqual(t, "answered", rep.Answered, rep.Sent-5)
+	assertEqual(t, "complete", rep.Complete, rep.Answered-1)
+	assertEqual(t, "shards", rep.Shards, 2*rep.Answered)
+	assertEqual(t, "coverage", fmt.Sprintf("%.6f", rep.Coverage), fmt.Sprintf("%.6f", 1-0.5/float64(rep.Answered)))
+}
+
+// silent never answers.
+type silent struct{}
+
+func (silent) Ask(ctx context.Context, _ *answerer.Query) (*answerer.Answer, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func TestBoundOfWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := config(1.2*maxInFlight, time.Second)
+		cfg.Askers = []Asker{silent{}}
+		rep, err := Run(t.Context(), cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertEqual(t, "sent", rep.Sent, maxInFlight)
+		assertEqual(t, "errors", rep.Errors, maxInFlight)
+		// Four standard deviations below the mean.
+		if least := maxInFlight/5 - 620; rep.Dropped < least {
+			t.Errorf("%d dropped, want at least %d", rep.Dropped, least)
+		}
+	})
+}
+
+// Two searchers with two slots each: the first is asked three times at once.
+func TestCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := dialer.New()
+		addrs := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:80"), netip.MustParseAddrPort("10.0.0.3:80")}
+		for i, addr := range addrs {
+			s, cleanup, err := searcher.New(searcher.Config{
+				Service: "s", Name: fmt.Sprintf("s-%d", i), Shards: []int{0}, Oldest: 1, Newest: 1,
+				Slots: 2, Cold: 1, Warm: true, Mean: time.Second,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer cleanup()
+			ln, err := network.Listen(addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _ = s.Serve(ln) }()
+		}
+		tr := &http.Transport{DialContext: network.DialContext}
+		defer tr.CloseIdleConnections()
+		hc := &http.Client{Transport: tr}
+		counter := NewCounter(hc, addrs)
+		before, err := counter.Read(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		search(t, hc, addrs[0], addrs[0], addrs[0], addrs[1])
+		after, err := counter.Read(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := after.Since(before, 2)
+		got.Wasted = declarer.Duration{}
+		// Four connections for the searches and two for the second reading.
+		assertEqual(t, "counts", got, &Upstream{Runs: 4, Extra: 1, MostAtOnce: 3, Overlap: 1, Connections: 6, MostOpen: 3})
+	})
+}
+
+// search sends one search to each searcher, all at once, and waits for the answers.
+func search(t *testing.T, hc *http.Client, addrs ...netip.AddrPort) {
+	t.Helper()
+	done := make(chan int)
+	for i, addr := range addrs {
+		body, err := json.Marshal(map[string]any{
+			"request": fmt.Sprint(i), "attempt": fmt.Sprint(i), "service": "s", "shard": 0, "version": 1, "terms": "dent", "limit": 1,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+addr.String()+"/search", bytes.NewReader(body))
+			if err != nil {
+				t.Error(err)
+			}
+			resp, err := hc.Do(req)
+			if err != nil {
+				t.Error(err)
+				done <- 0
+				return
+			}
+			resp.Body.Close()
+			done <- resp.StatusCode
+		}()
+	}
+	for range addrs {
+		assertEqual(t, "status", <-done, http.StatusOK)
+	}
+}
