blocker: cuts between separate processes; tests of partitions

Cause: nothing proved that a zone cut off from the platform and from the other zones goes on serving and joins again. Ruled out: relays in front of each daemon (they cannot tell senders apart, so make no one-way cuts); an outage of the platform stand-in (it hits every daemon).

--- a/cmd/cornelwood/site_test.go
+++ b/cmd/cornelwood/site_test.go
@@ -21,6 +21,7 @@
 	"cornelwood.example/internal/contract/answerer"
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/reconciler"
+	"cornelwood.example/internal/fault/blocker"
 )
 
 // Times that tests wait at most; a slow machine needs them, a fast one does not
@@ -278,7 +279,7 @@
 
 func (s *site) writeSettings(t *testing.T, d *daemon, caller, operator, peer string, seeds []string) {
 	t.Helper()
-	text := fmt.Sprintf("[daemon]\nid = %s\nzone = %s\nregion = r\n[caller]\nlisten = %s\n[operator]\nlisten = %s\n[peer]\nlisten = %s\nseeds = %s\n[platform]\nurl = %s\n[shutdown]\nlag = %s\n",
+	text := fmt.Sprintf("[daemon]\nid = %s\nzone = %s\nregion = r\n[caller]\nlisten = %s\n[operator]\nlisten = %s\n[peer]\nlisten = %s\nseeds = %s\nfaults = true\n[platform]\nurl = %s\n[shutdown]\nlag = %s\n",
 		d.id, d.zone, caller, operator, peer, strings.Join(seeds, ", "), s.platform, s.options.lag)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -377,6 +378,19 @@
 	return st, err
 }
 
+// cut drops what the daemon sends to the addresses from now on; nothing when
+// there are none.
+func (d *daemon) cut(t *testing.T, addrs ...string) {
+	t.Helper()
+	c := blocker.Cut{Block: []netip.AddrPort{}}
+	for _, a := range addrs {
+		c.Block = append(c.Block, netip.MustParseAddrPort(a))
+	}
+	if err := d.operate(t, http.MethodPost, blocker.Path, c, nil); err != nil {
+		t.Fatalf("cut %s: %v", d.id, err)
+	}
+}
+
 // faults sets faults of a stand-in at the base URL.
 func faults(t *testing.T, base string, set map[string]any) {
 	t.Helper()
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -26,6 +26,7 @@
 	"cornelwood.example/internal/control/reconciler"
 	"cornelwood.example/internal/control/viewer"
 	"cornelwood.example/internal/control/watcher"
+	"cornelwood.example/internal/fault/blocker"
 	"cornelwood.example/internal/operator/commander"
 	"cornelwood.example/internal/peer/detector"
 	"cornelwood.example/internal/peer/linker"
@@ -48,6 +49,7 @@
 
 	self    declarer.Instance
 	lis     listeners
+	block   *blocker.Blocker
 	views   *viewer.Viewer
 	link    *linker.Linker
 	control *reconciler.Reconciler
@@ -67,7 +69,7 @@
 // New listens on the settings' addresses and puts a daemon together. The
 // function returned frees what it holds; call it after Serve has returned.
 func New(set *reader.Settings, log hclog.Logger) (*Daemon, func(), error) {
-	d := &Daemon{set: set, log: log, reg: prometheus.NewRegistry()}
+	d := &Daemon{set: set, log: log, reg: prometheus.NewRegistry(), block: blocker.New()}
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, nil, err
@@ -132,7 +134,7 @@
 func (d *Daemon) build() error {
 	var closer func()
 	d.views = viewer.New(viewer.Build(d.self, nil, nil))
-	d.link, closer = linker.New(linker.Config{Self: d.self.Peer}, worker{d}, d.log.Named("peer"), d.reg)
+	d.link, closer = linker.New(linker.Config{Self: d.self.Peer, Block: d.block.Blocks}, worker{d}, d.log.Named("peer"), d.reg)
 	d.onClose(closer)
 	d.control, closer = reconciler.New(d.reconcilerConfig(), d.link, d.views, d.log.Named("control"), reconciler.NewMetrics(d.reg))
 	d.onClose(closer)
@@ -210,7 +212,11 @@
 	callers := receiver.New(recorder.NewQuerier(d.entry, d.views, rec), d.tickets, checker{d}, metrics)
 	d.callers = newHTTPService("callers", d.lis.caller, callers)
 	ops := commander.New(store, d.control, d.views, d.log.Named("operator"), commander.NewMetrics(d.reg))
-	d.operators = newHTTPService("operators", d.lis.operator, rec.Handler(d.self.ID, ops))
+	operators := rec.Handler(d.self.ID, ops)
+	if d.set.Peer.Faults {
+		operators = d.block.Handler(operators)
+	}
+	d.operators = newHTTPService("operators", d.lis.operator, operators)
 	return nil
 }
 
@@ -235,7 +241,7 @@
 		Limiter:    rate.NewLimiter(rate.Limit(d.set.Platform.Rate), d.set.Platform.Rate),
 		Rand:       rand.Float64,
 		Registerer: prometheus.WrapRegistererWith(prometheus.Labels{"user": user}, d.reg),
-	}, &http.Client{})
+	}, &http.Client{Transport: d.block.Transport()})
 	d.onClose(closer)
 	return s, nil
 }
--- a/internal/settings/reader/settings.go
+++ b/internal/settings/reader/settings.go
@@ -53,6 +53,8 @@
 	Listen netip.AddrPort
 	// Seeds are peer addresses of other daemons to ask at the start.
 	Seeds []netip.AddrPort
+	// Faults lets tests cut this daemon off from others, see package blocker.
+	Faults bool
 }
 
 // Platform holds the settings towards the platform's object API.
@@ -208,6 +210,7 @@
 		{"peer", "towards the other daemons", []field{
 			{key: "listen", required: true, help: "IP number and port for the other daemons", parse: address(&s.Peer.Listen)},
 			{key: "seeds", help: "peer addresses to ask at the start, separated by commas", parse: addresses(&s.Peer.Seeds)},
+			{key: "faults", preset: "false", help: "for tests only: operators may cut this daemon off with POST /v1/faults", parse: boolean(&s.Peer.Faults)},
 		}},
 		{"platform", "towards the platform's object API", []field{
 			{key: "url", required: true, help: "URL of the object API", parse: httpURL(&s.Platform.URL)},
