reconciler: shares of the own group only; refusals name the process that was called

Cause: a test of admissions under kills, restarts and cuts found shares that add up to 2. (1) A daemon took the configuration from the platform while it knew no other instance; it now reads the list of instances first. (2) A ping of a daemon of another owner group was accepted; it is not any more. (3) A refused connection was held against the process that had started at the address since; the record from before the call is confirmed now. (4) Share answered for upstreams of other zones and groups; it looks both up.

--- a/internal/control/reconciler/config.go
+++ b/internal/control/reconciler/config.go
@@ -56,6 +56,9 @@
 	maxNews = 64
 	// peerPause is how long a peer that did not answer is not chosen again.
 	peerPause = 2 * time.Second
+	// publishPause is the pause between two views, in times that the first took to
+	// build: it bounds what views cost while many records arrive.
+	publishPause = 10
 	// expireInterval is the interval between looks for records to drop.
 	expireInterval = 10 * time.Second
 	// postTimeout bounds the wait of a peer's call for the loop.
--- a/internal/control/reconciler/event.go
+++ b/internal/control/reconciler/event.go
@@ -25,12 +25,13 @@
 	r.contactAt = now
 	r.contacts.Note(r.cfg.Self.ID, now)
 	r.merge(now, e.update.Objects, nil)
-	if e.update.Full {
-		r.setSynced(now)
-	}
 	if e.update.HasInstances {
 		r.readListing(now, e.update.Instances)
 	}
+	// Without the list of instances this daemon may not know who else admits work.
+	if e.update.Full && r.listing.isRead {
+		r.setSynced(now)
+	}
 }
 
 // acceptEvent carries an object that the platform has accepted from this daemon.
@@ -56,7 +57,10 @@
 
 // replyEvent is the answer to a message of this daemon.
 type replyEvent struct {
-	peer  netip.AddrPort
+	peer netip.AddrPort
+	// at holds the instances that were known at the address before the call: a
+	// refusal proves nothing about one that started since.
+	at    []declarer.Instance
 	sent  *spreader.Message
 	reply spreader.Message
 	err   error
--- a/internal/control/reconciler/fleet_test.go
+++ b/internal/control/reconciler/fleet_test.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -182,3 +183,33 @@
 func newRand(seed uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(seed, seed))
 }
+
+const upstreams = 40
+
+// serviceObject declares a service with upstreams in zone a.
+func serviceObject() declarer.Object {
+	s := &declarer.Service{
+		Name:     "s",
+		Class:    declarer.Search,
+		Contract: declarer.Contract{Deadline: declarer.Duration{Duration: time.Second}, Latency: declarer.Duration{Duration: time.Second}, Quantile: 0.9, Coverage: 1},
+		Capacity: declarer.Capacity{Slots: 2, Cold: 1, Connections: 2},
+		Maps:     []declarer.ShardMap{{From: 1}},
+	}
+	for i := range upstreams {
+		u := declarer.Upstream{Name: strconv.Itoa(i), Addr: netip.MustParseAddrPort("10.9.0.1:1"), Zone: "a"}
+		s.Maps[0].Shards = append(s.Maps[0].Shards, declarer.Shard{ID: i, Replicas: []declarer.Upstream{u}})
+	}
+	return declarer.Object{Key: declarer.Key{Kind: declarer.KindService, Name: "s"}, Service: s}
+}
+
+// admitted returns the sum of the shares of all daemons in an upstream.
+func (f *fleet) admitted(key string) float64 {
+	sum := 0.0
+	now := time.Now()
+	for _, d := range f.daemons {
+		if s := d.Share(key); s.Num > 0 && now.Before(s.Until) {
+			sum += float64(s.Num) / float64(s.Den)
+		}
+	}
+	return sum
+}
--- a/internal/control/reconciler/group.go
+++ b/internal/control/reconciler/group.go
@@ -101,7 +101,7 @@
 // earlier process, or one that takes this process for missing or gone.
 func (r *Reconciler) refute(now time.Time, told declarer.Instance) {
 	self := r.group.self()
-	if !told.Supersedes(&self) {
+	if r.ended || !told.Supersedes(&self) {
 		return
 	}
 	if told.Peer != self.Peer && now.Sub(r.startedAt) > replacedAfter {
@@ -135,13 +135,33 @@
 		r.group.node.Confirm(now, in.ID, in.Incarnation)
 	}
 	in.State = declarer.Gone
+	if was, ok := r.state.Instance(in.ID); ok && was.Incarnation != in.Incarnation {
+		return
+	}
 	r.merge(now, nil, []declarer.Instance{in})
 }
 
-// publishPermit publishes what this daemon may admit.
-func (r *Reconciler) publishPermit() {
+// grant is what this daemon may admit, and for which upstreams of its zone.
+type grant struct {
+	permit *detector.Permit
+	// groups is the number of owner groups of the zone, own this daemon's.
+	groups, own int
+}
+
+// covers reports whether an upstream falls into this daemon's owner group.
+func (g *grant) covers(upstreamKey string) bool {
+	return assigner.Group(upstreamKey, g.groups) == g.own
+}
+
+// publishGrant publishes what this daemon may admit.
+func (r *Reconciler) publishGrant() {
 	if !r.synced {
 		return
 	}
-	r.permit.Store(r.group.node.Permit())
+	groups := r.group.groups
+	r.grant.Store(&grant{
+		permit: r.group.node.Permit(),
+		groups: groups,
+		own:    assigner.Group(r.cfg.Self.ID, groups),
+	})
 }
--- a/internal/control/reconciler/leave.go
+++ b/internal/control/reconciler/leave.go
@@ -108,6 +108,7 @@
 // end returns the message that says that this daemon has ended: first to the
 // members of its group.
 func (r *Reconciler) end(now time.Time) farewell {
+	r.ended = true
 	self := r.group.self()
 	self.State = declarer.Gone
 	m := r.state.Push(spreader.Delta{Instances: []declarer.Instance{self}})
--- a/internal/control/reconciler/life_test.go
+++ b/internal/control/reconciler/life_test.go
@@ -20,7 +20,8 @@
 // and the configuration.
 func startedFleet(t *testing.T, n int, zones ...string) *fleet {
 	f := newFleet(t)
-	o := f.platform.put(zoneObject(false))
+	f.platform.put(zoneObject(false))
+	o := f.platform.put(serviceObject())
 	f.startAll(n, zones...)
 	f.await("configuration", 10*time.Second, has(o))
 	f.await("instances", 10*time.Second, knows(n*len(zones)))
@@ -123,7 +124,7 @@
 
 // admitsSome reports whether a daemon may admit work to one of many upstreams.
 func admitsSome(d *daemon) bool {
-	for i := range 40 {
+	for i := range upstreams {
 		if d.Share(fmt.Sprintf("s/%d", i)).Num > 0 {
 			return true
 		}
@@ -169,8 +170,8 @@
 		if ok, _ := old.Ready(); ok {
 			t.Error("the replaced process is ready for callers")
 		}
-		if s := old.Share("s/u"); s.Num != 0 {
-			t.Errorf("the replaced process may admit %d/%d", s.Num, s.Den)
+		if admitsSome(old) {
+			t.Error("the replaced process may admit work")
 		}
 	})
 }
--- a/internal/control/reconciler/listing.go
+++ b/internal/control/reconciler/listing.go
@@ -16,6 +16,8 @@
 
 // listing remembers the readings of the platform's list of instances.
 type listing struct {
+	// isRead is true after the first reading.
+	isRead bool
 	listed map[string]bool
 	// missing holds what is known of the missing instances of the own zone.
 	missing map[string]missing
@@ -34,6 +36,7 @@
 
 // read notes a reading.
 func (l *listing) read(instances []declarer.Instance) map[string]bool {
+	l.isRead = true
 	now := make(map[string]bool, len(instances))
 	for i := range instances {
 		now[instances[i].ID] = true
--- a/internal/control/reconciler/peers.go
+++ b/internal/control/reconciler/peers.go
@@ -26,6 +26,8 @@
 	listed []netip.AddrPort
 
 	zone, region, far, missing []peer
+	// known holds the instances that are not gone by their address.
+	known map[netip.AddrPort][]declarer.Instance
 	// paused holds until when a peer that did not answer is left alone.
 	paused map[netip.AddrPort]time.Time
 }
@@ -48,11 +50,13 @@
 // set replaces the known instances.
 func (p *peers) set(instances []declarer.Instance) {
 	p.zone, p.region, p.far, p.missing = nil, nil, nil, nil
+	p.known = make(map[netip.AddrPort][]declarer.Instance, len(instances))
 	for i := range instances {
 		in := &instances[i]
 		if in.ID == p.self.ID || in.State == declarer.Gone {
 			continue
 		}
+		p.known[in.Peer] = append(p.known[in.Peer], *in)
 		at := peer{id: in.ID, addr: in.Peer}
 		switch {
 		case in.State == declarer.Missing:
--- a/internal/control/reconciler/ping.go
+++ b/internal/control/reconciler/ping.go
@@ -18,6 +18,11 @@
 }
 
 func (e *pingEvent) apply(_ context.Context, r *Reconciler, now time.Time) {
+	if !r.group.has(&e.ping.From) {
+		// It does not know the zone's number of groups yet, or this daemon does not.
+		e.reply <- detector.Ack{From: r.group.self(), Seq: e.ping.Seq}
+		return
+	}
 	e.reply <- r.group.node.HandlePing(now, e.ping)
 	r.syncGroup(now)
 }
@@ -31,16 +36,20 @@
 }
 
 func (e *ackEvent) apply(_ context.Context, r *Reconciler, now time.Time) {
-	if e.refused {
+	switch {
+	case e.refused:
 		r.confirm(now, e.to)
-	} else {
+	case r.group.has(&e.ack.From):
 		r.group.node.HandleAck(now, e.ack)
 	}
 	r.syncGroup(now)
 }
 
-// pingGroup sends the pings that are due.
+// pingGroup sends the pings that are due, once this daemon knows its group.
 func (r *Reconciler) pingGroup(ctx context.Context, now time.Time) {
+	if !r.synced {
+		return
+	}
 	for _, out := range r.group.node.Tick(now) {
 		vias := r.relays(out.To.ID)
 		r.calls.Go(func() { r.ping(ctx, out, vias) })
--- a/internal/control/reconciler/reconciler.go
+++ b/internal/control/reconciler/reconciler.go
@@ -14,7 +14,6 @@
 	"cornelwood.example/internal/control/spreader"
 	"cornelwood.example/internal/control/viewer"
 	"cornelwood.example/internal/control/watcher"
-	"cornelwood.example/internal/peer/detector"
 	"cornelwood.example/internal/peer/linker"
 )
 
@@ -26,7 +25,7 @@
 	metrics *Metrics
 	viewer  *viewer.Viewer
 	events  chan event
-	permit  atomic.Pointer[detector.Permit]
+	grant   atomic.Pointer[grant]
 	turned  atomic.Int64
 	role    role
 	calls   sync.WaitGroup
@@ -42,17 +41,21 @@
 	dirty    bool
 	// synced is true once the whole configuration of the platform or of a peer
 	// that was synced has been adopted.
-	synced      bool
-	leaving     bool
-	startedAt   time.Time
-	graceUntil  time.Time
-	spreadAt    time.Time
-	expireAt    time.Time
-	contactAt   time.Time
-	exchanges   int
-	pushes      int
-	listing     listing
-	warnedAbout map[string]declarer.State
+	synced  bool
+	leaving bool
+	// ended is true once the group has been told that this daemon ended.
+	ended      bool
+	startedAt  time.Time
+	graceUntil time.Time
+	spreadAt   time.Time
+	expireAt   time.Time
+	contactAt  time.Time
+	publishAt  time.Time
+	exchanges  int
+	pushes     int
+	listing    listing
+	// logged holds the states that were logged last.
+	logged map[string]declarer.State
 }
 
 // New returns a Reconciler that publishes to v, and sets the handlers of its
@@ -61,18 +64,17 @@
 func New(cfg Config, link Linker, v *viewer.Viewer, log hclog.Logger, metrics *Metrics) (*Reconciler, func()) {
 	now := time.Now()
 	r := &Reconciler{
-		cfg:         cfg,
-		link:        link,
-		log:         log,
-		metrics:     metrics,
-		viewer:      v,
-		events:      make(chan event, eventQueue),
-		state:       spreader.New(),
-		group:       newGroup(cfg.Detector, cfg.Self, now),
-		peers:       newPeers(cfg.Self, cfg.Seeds, cfg.Rand),
-		startedAt:   now,
-		listing:     newListing(),
-		warnedAbout: make(map[string]declarer.State),
+		cfg:       cfg,
+		link:      link,
+		log:       log,
+		metrics:   metrics,
+		viewer:    v,
+		events:    make(chan event, eventQueue),
+		state:     spreader.New(),
+		group:     newGroup(cfg.Detector, cfg.Self, now),
+		peers:     newPeers(cfg.Self, cfg.Seeds, cfg.Rand),
+		startedAt: now,
+		listing:   newListing(),
 	}
 	r.role.changed = make(chan struct{})
 	r.graceUntil = now.Add(r.grace())
@@ -109,11 +111,12 @@
 // Share returns what this daemon may admit to an upstream now. It is safe for
 // concurrent use.
 func (r *Reconciler) Share(upstreamKey string) exchanger.Share {
-	p := r.permit.Load()
-	if p == nil {
+	g := r.grant.Load()
+	zone, ok := r.viewer.View().UpstreamZone(upstreamKey)
+	if g == nil || !ok || zone != r.cfg.Self.Zone || !g.covers(upstreamKey) {
 		return exchanger.Share{Den: 1}
 	}
-	return p.Share(time.Now(), upstreamKey)
+	return g.permit.Share(time.Now(), upstreamKey)
 }
 
 // Turned returns when the control loop last finished a turn.
@@ -198,10 +201,11 @@
 
 // flush publishes a new view and pushes news, if there is any.
 func (r *Reconciler) flush(ctx context.Context, now time.Time) {
-	r.publishPermit()
-	if r.dirty {
+	r.publishGrant()
+	if r.dirty && !now.Before(r.publishAt) {
 		r.dirty = false
 		r.publish()
+		r.publishAt = now.Add(publishPause * time.Since(now))
 		r.decideRole(now)
 	}
 	if r.news.Len() > 0 {
@@ -227,17 +231,18 @@
 
 // logStates writes a line for each instance of the own zone whose state changed.
 func (r *Reconciler) logStates(instances []declarer.Instance) {
+	logged := make(map[string]declarer.State)
 	for i := range instances {
 		in := &instances[i]
 		if in.Zone != r.cfg.Self.Zone || in.ID == r.cfg.Self.ID {
 			continue
 		}
-		if was, ok := r.warnedAbout[in.ID]; ok && was == in.State {
-			continue
+		logged[in.ID] = in.State
+		if was, ok := r.logged[in.ID]; !ok || was != in.State {
+			r.log.Info("instance changed state", "id", in.ID, "state", in.State, "incarnation", in.Incarnation, "term", in.Term)
 		}
-		r.warnedAbout[in.ID] = in.State
-		r.log.Info("instance changed state", "id", in.ID, "state", in.State, "incarnation", in.Incarnation, "term", in.Term)
 	}
+	r.logged = logged
 }
 
 // handleSpread answers a peer's message of an exchange.
--- a/internal/control/reconciler/reconciler_test.go
+++ b/internal/control/reconciler/reconciler_test.go
@@ -59,8 +59,8 @@
 			if ok, reason := d.Ready(); ok || reason == "" {
 				t.Errorf("%s is ready without a configuration, reason %q", d.self.ID, reason)
 			}
-			if s := d.Share("s/u"); s.Num != 0 {
-				t.Errorf("%s has the share %d/%d without a configuration", d.self.ID, s.Num, s.Den)
+			if admitsSome(d) {
+				t.Errorf("%s may admit work without a configuration", d.self.ID)
 			}
 		}
 	})
--- a/internal/control/reconciler/spread.go
+++ b/internal/control/reconciler/spread.go
@@ -55,8 +55,9 @@
 func (r *Reconciler) send(ctx context.Context, now time.Time, peer netip.AddrPort, m spreader.Message, round int) {
 	r.seal(now, &m)
 	r.metrics.sent(&m)
+	at := r.at(peer)
 	r.calls.Go(func() {
-		e := &replyEvent{peer: peer, sent: &m, round: round}
+		e := &replyEvent{peer: peer, at: at, sent: &m, round: round}
 		callCtx, cancel := context.WithTimeout(ctx, spreadTimeout)
 		defer cancel()
 		e.err = r.link.Call(callCtx, peer, CallSpread, &m, &e.reply)
@@ -104,7 +105,11 @@
 	if e.err != nil {
 		r.metrics.failures.Inc()
 		r.peers.failed(now, e.peer)
-		r.confirmRefused(now, e.peer, e.err)
+		if isRefused(e.err) {
+			for _, in := range e.at {
+				r.confirm(now, in)
+			}
+		}
 		return spreader.Message{}, false
 	}
 	r.peers.answered(e.peer)
@@ -149,14 +154,13 @@
 	r.log.Info("configuration is known", "version", r.state.Version(), "after", now.Sub(r.startedAt))
 }
 
-// confirmRefused notes that no process listens at a peer's address.
-func (r *Reconciler) confirmRefused(now time.Time, peer netip.AddrPort, err error) {
-	if !isRefused(err) {
-		return
-	}
-	for _, in := range r.state.Instances() {
-		if in.Peer == peer && in.ID != r.cfg.Self.ID && in.State != declarer.Gone {
-			r.confirm(now, in)
+// at returns the instances of the own zone at an address.
+func (r *Reconciler) at(peer netip.AddrPort) []declarer.Instance {
+	var found []declarer.Instance
+	for _, in := range r.peers.known[peer] {
+		if in.Zone == r.cfg.Self.Zone {
+			found = append(found, in)
 		}
 	}
+	return found
 }
--- a/internal/control/viewer/view.go
+++ b/internal/control/viewer/view.go
@@ -49,6 +49,8 @@
 	Instances []declarer.Instance
 
 	owners map[string]*declarer.Instance
+	// zones holds the zone of each upstream.
+	zones map[string]string
 }
 
 // Build returns a view of the objects and instances. The caller must not change
@@ -60,6 +62,7 @@
 		Services: make(map[string]*declarer.Service),
 		Zones:    make(map[string]*declarer.Zone),
 		owners:   make(map[string]*declarer.Instance),
+		zones:    make(map[string]string),
 	}
 	for i := range objects {
 		v.addObject(&objects[i])
@@ -81,6 +84,13 @@
 	return in, ok
 }
 
+// UpstreamZone returns the zone of the upstream with a key, and false when it is
+// not declared.
+func (v *View) UpstreamZone(key string) (string, bool) {
+	zone, ok := v.zones[key]
+	return zone, ok
+}
+
 // Instance returns a known instance by its ID.
 func (v *View) Instance(id string) (*declarer.Instance, bool) {
 	i, ok := slices.BinarySearchFunc(v.Instances, id, func(in declarer.Instance, id string) int {
@@ -130,7 +140,9 @@
 	}
 	for _, s := range v.Services {
 		for _, u := range s.Upstreams() {
-			v.assignOne(UpstreamKey(s.Name, u.Name), members[u.Zone])
+			key := UpstreamKey(s.Name, u.Name)
+			v.zones[key] = u.Zone
+			v.assignOne(key, members[u.Zone])
 		}
 	}
 }
--- a/internal/control/watcher/watcher.go
+++ b/internal/control/watcher/watcher.go
@@ -109,15 +109,16 @@
 	return ctx.Err()
 }
 
-// round does what is due: a list, a reading of the instances, or one watch.
+// round does what is due: a reading of the instances, a list, or one watch. The
+// instances come first, since the owner needs them to use the list.
 func (w *Watcher) round(ctx context.Context) error {
 	now := time.Now()
-	if !now.Before(w.listAt) {
-		return w.list(ctx)
-	}
 	if !now.Before(w.instancesAt) {
 		return w.instances(ctx)
 	}
+	if !now.Before(w.listAt) {
+		return w.list(ctx)
+	}
 	return w.watch(ctx)
 }
 
