--- a/cmd/cornelwood/faults_test.go
+++ b/cmd/cornelwood/faults_test.go
@@ -275,11 +275,10 @@
 // eachCounts calls do with what each searcher counted.
 func eachCounts(t *testing.T, s *site, do func(u declarer.Upstream, c searcher.Counts)) {
 	t.Helper()
-	hc := &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, sv := range s.services {
 		for _, u := range sv.Upstreams() {
 			var c searcher.Counts
-			if err := requester.New("http://"+u.Addr.String(), hc).Do(t.Context(), http.MethodGet, "/counts", nil, &c); err != nil {
+			if err := requester.New("http://"+u.Addr.String(), freshClient).Do(t.Context(), http.MethodGet, "/counts", nil, &c); err != nil {
 				t.Fatalf("counts of %s: %v", u.Name, err)
 			}
 			do(u, c)
--- a/cmd/cornelwood/site_test.go
+++ b/cmd/cornelwood/site_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -93,7 +94,7 @@
 func (p *process) signal(t *testing.T, s syscall.Signal) {
 	t.Helper()
 	if err := p.cmd.Process.Signal(s); err != nil {
-		t.Fatalf("signal %s to %s: %v", s, p.name, err)
+		t.Errorf("signal %s to %s: %v", s, p.name, err)
 	}
 }
 
@@ -138,6 +139,25 @@
 	zone                   string
 	caller, operator, peer string
 	settings               string
+
+	// taken is true while a fault keeps the daemon.
+	taken atomic.Bool
+	// starts counts the daemon's processes.
+	starts atomic.Int64
+}
+
+// take keeps the daemon for one fault, unless another has it.
+func (d *daemon) take() bool {
+	return d.taken.CompareAndSwap(false, true)
+}
+
+func (d *daemon) free() {
+	d.taken.Store(false)
+}
+
+// started returns how many processes the daemon has had.
+func (d *daemon) started() int64 {
+	return d.starts.Load()
 }
 
 // site is a whole deployment as separate processes: a platform, one process with
@@ -268,13 +288,19 @@
 	s.runDaemon(t, d)
 }
 
+// runDaemon starts the daemon's process. Its addresses are set by the first one.
 func (s *site) runDaemon(t *testing.T, d *daemon) {
 	t.Helper()
+	d.starts.Add(1)
 	d.process = startProcess(t, d.id, "cornelwood", "daemon", "--settings", d.settings)
 	line := d.line(t)
-	if _, err := fmt.Sscanf(line, "listening caller=%s operator=%s peer=%s", &d.caller, &d.operator, &d.peer); err != nil {
+	var caller, operator, peer string
+	if _, err := fmt.Sscanf(line, "listening caller=%s operator=%s peer=%s", &caller, &operator, &peer); err != nil {
 		t.Fatalf("%s wrote %q", d.id, line)
 	}
+	if d.caller == "" {
+		d.caller, d.operator, d.peer = caller, operator, peer
+	}
 }
 
 func (s *site) writeSettings(t *testing.T, d *daemon, caller, operator, peer string, seeds []string) {
@@ -349,7 +375,11 @@
 	})
 }
 
-var httpClient = &http.Client{Timeout: 20 * time.Second}
+var (
+	httpClient = &http.Client{Timeout: 20 * time.Second}
+	// freshClient opens a connection for each call, since searchers have few.
+	freshClient = &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+)
 
 func (d *daemon) get(t *testing.T, path string, out any) error {
 	t.Helper()
@@ -387,7 +417,7 @@
 		c.Block = append(c.Block, netip.MustParseAddrPort(a))
 	}
 	if err := d.operate(t, http.MethodPost, blocker.Path, c, nil); err != nil {
-		t.Fatalf("cut %s: %v", d.id, err)
+		t.Errorf("cut %s: %v", d.id, err)
 	}
 }
 
@@ -395,7 +425,7 @@
 func faults(t *testing.T, base string, set map[string]any) {
 	t.Helper()
 	if err := requester.New(base, httpClient).Do(t.Context(), http.MethodPost, "/faults", set, nil); err != nil {
-		t.Fatalf("faults %v: %v", set, err)
+		t.Errorf("faults %v: %v", set, err)
 	}
 }
 
