--- a/internal/control/reconciler/admission_test.go
+++ b/internal/control/reconciler/admission_test.go
@@ -23,7 +23,7 @@
 				defer f.end()
 				for _, d := range f.daemons {
 					listed := declarer.Instance{ID: d.self.ID, Zone: d.self.Zone, Peer: d.self.Peer}
-					f.platform.instances = append(f.platform.instances, listed)
+					f.platform.list(listed)
 				}
 				c := &chaos{fleet: f, rnd: newRand(seed)}
 				for range 60 {
--- a/internal/operator/commander/zones.go
+++ b/internal/operator/commander/zones.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 
@@ -110,9 +111,11 @@
 	return declarer.Object{Zone: next}, nil
 }
 
-// userOf returns a service that has upstreams in a zone.
+// userOf returns the first service by name that has upstreams in a zone.
 func (c *Commander) userOf(zone string) (string, bool) {
-	for name, s := range c.views.View().Services {
+	services := c.views.View().Services
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		s := services[name]
 		if slices.ContainsFunc(s.Upstreams(), func(u declarer.Upstream) bool { return u.Zone == zone }) {
 			return name, true
 		}
