--- /dev/null
+++ b/internal/peer/detector/run_test.go
@@ -0,0 +1,208 @@
+package detector
+
+import (
+	"slices"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+)
+
+// run runs the plan and returns what went wrong, or "".
+func (p plan) run() string {
+	w := newWorld(p)
+	for w.step = 0; w.step < p.horizon && w.broken == ""; w.step++ {
+		for _, e := range p.events {
+			if e.at == w.step {
+				w.apply(e)
+			}
+		}
+		w.turn()
+		if !w.isConnected() {
+			return ""
+		}
+	}
+	w.calm()
+	if w.broken == "" && len(w.alive()) > 0 {
+		w.awaitOwners()
+	}
+	return w.broken
+}
+
+// calm heals every cut and lets everybody run.
+func (w *world) calm() {
+	clear(w.cuts)
+	w.loss = 0
+	for _, d := range w.daemons {
+		w.resume(d)
+	}
+}
+
+// awaitOwners checks that every upstream has one owner with the whole share
+// within the bound, and keeps it.
+func (w *world) awaitOwners() {
+	end := w.step + w.healWithin
+	for ; w.step < end+10 && w.broken == ""; w.step++ {
+		w.turn()
+		if len(w.alive()) == 0 || !w.isConnected() {
+			return
+		}
+		for _, key := range w.keys {
+			if w.step >= end && !w.hasOwner(key) {
+				w.fail("%s has no owner with the whole share", key)
+			}
+		}
+	}
+}
+
+func (w *world) hasOwner(key string) bool {
+	return slices.ContainsFunc(w.alive(), func(d *daemon) bool {
+		s := d.permit.Share(w.now(d), key)
+		return s.Num == s.Den && s.Cold
+	})
+}
+
+// isConnected reports whether the daemons that run know of one another, at least
+// through others: the protocol does not cover those that do not.
+func (w *world) isConnected() bool {
+	all := w.alive()
+	if len(all) == 0 {
+		return true
+	}
+	seen := []*daemon{all[0]}
+	for i := 0; i < len(seen); i++ {
+		for _, o := range all {
+			if !slices.Contains(seen, o) && (knows(seen[i], o) || knows(o, seen[i])) {
+				seen = append(seen, o)
+			}
+		}
+	}
+	return len(seen) == len(all)
+}
+
+func knows(d, o *daemon) bool {
+	m, ok := d.node.members[o.self.ID]
+	return ok && m.in.State != declarer.Gone
+}
+
+// turn is one step of the world.
+func (w *world) turn() {
+	for _, d := range w.daemons {
+		d.work = slices.DeleteFunc(d.work, func(v work) bool { return !w.now(d).Before(v.end) })
+	}
+	for _, i := range w.rng.Perm(w.size) {
+		w.turnOne(w.daemons[i])
+	}
+	w.deliver()
+	for _, key := range w.keys {
+		if n := w.at(key); n > limit {
+			w.fail("%d in flight at %s", n, key)
+		}
+	}
+}
+
+func (w *world) turnOne(d *daemon) {
+	if !d.alive || d.frozen {
+		return
+	}
+	w.complete(d)
+	w.admit(d)
+	if d.stalled {
+		return
+	}
+	w.call(d, func(now time.Time) { w.tick(d, now) })
+	w.admit(d)
+	if w.chance(40) {
+		w.gossip(d, w.daemons[w.rng.IntN(w.size)])
+	}
+	if w.chance(20) {
+		w.list(d)
+	}
+	if d.node.Self().State == declarer.Leaving && len(d.work) == 0 && w.chance(30) {
+		w.end(d)
+	}
+}
+
+// complete ends some work early and warms upstreams.
+func (w *world) complete(d *daemon) {
+	d.work = slices.DeleteFunc(d.work, func(v work) bool {
+		done := w.chance(10)
+		if t := d.tenures[v.key]; done && t.held {
+			t.warm = true
+		}
+		return done
+	})
+}
+
+// deliver hands over the messages that are due, those sent meanwhile too.
+func (w *world) deliver() {
+	for i := 0; i < len(w.queue); i++ {
+		m := w.queue[i]
+		if m.at <= w.step {
+			m.do()
+			w.queue = slices.Delete(w.queue, i, i+1)
+			i--
+		}
+	}
+}
+
+// end ends a daemon that has left; it says so to all.
+func (w *world) end(d *daemon) {
+	self := d.node.Self()
+	self.State = declarer.Gone
+	for _, o := range w.daemons {
+		if o != d && o.alive && w.passes(d, o) {
+			w.tell(o, []declarer.Instance{self})
+		}
+	}
+	w.halt(d)
+}
+
+func (w *world) halt(d *daemon) {
+	d.alive, d.frozen, d.stalled = false, false, false
+	d.inbox = nil
+	d.endedAt = w.step
+}
+
+func (w *world) resume(d *daemon) {
+	d.frozen, d.stalled = false, false
+	inbox := d.inbox
+	d.inbox = nil
+	if d.alive {
+		w.admit(d) // the traffic may run before the control goroutine
+	}
+	for _, f := range inbox {
+		f()
+	}
+}
+
+// apply makes an event happen, unless it makes no sense now.
+func (w *world) apply(e event) {
+	a := w.daemons[e.a]
+	switch {
+	case e.act == cut || e.act == cutOneWay || e.act == heal:
+		w.cuts[[2]int{e.a, e.b}] = e.act != heal
+		if e.act != cutOneWay {
+			w.cuts[[2]int{e.b, e.a}] = e.act == cut
+		}
+	case e.act == start:
+		if !a.alive && (!a.lost || w.step-a.endedAt >= rebootSteps) {
+			w.boot(a)
+			w.introduce(a)
+		}
+	case !a.alive:
+	case e.act == freeze:
+		a.frozen = true
+	case e.act == stall:
+		a.stalled = true
+	case e.act == resume:
+		w.resume(a)
+	case e.act == leave:
+		w.call(a, func(now time.Time) { a.node.Leave(now) })
+	case e.act == kill:
+		w.halt(a)
+		a.work = nil
+	case e.act == lose:
+		w.halt(a)
+		a.lost = true
+	}
+}
--- /dev/null
+++ b/internal/peer/detector/world_test.go
@@ -0,0 +1,400 @@
+package detector
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/peer/assigner"
+)
+
+// Times are whole steps, so that a drift of clocks shows at the borders.
+const (
+	step     = 50 * time.Millisecond
+	interval = 2 * step
+	fence    = 6 * step
+	takeover = 14 * step
+
+	limit     = 3
+	coldLimit = 1
+	// listLag is the steps after its end that the platform lists an instance.
+	listLag = 20
+	// rebootSteps is the least number of steps until a lost machine is back.
+	rebootSteps = int(takeover/step) + 2
+)
+
+// act is what happens to daemon a, or between a and b.
+type act int
+
+const (
+	cut act = iota
+	cutOneWay
+	heal
+	freeze // stops the process
+	stall  // stops the control goroutine only
+	resume
+	kill // the kernel closes connections and refuses new ones
+	lose // the machine is lost
+	start
+	leave
+	acts
+)
+
+func (a act) String() string {
+	return strings.Fields("cut cutOneWay heal freeze stall resume kill lose start leave")[a]
+}
+
+// event is one entry of a schedule.
+type event struct {
+	at   int
+	act  act
+	a, b int
+}
+
+func (e event) String() string { return fmt.Sprintf("{%d, %s, %d, %d}", e.at, e.act, e.a, e.b) }
+
+// plan is a schedule, with the seed of what it leaves open: delays, losses, the
+// order within a step and the work offered.
+type plan struct {
+	seed                uint64
+	size, atStart       int // daemons, and how many of them start at step 0
+	upstreams           int
+	loss, delay         int // in 100; in steps
+	relay, fewContacts  bool
+	events              []event
+	faults              faults
+	horizon, healWithin int
+}
+
+// work is a sub-request at an upstream, until a time of its daemon's clock.
+type work struct {
+	key string
+	end time.Time
+}
+
+// tenure is how a daemon holds an upstream.
+type tenure struct{ held, warm bool }
+
+// daemon is a process, or its instance after it ended.
+type daemon struct {
+	i               int
+	self            declarer.Instance
+	node            *Node
+	permit          *Permit
+	alive, lost     bool
+	frozen, stalled bool
+	endedAt         int
+	work            []work
+	tenures         map[string]*tenure
+	book            map[string]declarer.Instance
+	inbox           []func()
+}
+
+type message struct {
+	at int
+	do func()
+}
+
+// world runs a plan.
+type world struct {
+	plan
+	rng     *rand.Rand
+	step    int
+	daemons []*daemon
+	cuts    map[[2]int]bool
+	queue   []message
+	keys    []string
+	broken  string
+}
+
+func newWorld(p plan) *world {
+	w := &world{plan: p, rng: rand.New(rand.NewPCG(p.seed, 1)), cuts: make(map[[2]int]bool)}
+	for i := range p.upstreams {
+		w.keys = append(w.keys, fmt.Sprintf("s/u%d", i))
+	}
+	for i := range p.size {
+		d := &daemon{i: i, self: declarer.Instance{ID: fmt.Sprintf("d%d", i)}, endedAt: -rebootSteps}
+		w.daemons = append(w.daemons, d)
+	}
+	for _, d := range w.daemons[:p.atStart] {
+		w.boot(d)
+	}
+	for _, d := range w.daemons[:p.atStart] {
+		w.introduce(d)
+	}
+	return w
+}
+
+// chance is true in n of 100 cases.
+func (w *world) chance(n int) bool { return w.rng.IntN(100) < n }
+
+// now is the time by a daemon's clock. Clocks differ by 1 in 100.
+func (w *world) now(d *daemon) time.Time {
+	rate := time.Duration(995 + 10*(d.i%2))
+	return time.Unix(0, 0).Add(time.Duration(w.step+1000) * step / 1000 * rate)
+}
+
+func (w *world) alive() []*daemon {
+	return slices.DeleteFunc(slices.Clone(w.daemons), func(d *daemon) bool { return !d.alive })
+}
+
+func (w *world) boot(d *daemon) {
+	*d = daemon{i: d.i, self: declarer.Instance{ID: d.self.ID, Incarnation: uint64(w.step + 1)}, alive: true, work: d.work}
+	d.tenures = make(map[string]*tenure)
+	d.book = make(map[string]declarer.Instance)
+	cfg := Config{Interval: interval, Fence: fence, Takeover: takeover, faults: w.faults}
+	cfg.InFlight = func(id string, leaving bool) int { return w.inFlight(d, id, leaving) }
+	d.node = New(cfg, d.self, w.now(d))
+	d.permit = d.node.Permit()
+}
+
+// introduce tells a new daemon of those that run, or of one of them.
+func (w *world) introduce(d *daemon) {
+	others := slices.DeleteFunc(w.alive(), func(o *daemon) bool { return o == d })
+	w.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for i, o := range others {
+		if i == 0 || !w.fewContacts {
+			d.node.Learn(w.now(d), o.node.Self())
+		}
+	}
+	w.publish(d)
+}
+
+// inFlight counts work, and lets the traffic go on under the published permit
+// before the count is used.
+func (w *world) inFlight(d *daemon, id string, leaving bool) int {
+	n := 0
+	for _, v := range d.work {
+		pair := []declarer.Instance{{ID: d.self.ID}, {ID: id}}
+		if leaving || assigner.Owner(v.key, pair) == 1 {
+			n++
+		}
+	}
+	if d.permit != nil && w.chance(50) {
+		w.admit(d)
+	}
+	return n
+}
+
+// publish shows the traffic what the node permits, and ends a daemon that has
+// left.
+func (w *world) publish(d *daemon) { d.permit = d.node.Permit() }
+
+func (w *world) post(after int, do func()) {
+	w.queue = append(w.queue, message{w.step + after, do})
+}
+
+// call runs f in a daemon's control goroutine, if the process still runs.
+func (w *world) call(d *daemon, f func(now time.Time)) {
+	inc := d.self.Incarnation
+	run := func() {
+		if d.alive && d.self.Incarnation == inc {
+			f(w.now(d))
+			w.publish(d)
+		}
+	}
+	if d.frozen || d.stalled {
+		d.inbox = append(d.inbox, run)
+		return
+	}
+	run()
+}
+
+func (w *world) delayed() int {
+	if w.delay == 0 || w.chance(60) {
+		return 0
+	}
+	return w.rng.IntN(w.delay + 1)
+}
+
+// passes reports whether a message gets through a path of daemons.
+func (w *world) passes(path ...*daemon) bool {
+	for i := range len(path) - 1 {
+		if w.cuts[[2]int{path[i].i, path[i+1].i}] || w.chance(w.loss) {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) find(id string) *daemon { return w.daemons[id[1]-'0'] }
+
+// ping sends a ping directly and, when no answer comes, through another daemon.
+func (w *world) ping(d *daemon, out Outgoing) {
+	to := w.find(out.To.ID)
+	if !to.alive && !to.lost {
+		if w.passes(d, to) {
+			w.post(w.delayed(), func() {
+				w.call(d, func(now time.Time) { d.node.Confirm(now, out.To.ID, out.To.Incarnation) })
+			})
+		}
+		return
+	}
+	if w.try(d, to, out.Ping, d, to) || !w.relay {
+		return
+	}
+	r := w.daemons[w.rng.IntN(w.size)]
+	if r != d && r != to && r.alive && !r.frozen {
+		w.try(d, to, out.Ping, d, r, to)
+	}
+}
+
+// try sends a ping along a path and its ack back, and reports whether both get
+// through.
+func (w *world) try(d, to *daemon, p Ping, path ...*daemon) bool {
+	if !to.alive || !w.passes(path...) {
+		return false
+	}
+	slices.Reverse(path)
+	back := w.passes(path...)
+	inc := d.self.Incarnation
+	w.post(w.delayed(), func() {
+		w.call(to, func(now time.Time) {
+			ack := to.node.HandlePing(now, p)
+			w.publish(to)
+			w.tick(to, now)
+			w.post(w.delayed(), func() {
+				if back && d.self.Incarnation == inc {
+					w.call(d, func(now time.Time) { d.node.HandleAck(now, ack) })
+				}
+			})
+		})
+	})
+	return back
+}
+
+func (w *world) tick(d *daemon, now time.Time) {
+	for _, out := range d.node.Tick(now) {
+		w.ping(d, out)
+	}
+}
+
+// gossip tells a daemon the records of another.
+func (w *world) gossip(d, to *daemon) {
+	if d == to || !d.alive || d.frozen || d.stalled || !to.alive || !w.passes(d, to) {
+		return
+	}
+	w.note(d, append(d.node.Records(), d.node.Self()))
+	w.tell(to, w.records(d))
+}
+
+func (w *world) records(d *daemon) []declarer.Instance {
+	var all []declarer.Instance
+	for _, o := range w.daemons {
+		if in, ok := d.book[o.self.ID]; ok {
+			all = append(all, in)
+		}
+	}
+	return all
+}
+
+func (w *world) tell(to *daemon, records []declarer.Instance) {
+	w.post(w.delayed(), func() {
+		w.call(to, func(now time.Time) {
+			w.note(to, append(to.node.Records(), to.node.Self()))
+			for _, in := range w.note(to, records) {
+				to.node.Learn(now, in)
+			}
+		})
+	})
+}
+
+// note merges records into a daemon's book and returns the news.
+func (w *world) note(d *daemon, records []declarer.Instance) []declarer.Instance {
+	var news []declarer.Instance
+	for _, in := range records {
+		old, ok := d.book[in.ID]
+		if ok && in.Supersedes(&old) || !ok && in.State != declarer.Gone {
+			d.book[in.ID] = in
+			news = append(news, in)
+		}
+	}
+	return news
+}
+
+// list confirms, as the platform's list does, missing members that have ended.
+func (w *world) list(d *daemon) {
+	for _, in := range d.node.Records() {
+		o := w.find(in.ID)
+		if in.State == declarer.Missing && !o.alive && w.step-o.endedAt >= listLag {
+			w.call(d, func(now time.Time) { d.node.Confirm(now, in.ID, in.Incarnation) })
+		}
+	}
+}
+
+// share is what the traffic of a daemon may admit; the tenure follows it.
+func (w *world) share(d *daemon, key string) (exchanger.Share, *tenure) {
+	t := d.tenures[key]
+	if t == nil {
+		t = &tenure{}
+		d.tenures[key] = t
+	}
+	s := d.permit.Share(w.now(d), key)
+	if s.Scale(s.Den, w.now(d)) == 0 {
+		*t = tenure{}
+		return s, t
+	}
+	if !t.held {
+		*t = tenure{held: true}
+	}
+	return s, t
+}
+
+// admit offers work to the traffic of a daemon.
+func (w *world) admit(d *daemon) {
+	for _, key := range w.keys {
+		s, t := w.share(d, key)
+		for t.held && w.chance(80) {
+			mine := w.at(key, d)
+			if t.warm && mine >= s.Scale(limit, w.now(d)) || !t.warm && (!s.Cold || mine >= coldLimit) {
+				break
+			}
+			end := s.Until.Add(takeover - fence)
+			if w.chance(20) {
+				end = w.now(d).Add(time.Duration(w.rng.IntN(6)) * step)
+			}
+			d.work = append(d.work, work{key, end})
+			w.checkCold(d, key, s, t)
+		}
+	}
+}
+
+// at counts the work at an upstream, of one daemon or of all.
+func (w *world) at(key string, of ...*daemon) int {
+	if len(of) == 0 {
+		of = w.daemons
+	}
+	n := 0
+	for _, d := range of {
+		for _, v := range d.work {
+			if v.key == key {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// checkCold finds work given to a cold upstream beside other work. Only the half
+// of a group may have the upstream warm while the other half has it cold.
+func (w *world) checkCold(d *daemon, key string, s exchanger.Share, t *tenure) {
+	if t.warm || w.at(key) <= coldLimit {
+		return
+	}
+	for _, o := range w.daemons {
+		if s.Num < s.Den && o != d && w.at(key, o) > 0 && o.tenures[key].warm {
+			return
+		}
+	}
+	w.fail("%s gives work to %s, which is cold, beside other work: %d", d.self.ID, key, w.at(key))
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.broken == "" {
+		w.broken = fmt.Sprintf("step %d: ", w.step) + fmt.Sprintf(format, args...)
+	}
+}
