detector: voters agreed by all, acceptance after publication, drift, drained leavers

Cause: the model check found (plans of randomPlan, 2 to 4 daemons) - a joiner that never reached a member took a half or a majority of a basis that the other side did not share (2 daemons, one-way cut at a start: 4 in flight); - a member accepted a joiner while its own published permit still let the traffic in; - work ends by the takeover time of its daemon's clock, but members expired by the bare takeover time of theirs: 1 in 100 of drift overlapped; - an ack given before a member left counted as its having drained, and its Accept was kept as proof after it left; - a member took the vote of an ended incarnation while another still admitted by its support.

Change: pings carry the known incarnations and the voters; a member accepts only who knows all that it knows, and tells what is lacking; votes are given when all know the same and nobody is missing, and taken a takeover time after an end; Permit marks whom the traffic may know of; expiry is 1 in 50 later; Drained is a field of its own.

--- a/internal/peer/detector/doc.go
+++ b/internal/peer/detector/doc.go
@@ -8,6 +8,7 @@
 //	member.go   what a Node holds of each other member
 //	ping.go     pings and acks
 //	exclude.go  expiry and exclusion of silent members
+//	voters.go   which members count when some are missing
 //	permit.go   Permit, the immutable value that traffic reads
 //	message.go  the wire types
 package detector
--- a/internal/peer/detector/exclude.go
+++ b/internal/peer/detector/exclude.go
@@ -8,10 +8,14 @@
 	"cornelwood.example/internal/contract/declarer"
 )
 
+// driftPart is the part of a time by which two clocks that each drift by at most
+// 1 in 100 may differ.
+const driftPart = 50
+
 // observe notes that time has passed. After a pause of this process the silence
 // of others is its own, so their clocks start anew.
 func (n *Node) observe(now time.Time) {
-	if now.Sub(n.seenAt) > n.cfg.Fence {
+	if now.Sub(n.seenAt) > n.cfg.Fence && !n.cfg.faults.has(noPause) {
 		for _, m := range n.members {
 			if !m.expired {
 				m.ackedAt = now
@@ -25,29 +29,37 @@
 // expire marks memberships that were not acked for the takeover time.
 func (n *Node) expire(now time.Time) {
 	for _, m := range n.members {
-		if m.in.State == declarer.Gone || now.Sub(m.ackedAt) <= n.cfg.Takeover {
+		if m.in.State == declarer.Gone || now.Sub(m.ackedAt) <= n.takeover() {
 			continue
 		}
 		m.expired = true
-		m.drained = true
 	}
 }
 
-// settle excludes the members that may be excluded, and renews the basis while
-// nobody is missing.
+// takeover returns the takeover time by this node's clock, lengthened by the most
+// that the clocks of two daemons may drift apart in it.
+func (n *Node) takeover() time.Duration {
+	if n.cfg.faults.has(noDrift) {
+		return n.cfg.Takeover
+	}
+	return n.cfg.Takeover + n.cfg.Takeover/driftPart
+}
+
+// settle excludes the members that may be excluded, and brings the voters up to
+// date.
 func (n *Node) settle(now time.Time) {
 	for _, m := range n.members {
 		if m.expired && counted(m) && n.excludable(now, m) {
 			m.missing = true
 		}
 	}
-	n.setBasis()
+	n.renewVoters()
 }
 
 // excludable reports whether every other live member has expired the membership
 // too, or is expired itself.
 func (n *Node) excludable(now time.Time, m *member) bool {
-	if n.cfg.faults.noReports {
+	if n.cfg.faults.has(noReports) {
 		return true
 	}
 	after := now.Add(-n.cfg.Fence)
@@ -74,26 +86,3 @@
 	slices.SortFunc(all, func(a, b Membership) int { return strings.Compare(a.ID, b.ID) })
 	return all
 }
-
-// setBasis keeps the basis as it is while somebody is missing, less those that
-// have ended.
-func (n *Node) setBasis() {
-	missing := false
-	for _, m := range n.members {
-		missing = missing || m.missing
-	}
-	if missing {
-		n.basis = slices.DeleteFunc(n.basis, func(id string) bool {
-			m, ok := n.members[id]
-			return id != n.self.ID && (!ok || m.in.State == declarer.Gone)
-		})
-		return
-	}
-	n.basis = []string{n.self.ID}
-	for id, m := range n.members {
-		if m.in.State != declarer.Gone {
-			n.basis = append(n.basis, id)
-		}
-	}
-	slices.Sort(n.basis)
-}
--- a/internal/peer/detector/member.go
+++ b/internal/peer/detector/member.go
@@ -10,6 +10,10 @@
 // member is what a Node holds of another member's present membership.
 type member struct {
 	in declarer.Instance
+	// key names the incarnation in pings.
+	key uint32
+	// known holds the keys of the members that it knew, by its latest ping.
+	known []uint32
 	// ackedAt is when this node last acked the membership, at first when it
 	// learned of it.
 	ackedAt time.Time
@@ -18,11 +22,13 @@
 	// missing is true once the membership is excluded.
 	missing bool
 
+	// published is true once the published permit counts the membership in.
+	published bool
 	// accepted is true once the membership has accepted this node's present term.
 	accepted bool
 	// heardAt is the send time of this node's latest ping that was accepted.
 	heardAt time.Time
-	// drained is true once the membership, leaving, has accepted this node.
+	// drained is true once the membership, which leaves, has no work left at all.
 	drained bool
 
 	// reports holds the memberships that the member has expired, as it said at
@@ -35,7 +41,7 @@
 }
 
 func newMember(in declarer.Instance, now time.Time) *member {
-	return &member{in: in, ackedAt: now, pingAt: now}
+	return &member{in: in, key: voterKey(&in), ackedAt: now, pingAt: now}
 }
 
 // is reports whether the message of a membership is of the present one.
@@ -63,3 +69,11 @@
 	m.reports = expired
 	m.reportedAt = now
 }
+
+// takeAccept notes that the member accepted the ping sent at the given time.
+func (m *member) takeAccept(sentAt time.Time) {
+	m.accepted = true
+	if sentAt.After(m.heardAt) {
+		m.heardAt = sentAt
+	}
+}
--- a/internal/peer/detector/message.go
+++ b/internal/peer/detector/message.go
@@ -6,8 +6,12 @@
 	"cornelwood.example/internal/contract/declarer"
 )
 
-// maxExpired bounds the memberships in a message.
-const maxExpired = 256
+// Bounds of a message.
+const (
+	maxExpired = 256
+	maxMembers = 256
+	maxTold    = 16
+)
 
 // Membership names one stay of an instance in its group.
 type Membership struct {
@@ -26,6 +30,12 @@
 	Seq    uint64 `json:"s"`
 	// Expired holds the memberships that the sender never acks again.
 	Expired []Membership `json:"e,omitempty"`
+	// Known holds the keys of the incarnations that the sender knows to be in the
+	// group, its own too, sorted.
+	Known []uint32 `json:"k"`
+	// Voters has a bit for each of Known, set when the sender counts its vote. It
+	// is empty when the sender cannot say.
+	Voters []byte `json:"v,omitempty"`
 }
 
 // Check returns the first fault of a decoded ping, or nil.
@@ -36,9 +46,27 @@
 	if p.To == "" {
 		return fmt.Errorf("ping %d from %q names no member", p.Seq, p.From.ID)
 	}
+	if err := p.checkKnown(); err != nil {
+		return err
+	}
 	return checkExpired(p.Expired)
 }
 
+func (p *Ping) checkKnown() error {
+	if len(p.Known) == 0 || len(p.Known) > maxMembers {
+		return fmt.Errorf("ping: %d known members: want 1 to %d", len(p.Known), maxMembers)
+	}
+	for i := 1; i < len(p.Known); i++ {
+		if p.Known[i-1] >= p.Known[i] {
+			return fmt.Errorf("ping: known members are not sorted at %d", i)
+		}
+	}
+	if want := (len(p.Known) + 7) / 8; len(p.Voters) != 0 && len(p.Voters) != want {
+		return fmt.Errorf("ping: %d bytes of voters: want 0 or %d", len(p.Voters), want)
+	}
+	return nil
+}
+
 // Ack answers a Ping.
 type Ack struct {
 	From declarer.Instance `json:"f"`
@@ -46,10 +74,15 @@
 	// Accept is true when the sender counts the asking membership live and has no
 	// work left at the upstreams that it ranks first for.
 	Accept bool `json:"a,omitempty"`
+	// Drained is true when the sender leaves and has no work left anywhere.
+	Drained bool `json:"d,omitempty"`
 	// Rejoin is true when the asking membership has expired.
 	Rejoin bool `json:"r,omitempty"`
 	// Expired holds the memberships that the sender never acks again.
 	Expired []Membership `json:"e,omitempty"`
+	// Told holds records of members that the asking one lacks, or does not know to
+	// have ended.
+	Told []declarer.Instance `json:"m,omitempty"`
 }
 
 // Check returns the first fault of a decoded ack, or nil.
@@ -57,6 +90,14 @@
 	if err := a.From.Check(); err != nil {
 		return fmt.Errorf("ack: %w", err)
 	}
+	if len(a.Told) > maxTold {
+		return fmt.Errorf("ack: %d records: want at most %d", len(a.Told), maxTold)
+	}
+	for i := range a.Told {
+		if err := a.Told[i].Check(); err != nil {
+			return fmt.Errorf("ack: record %d: %w", i, err)
+		}
+	}
 	return checkExpired(a.Expired)
 }
 
--- a/internal/peer/detector/node.go
+++ b/internal/peer/detector/node.go
@@ -20,26 +20,26 @@
 	Takeover time.Duration
 	// InFlight returns how many sub-requests this daemon runs at upstreams for
 	// which the instance with the given ID ranks before it; all of them when
-	// leaving.
+	// leaving, whatever the ID.
 	InFlight func(id string, leaving bool) int
 
 	faults faults
 }
 
-// faults are bugs put in on purpose, for tests of the model check.
-type faults struct {
-	noFence, noReports, noDrain, noExpiry, noShare bool
-}
-
 // Node is one daemon's part in its owner group. It is not safe for concurrent
 // use: the control goroutine owns it.
 type Node struct {
 	cfg     Config
 	self    declarer.Instance
 	members map[string]*member
-	// basis holds the IDs of the members, this one too, when nobody was missing
-	// last.
-	basis []string
+	// known holds the keys of this node and of the members that have not ended,
+	// sorted. It is replaced, never changed.
+	known []uint32
+	// voters holds the keys of the members with a vote, and when this node learned
+	// that they have ended.
+	voters map[uint32]time.Time
+	// published is this daemon's own state in the published permit.
+	published declarer.State
 	// start is when this node's present term began.
 	start time.Time
 	// seenAt is when the node was last called.
@@ -64,8 +64,9 @@
 		start:   now,
 		seenAt:  now,
 		sent:    make(map[uint64]sentPing),
+		voters:  make(map[uint32]time.Time),
 	}
-	n.setBasis()
+	n.renewKnown()
 	return n
 }
 
@@ -106,6 +107,7 @@
 		return
 	}
 	m.in.State = declarer.Gone
+	m.in.Incarnation = incarnation
 	m.missing = false
 	n.settle(now)
 }
--- a/internal/peer/detector/permit.go
+++ b/internal/peer/detector/permit.go
@@ -20,21 +20,27 @@
 	leaving []declarer.Instance
 	// num/den is the share of a warm upstream.
 	num, den int
-	// basis holds the members of the basis when the share is a part, to rank cold
-	// upstreams by.
-	basis []declarer.Instance
+	// ranked holds the members, this daemon too, when the share is a part, to rank
+	// cold upstreams by; backing says which are voters that support this daemon.
+	ranked  []declarer.Instance
+	backing []bool
 }
 
 // nobody is the share that admits nothing.
 var nobody = exchanger.Share{Num: 0, Den: 1}
 
-// Permit returns what this daemon may admit as of its last call.
+// Permit returns what this daemon may admit as of its last call. The caller
+// publishes it to the traffic before it calls the node again: until then, work
+// may be admitted that the node does not permit any more, so that it accepts no
+// member that the permit does not count in.
 func (n *Node) Permit() *Permit {
+	n.published = n.self.State
 	p := &Permit{self: n.self.ID, until: n.until()}
 	if n.self.State == declarer.Live {
 		p.live = append(p.live, n.self)
 	}
 	for _, m := range n.members {
+		m.published = counted(m)
 		switch {
 		case !counted(m):
 		case m.in.State == declarer.Live:
@@ -77,29 +83,24 @@
 	return true
 }
 
-// hasFirst reports whether the half of the basis that this daemon is in holds
-// the member that ranks first for an upstream.
+// hasFirst reports whether the member that ranks first for an upstream is a voter
+// on this daemon's side.
 func (p *Permit) hasFirst(key string) bool {
-	i := assigner.Owner(key, p.basis)
-	if i < 0 {
-		return false
-	}
-	for _, in := range p.live {
-		if in.ID == p.basis[i].ID {
-			return true
-		}
-	}
-	return false
+	i := assigner.Owner(key, p.ranked)
+	return i >= 0 && p.backing[i]
 }
 
-// until returns when the fence falls: the earliest over the live members, zero
-// when one has not accepted this term. A node that knows no other waits the
+// until returns when the fence falls: the earliest over the members that may
+// have work, zero when one has not accepted this term. A node that knows no other waits the
 // takeover time once, since others may not be known yet.
 func (n *Node) until() time.Time {
 	alone := true
 	var until time.Time
 	for _, m := range n.members {
-		if !counted(m) || m.in.State != declarer.Live {
+		if !counted(m) || m.drained {
+			continue
+		}
+		if n.cfg.faults.has(noLeaveFence) && m.in.State == declarer.Leaving {
 			continue
 		}
 		if !m.accepted {
@@ -111,7 +112,7 @@
 		}
 		alone = false
 	}
-	if n.cfg.faults.noFence {
+	if n.cfg.faults.has(noFence) {
 		return n.seenAt.Add(n.cfg.Takeover * 100)
 	}
 	if alone {
@@ -123,37 +124,71 @@
 // untilAlone returns the fence of a node without live members. It is renewed at
 // each call of the node.
 func (n *Node) untilAlone() time.Time {
-	if n.seenAt.Sub(n.start) <= n.cfg.Takeover {
+	if !n.hasWaited() {
 		return time.Time{}
 	}
 	return n.seenAt.Add(n.cfg.Fence)
 }
 
+// hasWaited reports whether the takeover time has passed in this term.
+func (n *Node) hasWaited() bool {
+	return n.seenAt.Sub(n.start) > n.takeover() || n.cfg.faults.has(noWait)
+}
+
 // setShare sets the share: 1 with nobody missing or with more than half of the
-// basis, a half with exactly half, else nothing. Only members that have expired
-// every missing one too count.
+// voters, a half with exactly half, else nothing. Members that have no vote yet
+// may have one for others: so they count only against.
 func (n *Node) setShare(p *Permit) {
 	p.num, p.den = 1, 1
 	missing := n.missing()
-	if len(missing) == 0 || n.cfg.faults.noShare {
+	if len(missing) == 0 || n.cfg.faults.has(noShare) {
 		return
 	}
-	have := 0
-	for _, id := range n.basis {
-		if id == n.self.ID || n.supports(id, missing) {
-			have++
-		}
-	}
+	have, against := n.countVotes(missing)
 	switch {
-	case 2*have > len(n.basis):
-	case 2*have == len(n.basis):
+	case have > against:
+	case have == against && have > 0:
 		p.den = 2
-		p.basis = basisRecords(n.basis)
+		n.rankVoters(p, missing)
 	default:
 		p.num = 0
 	}
 }
 
+// countVotes returns the voters that support this node and all other members
+// that do, or may, have a vote.
+func (n *Node) countVotes(missing []*member) (have, against int) {
+	against = len(n.voters)
+	for _, m := range n.members {
+		switch {
+		case m.in.State == declarer.Gone:
+		case n.supports(m, missing) && n.isVoter(m.key):
+			have++
+			against--
+		case !n.supports(m, missing) && !n.isVoter(m.key):
+			against++
+		}
+	}
+	if n.isVoter(voterKey(&n.self)) {
+		have++
+		against--
+	}
+	return have, against
+}
+
+// rankVoters notes the members by which cold upstreams rank, and which of them
+// are voters that support this node.
+func (n *Node) rankVoters(p *Permit, missing []*member) {
+	p.ranked = append(p.ranked, declarer.Instance{ID: n.self.ID})
+	p.backing = append(p.backing, n.isVoter(voterKey(&n.self)))
+	for id, m := range n.members {
+		if m.in.State != declarer.Gone {
+			p.ranked = append(p.ranked, declarer.Instance{ID: id})
+			p.backing = append(p.backing, n.isVoter(m.key) && n.supports(m, missing))
+		}
+	}
+}
+
 func (n *Node) missing() []*member {
 	var all []*member
 	for _, m := range n.members {
@@ -164,13 +199,14 @@
 	return all
 }
 
-// supports reports whether a member of the basis is live and has expired every
-// missing one.
-func (n *Node) supports(id string, missing []*member) bool {
-	m, ok := n.members[id]
-	if !ok || !counted(m) || m.in.State != declarer.Live {
+// supports reports whether a member is live and has expired every missing one.
+func (n *Node) supports(m *member, missing []*member) bool {
+	if !counted(m) || m.in.State != declarer.Live {
 		return false
 	}
+	if n.cfg.faults.has(noSupport) {
+		return true
+	}
 	after := n.seenAt.Add(-n.cfg.Fence)
 	for _, lost := range missing {
 		if !m.reportsExpired(lost, after) {
@@ -179,11 +215,3 @@
 	}
 	return true
 }
-
-func basisRecords(ids []string) []declarer.Instance {
-	records := make([]declarer.Instance, len(ids))
-	for i, id := range ids {
-		records[i] = declarer.Instance{ID: id}
-	}
-	return records
-}
--- a/internal/peer/detector/ping.go
+++ b/internal/peer/detector/ping.go
@@ -34,15 +34,20 @@
 	case !ok || !m.is(&p.From) || m.in.State == declarer.Gone:
 		// An earlier membership: it is told to join again.
 		ack.Rejoin = true
-	case m.expired && !n.cfg.faults.noExpiry:
+	case m.expired && !n.cfg.faults.has(noExpiry):
 		ack.Rejoin = true
 	default:
 		m.expired, m.missing = false, false
 		m.ackedAt = now
 		m.takeReport(p.Expired, now)
-		ack.Accept = n.accepts(m)
+		m.known = p.Known
+		n.settle(now)
+		n.inherit(&p)
+		ack.Accept = n.accepts(m, &p)
+		ack.Drained = n.isDrained()
 	}
 	n.settle(now)
+	ack.Told = n.told(&p)
 	ack.Expired = n.expired()
 	return ack
 }
@@ -66,35 +71,50 @@
 	}
 	m.takeReport(a.Expired, now)
 	if a.Accept {
-		n.takeAccept(m, s.at)
+		m.takeAccept(s.at)
+	}
+	m.drained = m.drained || a.Drained
+	for _, in := range a.Told {
+		n.Learn(now, in)
 	}
 	n.settle(now)
 }
 
-// takeAccept notes that a member accepted the ping sent at the given time.
-func (n *Node) takeAccept(m *member, sentAt time.Time) {
-	m.accepted = true
-	if sentAt.After(m.heardAt) {
-		m.heardAt = sentAt
+// accepts reports whether the member, which this node counts live, knows all
+// members that this node knows, and this node has no work left for which the
+// member ranks before it.
+func (n *Node) accepts(m *member, p *Ping) bool {
+	f := n.cfg.faults
+	if !isSubset(n.known, p.Known) && !f.has(noKnown) {
+		return false
 	}
-	if m.in.State == declarer.Leaving {
-		m.drained = true
+	if !m.published && !f.has(noPublication) {
+		return false
 	}
+	return f.has(noDrain) || n.cfg.InFlight(m.in.ID, false) == 0
 }
 
-// accepts reports whether this node has no work left for which the member, which
-// it counts live, ranks before it.
-func (n *Node) accepts(m *member) bool {
-	if n.cfg.faults.noDrain {
-		return true
+// told returns the records that the sender of a ping lacks.
+func (n *Node) told(p *Ping) []declarer.Instance {
+	var told []declarer.Instance
+	for id, m := range n.members {
+		_, has := slices.BinarySearch(p.Known, m.key)
+		if id != p.From.ID && has == (m.in.State == declarer.Gone) && len(told) < maxTold {
+			told = append(told, m.in)
+		}
 	}
-	return n.cfg.InFlight(m.in.ID, n.self.State == declarer.Leaving) == 0
+	return told
+}
+
+// isDrained reports whether this node leaves and has no work left.
+func (n *Node) isDrained() bool {
+	return n.published == declarer.Leaving && n.cfg.InFlight("", true) == 0
 }
 
 func (n *Node) ping(now time.Time, m *member) Ping {
 	n.seq++
 	n.sent[n.seq] = sentPing{to: m.in.ID, at: now, term: n.self.Term}
-	return Ping{From: n.self, To: m.in.ID, Seq: n.seq, Expired: n.expired()}
+	return Ping{From: n.self, To: m.in.ID, Seq: n.seq, Expired: n.expired(), Known: n.known, Voters: n.voterBits()}
 }
 
 // pingAll makes a ping to every member due.
