--- a/internal/peer/detector/exclude.go
+++ b/internal/peer/detector/exclude.go
@@ -45,10 +45,13 @@
 	return n.cfg.Takeover + n.cfg.Takeover/driftPart
 }
 
-// settle excludes the members that may be excluded, and brings the voters up to
+// settle ends and excludes the members that may be, and brings the voters up to
 // date.
 func (n *Node) settle(now time.Time) {
 	for _, m := range n.members {
+		if m.missing && !m.endedAt.IsZero() && now.Sub(m.endedAt) > n.takeover() {
+			m.end()
+		}
 		if m.expired && counted(m) && n.excludable(now, m) {
 			m.missing = true
 		}
--- a/internal/peer/detector/faults.go
+++ b/internal/peer/detector/faults.go
@@ -27,6 +27,14 @@
 	noWait
 	// noPause expires members after a pause of this process.
 	noPause
+	// noDelay takes missing members for ended as soon as it is told.
+	noDelay
+	// oldDrain takes an ack from before the leave for its having drained.
+	oldDrain
+	// oldTerm takes acks of this node's earlier terms.
+	oldTerm
+	// lateFence reckons the fence from the arrival of an ack.
+	lateFence
 )
 
 func (f faults) has(g faults) bool {
--- a/internal/peer/detector/member.go
+++ b/internal/peer/detector/member.go
@@ -24,6 +24,9 @@
 
 	// published is true once the published permit counts the membership in.
 	published bool
+	// endedAt is when this node learned that the membership, which was missing, has
+	// ended.
+	endedAt time.Time
 	// accepted is true once the membership has accepted this node's present term.
 	accepted bool
 	// heardAt is the send time of this node's latest ping that was accepted.
@@ -77,3 +80,9 @@
 		m.heardAt = sentAt
 	}
 }
+
+// end notes that the membership has ended, and its work too.
+func (m *member) end() {
+	m.in.State = declarer.Gone
+	m.missing = false
+}
--- a/internal/peer/detector/model_test.go
+++ b/internal/peer/detector/model_test.go
@@ -9,41 +9,37 @@
 // healWithin is the bound of liveness in steps: the platform's lag, two takeover
 // times (silent members expire; those told to join again wait for nobody longer)
 // and ten intervals for terms, records and draining.
-const healWithin = listLag + 2*int(takeover/step) + 10*int(interval/step)
+const healWithin = maxListLag + 2*int(takeover/step) + 10*int(interval/step)
 
-// randomPlan returns the plan of a seed.
+// randomPlan returns the plan of a seed. Its events come in a few moments, so
+// that several happen together.
 func randomPlan(seed uint64, size int) plan {
 	rng := rand.New(rand.NewPCG(seed, uint64(size)))
+	pick := func(of ...int) int { return of[rng.IntN(len(of))] }
 	p := plan{
-		seed: seed, size: size, upstreams: 2 + rng.IntN(2), horizon: 150, healWithin: healWithin,
-		atStart: 1 + rng.IntN(size), loss: []int{0, 0, 10, 30}[rng.IntN(4)], delay: rng.IntN(5),
-		relay: rng.IntN(2) == 0, fewContacts: rng.IntN(4) == 0,
+		seed: seed, size: size, upstreams: 2 + rng.IntN(2), horizon: 150,
+		atStart: 1 + rng.IntN(size), loss: pick(0, 0, 10, 30), delay: pick(0, 0, 1, 4),
+		load: pick(5, 50, 80), gossip: pick(0, 5, 40), listLag: rng.IntN(maxListLag + 1),
+		fast: uint(rng.IntN(1 << size)), relay: rng.IntN(2) == 0, fewContacts: rng.IntN(4) == 0,
 	}
 	for i := p.atStart; i < size; i++ {
 		p.events = append(p.events, event{at: rng.IntN(60), act: start, a: i})
 	}
-	for range 2 + rng.IntN(10) {
-		e := event{at: rng.IntN(p.horizon), act: act(rng.IntN(int(acts))), a: rng.IntN(size)}
-		e.b = (e.a + 1 + rng.IntN(size-1)) % size
-		p.events = append(p.events, e)
-		if e.act <= cutOneWay || e.act == freeze || e.act == stall || e.act == kill || e.act == lose {
-			p.events = append(p.events, undo(e, e.at+rng.IntN(80)))
+	for at := 20 + rng.IntN(20); at < p.horizon; at += pick(1, 3, 10, 20, 40) {
+		for range 1 + rng.IntN(3) {
+			p.events = append(p.events, randomEvent(rng, at, size))
 		}
 	}
 	slices.SortStableFunc(p.events, func(a, b event) int { return a.at - b.at })
 	return p
 }
 
-// undo returns the event that ends another.
-func undo(e event, at int) event {
-	switch e.act {
-	case freeze, stall:
-		return event{at: at, act: resume, a: e.a}
-	case kill, lose:
-		return event{at: at, act: start, a: e.a}
-	default:
-		return event{at: at, act: heal, a: e.a, b: e.b}
+func randomEvent(rng *rand.Rand, at, size int) event {
+	e := event{at: at, act: act(rng.IntN(int(acts))), a: rng.IntN(size)}
+	if e.act < heal {
+		e.a = 1 + rng.IntN(1<<size-2)
 	}
+	return e
 }
 
 // shrink drops events that a failure does not need.
--- a/internal/peer/detector/node.go
+++ b/internal/peer/detector/node.go
@@ -100,15 +100,21 @@
 	n.settle(now)
 }
 
-// Confirm takes in that a member's incarnation has ended.
+// Confirm takes in that a member's incarnation has ended. That of a missing
+// member takes effect a takeover time later, when its work has ended too.
 func (n *Node) Confirm(now time.Time, id string, incarnation uint64) {
+	n.observe(now)
 	m, ok := n.members[id]
-	if !ok || m.in.Incarnation > incarnation {
+	if !ok || m.in.Incarnation > incarnation || m.in.State == declarer.Gone {
 		return
 	}
-	m.in.State = declarer.Gone
-	m.in.Incarnation = incarnation
-	m.missing = false
+	switch {
+	case !m.missing || n.cfg.faults.has(noDelay):
+		m.in.Incarnation = incarnation
+		m.end()
+	case m.endedAt.IsZero():
+		m.endedAt = now
+	}
 	n.settle(now)
 }
 
@@ -145,7 +151,9 @@
 func (n *Node) rejoin(now time.Time, term uint64) {
 	n.self.Term = max(term, n.self.Term+1)
 	n.start = now
-	clear(n.sent)
+	if !n.cfg.faults.has(oldTerm) {
+		clear(n.sent)
+	}
 	for id, m := range n.members {
 		if m.in.State != declarer.Gone {
 			n.members[id] = newMember(m.in, now)
--- a/internal/peer/detector/ping.go
+++ b/internal/peer/detector/ping.go
@@ -62,7 +62,7 @@
 	delete(n.sent, a.Seq)
 	n.Learn(now, a.From)
 	m, ok := n.members[a.From.ID]
-	if !ok || !m.is(&a.From) || s.term != n.self.Term {
+	if !ok || !m.is(&a.From) || s.term != n.self.Term && !n.cfg.faults.has(oldTerm) {
 		return
 	}
 	if a.Rejoin {
@@ -70,8 +70,12 @@
 		return
 	}
 	m.takeReport(a.Expired, now)
+	if n.cfg.faults.has(lateFence) {
+		s.at = now
+	}
 	if a.Accept {
 		m.takeAccept(s.at)
+		m.drained = m.drained || n.cfg.faults.has(oldDrain) && m.in.State == declarer.Leaving
 	}
 	m.drained = m.drained || a.Drained
 	for _, in := range a.Told {
@@ -99,7 +103,7 @@
 	var told []declarer.Instance
 	for id, m := range n.members {
 		_, has := slices.BinarySearch(p.Known, m.key)
-		if id != p.From.ID && has == (m.in.State == declarer.Gone) && len(told) < maxTold {
+		if id != p.From.ID && !n.cfg.faults.has(noKnown) && has == (m.in.State == declarer.Gone) && len(told) < maxTold {
 			told = append(told, m.in)
 		}
 	}
--- a/internal/peer/detector/run_test.go
+++ b/internal/peer/detector/run_test.go
@@ -37,20 +37,24 @@
 	}
 }
 
-// awaitOwners checks that every upstream has one owner with the whole share
-// within the bound, and keeps it.
+// awaitOwners checks that every upstream has an owner with the whole share within
+// the bound.
 func (w *world) awaitOwners() {
-	end := w.step + w.healWithin
-	for ; w.step < end+10 && w.broken == ""; w.step++ {
+	end := w.step + healWithin
+	for lasting := 0; lasting < 10 && w.broken == ""; w.step++ {
 		w.turn()
 		if len(w.alive()) == 0 || !w.isConnected() {
 			return
 		}
+		lasting++
 		for _, key := range w.keys {
-			if w.step >= end && !w.hasOwner(key) {
-				w.fail("%s has no owner with the whole share", key)
+			if !w.hasOwner(key) {
+				lasting = 0
 			}
 		}
+		if w.step > end && lasting == 0 {
+			w.fail("not every upstream has an owner with the whole share")
+		}
 	}
 }
 
@@ -105,14 +109,14 @@
 		return
 	}
 	w.complete(d)
-	w.admit(d)
+	w.admit(d, w.load)
 	if d.stalled {
 		return
 	}
 	w.call(d, func(now time.Time) { w.tick(d, now) })
-	w.admit(d)
-	if w.chance(40) {
-		w.gossip(d, w.daemons[w.rng.IntN(w.size)])
+	w.admit(d, w.load)
+	if w.chance(w.gossip) {
+		w.spread(d, w.daemons[w.rng.IntN(w.size)])
 	}
 	if w.chance(20) {
 		w.list(d)
@@ -126,7 +130,7 @@
 func (w *world) complete(d *daemon) {
 	d.work = slices.DeleteFunc(d.work, func(v work) bool {
 		done := w.chance(10)
-		if t := d.tenures[v.key]; done && t.held {
+		if t := d.tenures[v.key]; done && t != nil && t.held {
 			t.warm = true
 		}
 		return done
@@ -168,7 +172,7 @@
 	inbox := d.inbox
 	d.inbox = nil
 	if d.alive {
-		w.admit(d) // the traffic may run before the control goroutine
+		w.admit(d, w.load) // the traffic may run before the control goroutine
 	}
 	for _, f := range inbox {
 		f()
@@ -177,32 +181,46 @@
 
 // apply makes an event happen, unless it makes no sense now.
 func (w *world) apply(e event) {
-	a := w.daemons[e.a]
+	if e.act <= heal {
+		w.applyCut(e)
+		return
+	}
+	d := w.daemons[e.a]
 	switch {
-	case e.act == cut || e.act == cutOneWay || e.act == heal:
-		w.cuts[[2]int{e.a, e.b}] = e.act != heal
-		if e.act != cutOneWay {
-			w.cuts[[2]int{e.b, e.a}] = e.act == cut
-		}
 	case e.act == start:
-		if !a.alive && (!a.lost || w.step-a.endedAt >= rebootSteps) {
-			w.boot(a)
-			w.introduce(a)
+		if !d.alive && (!d.lost || w.step-d.endedAt >= rebootSteps) {
+			w.boot(d)
+			w.introduce(d)
 		}
-	case !a.alive:
+	case !d.alive:
 	case e.act == freeze:
-		a.frozen = true
+		d.frozen = true
 	case e.act == stall:
-		a.stalled = true
+		d.stalled = true
 	case e.act == resume:
-		w.resume(a)
+		w.resume(d)
 	case e.act == leave:
-		w.call(a, func(now time.Time) { a.node.Leave(now) })
+		w.call(d, func(now time.Time) { d.node.Leave(now) })
 	case e.act == kill:
-		w.halt(a)
-		a.work = nil
+		w.halt(d)
+		d.work = nil
 	case e.act == lose:
-		w.halt(a)
-		a.lost = true
+		w.halt(d)
+		d.lost = true
+	}
+}
+
+func (w *world) applyCut(e event) {
+	if e.act == heal {
+		clear(w.cuts)
+		return
+	}
+	for a := range w.size {
+		for b := range w.size {
+			if e.a>>a&1 == 1 && e.a>>b&1 == 0 {
+				w.cuts[[2]int{a, b}] = true
+				w.cuts[[2]int{b, a}] = w.cuts[[2]int{b, a}] || e.act == cut
+			}
+		}
 	}
 }
--- a/internal/peer/detector/world_test.go
+++ b/internal/peer/detector/world_test.go
@@ -21,19 +21,19 @@
 
 	limit     = 3
 	coldLimit = 1
-	// listLag is the steps after its end that the platform lists an instance.
-	listLag = 20
+	// maxListLag is the steps after its end that the platform lists an instance.
+	maxListLag = 20
 	// rebootSteps is the least number of steps until a lost machine is back.
 	rebootSteps = int(takeover/step) + 2
 )
 
-// act is what happens to daemon a, or between a and b.
+// act is what happens to daemon a, or to the network.
 type act int
 
 const (
-	cut act = iota
-	cutOneWay
-	heal
+	cut       act = iota // between the daemons in the bits of a and all others
+	cutOneWay            // from the daemons in the bits of a to all others
+	heal                 // every cut
 	freeze // stops the process
 	stall  // stops the control goroutine only
 	resume
@@ -52,10 +52,10 @@
 type event struct {
 	at   int
 	act  act
-	a, b int
+	a    int
 }
 
-func (e event) String() string { return fmt.Sprintf("{%d, %s, %d, %d}", e.at, e.act, e.a, e.b) }
+func (e event) String() string { return fmt.Sprintf("{%d, %s, %d}", e.at, e.act, e.a) }
 
 // plan is a schedule, with the seed of what it leaves open: delays, losses, the
 // order within a step and the work offered.
@@ -63,11 +63,15 @@
 	seed                uint64
 	size, atStart       int // daemons, and how many of them start at step 0
 	upstreams           int
-	loss, delay         int // in 100; in steps
+	loss, delay         int  // in 100; in steps
+	load, gossip        int  // in 100
+	listLag             int  // in steps
+	fast                uint // the daemons in its bits have faster clocks by 1 in 100
 	relay, fewContacts  bool
+	longWork            bool // work outlives the takeover time
 	events              []event
 	faults              faults
-	horizon, healWithin int
+	horizon             int
 }
 
 // work is a sub-request at an upstream, until a time of its daemon's clock.
@@ -134,7 +138,7 @@
 
 // now is the time by a daemon's clock. Clocks differ by 1 in 100.
 func (w *world) now(d *daemon) time.Time {
-	rate := time.Duration(995 + 10*(d.i%2))
+	rate := time.Duration(995 + 10*(w.fast>>d.i&1))
 	return time.Unix(0, 0).Add(time.Duration(w.step+1000) * step / 1000 * rate)
 }
 
@@ -175,7 +179,7 @@
 		}
 	}
 	if d.permit != nil && w.chance(50) {
-		w.admit(d)
+		w.admit(d, 80)
 	}
 	return n
 }
@@ -273,8 +277,8 @@
 	}
 }
 
-// gossip tells a daemon the records of another.
-func (w *world) gossip(d, to *daemon) {
+// spread tells a daemon the records of another.
+func (w *world) spread(d, to *daemon) {
 	if d == to || !d.alive || d.frozen || d.stalled || !to.alive || !w.passes(d, to) {
 		return
 	}
@@ -320,7 +324,7 @@
 func (w *world) list(d *daemon) {
 	for _, in := range d.node.Records() {
 		o := w.find(in.ID)
-		if in.State == declarer.Missing && !o.alive && w.step-o.endedAt >= listLag {
+		if in.State == declarer.Missing && !o.alive && w.step-o.endedAt >= w.listLag {
 			w.call(d, func(now time.Time) { d.node.Confirm(now, in.ID, in.Incarnation) })
 		}
 	}
@@ -344,17 +348,19 @@
 	return s, t
 }
 
-// admit offers work to the traffic of a daemon.
-func (w *world) admit(d *daemon) {
+// admit offers work, of a load in 100, to the traffic of a daemon.
+func (w *world) admit(d *daemon, load int) {
 	for _, key := range w.keys {
 		s, t := w.share(d, key)
-		for t.held && w.chance(80) {
+		for t.held && w.chance(load) {
 			mine := w.at(key, d)
 			if t.warm && mine >= s.Scale(limit, w.now(d)) || !t.warm && (!s.Cold || mine >= coldLimit) {
 				break
 			}
 			end := s.Until.Add(takeover - fence)
-			if w.chance(20) {
+			if w.longWork {
+				end = end.Add(fence)
+			} else if w.chance(20) {
 				end = w.now(d).Add(time.Duration(w.rng.IntN(6)) * step)
 			}
 			d.work = append(d.work, work{key, end})
