--- a/internal/peer/detector/exclude.go
+++ b/internal/peer/detector/exclude.go
@@ -16,6 +16,7 @@
 // of others is its own, so their clocks start anew.
 func (n *Node) observe(now time.Time) {
 	if now.Sub(n.seenAt) > n.cfg.Fence && !n.cfg.faults.has(noPause) {
+		n.start = now
 		for _, m := range n.members {
 			if !m.expired {
 				m.ackedAt = now
--- a/internal/peer/detector/faults.go
+++ b/internal/peer/detector/faults.go
@@ -23,7 +23,7 @@
 	noMourning
 	// noPublication accepts members that the published permit does not count in.
 	noPublication
-	// noWait makes a starter that knows nobody admit at once.
+	// noWait makes starters admit at once.
 	noWait
 	// noPause expires members after a pause of this process.
 	noPause
--- a/internal/peer/detector/node.go
+++ b/internal/peer/detector/node.go
@@ -40,7 +40,8 @@
 	voters map[uint32]time.Time
 	// published is this daemon's own state in the published permit.
 	published declarer.State
-	// start is when this node's present term began.
+	// start is when this node started, and while it has no voters when the members
+	// that it knows changed last.
 	start time.Time
 	// seenAt is when the node was last called.
 	seenAt time.Time
@@ -150,7 +151,6 @@
 // rejoin starts a new term: nothing is accepted, nobody expired.
 func (n *Node) rejoin(now time.Time, term uint64) {
 	n.self.Term = max(term, n.self.Term+1)
-	n.start = now
 	if !n.cfg.faults.has(oldTerm) {
 		clear(n.sent)
 	}
--- a/internal/peer/detector/permit.go
+++ b/internal/peer/detector/permit.go
@@ -91,11 +91,13 @@
 }
 
 // until returns when the fence falls: the earliest over the members that may
-// have work, zero when one has not accepted this term. A node that knows no other waits the
-// takeover time once, since others may not be known yet.
+// have work, zero when one has not accepted this term or this node has just
+// started. Without such members each call of the node renews it.
 func (n *Node) until() time.Time {
-	alone := true
-	var until time.Time
+	if len(n.voters) == 0 {
+		return time.Time{}
+	}
+	until := n.seenAt.Add(n.cfg.Fence)
 	for _, m := range n.members {
 		if !counted(m) || m.drained {
 			continue
@@ -106,35 +108,16 @@
 		if !m.accepted {
 			return time.Time{}
 		}
-		end := m.heardAt.Add(n.cfg.Fence)
-		if alone || end.Before(until) {
+		if end := m.heardAt.Add(n.cfg.Fence); end.Before(until) {
 			until = end
 		}
-		alone = false
 	}
 	if n.cfg.faults.has(noFence) {
 		return n.seenAt.Add(n.cfg.Takeover * 100)
 	}
-	if alone {
-		return n.untilAlone()
-	}
 	return until
 }
 
-// untilAlone returns the fence of a node without live members. It is renewed at
-// each call of the node.
-func (n *Node) untilAlone() time.Time {
-	if !n.hasWaited() {
-		return time.Time{}
-	}
-	return n.seenAt.Add(n.cfg.Fence)
-}
-
-// hasWaited reports whether the takeover time has passed in this term.
-func (n *Node) hasWaited() bool {
-	return n.seenAt.Sub(n.start) > n.takeover() || n.cfg.faults.has(noWait)
-}
-
 // setShare sets the share: 1 with nobody missing or with more than half of the
 // voters, a half with exactly half, else nothing. Members that have no vote yet
 // may have one for others: so they count only against.
--- a/internal/peer/detector/ping.go
+++ b/internal/peer/detector/ping.go
@@ -98,21 +98,32 @@
 	return f.has(noDrain) || n.cfg.InFlight(m.in.ID, false) == 0
 }
 
+// isDrained reports whether this node leaves and has no work left.
+func (n *Node) isDrained() bool {
+	return n.published == declarer.Leaving && n.cfg.InFlight("", true) == 0
+}
+
 // told returns the records that the sender of a ping lacks.
 func (n *Node) told(p *Ping) []declarer.Instance {
 	var told []declarer.Instance
 	for id, m := range n.members {
-		_, has := slices.BinarySearch(p.Known, m.key)
-		if id != p.From.ID && !n.cfg.faults.has(noKnown) && has == (m.in.State == declarer.Gone) && len(told) < maxTold {
+		if id != p.From.ID && p.lacks(m) && len(told) < maxTold && !n.cfg.faults.has(noKnown) {
 			told = append(told, m.in)
 		}
 	}
 	return told
 }
 
-// isDrained reports whether this node leaves and has no work left.
-func (n *Node) isDrained() bool {
-	return n.published == declarer.Leaving && n.cfg.InFlight("", true) == 0
+// lacks reports whether the sender does not know the member, that it has ended,
+// or that it has joined again since the sender expired it.
+func (p *Ping) lacks(m *member) bool {
+	_, knows := slices.BinarySearch(p.Known, m.key)
+	if knows == (m.in.State == declarer.Gone) {
+		return true
+	}
+	return slices.ContainsFunc(p.Expired, func(e Membership) bool {
+		return e.ID == m.in.ID && e.Incarnation == m.in.Incarnation && e.Term < m.in.Term
+	})
 }
 
 func (n *Node) ping(now time.Time, m *member) Ping {
--- a/internal/peer/detector/voters.go
+++ b/internal/peer/detector/voters.go
@@ -43,15 +43,22 @@
 		}
 	}
 	slices.Sort(known)
-	if !slices.Equal(known, n.known) {
-		n.known = slices.Clone(known)
+	if slices.Equal(known, n.known) {
+		return
+	}
+	n.known = slices.Clone(known)
+	if len(n.voters) == 0 {
+		n.start = n.seenAt
 	}
 }
 
-// isAgreed reports whether nobody is missing and all know the same members. A
-// node that knows no other agrees with itself once others would be known.
+// isAgreed reports whether nobody is missing and all know the same members. Nodes
+// without voters have just started: they wait the takeover time, so that the work
+// of members that ended before has ended too.
 func (n *Node) isAgreed() bool {
-	alone := true
+	if len(n.voters) == 0 && !n.hasWaited() {
+		return false
+	}
 	for _, m := range n.members {
 		if m.in.State == declarer.Gone {
 			continue
@@ -62,9 +69,14 @@
 		if !n.cfg.faults.has(noAgreement) && !slices.Equal(m.known, n.known) {
 			return false
 		}
-		alone = false
 	}
-	return !alone || n.hasWaited()
+	return true
+}
+
+// hasWaited reports whether this node has known the same members for the takeover
+// time since it started.
+func (n *Node) hasWaited() bool {
+	return n.seenAt.Sub(n.start) > n.takeover() || n.cfg.faults.has(noWait)
 }
 
 // dropEnded takes the vote of incarnations that ended, but only after the
