--- a/internal/peer/detector/node.go
+++ b/internal/peer/detector/node.go
@@ -20,27 +20,28 @@
 	Takeover time.Duration
 	// InFlight returns how many sub-requests this daemon runs at upstreams for
 	// which the instance with the given ID ranks before it; all of them when
-	// leaving.
+	// leaving, whatever the ID.
 	InFlight func(id string, leaving bool) int
 
 	faults faults
 }
 
-// faults are bugs put in on purpose, for tests of the model check.
-type faults struct {
-	noFence, noReports, noDrain, noExpiry, noShare bool
-}
-
 // Node is one daemon's part in its owner group. It is not safe for concurrent
 // use: the control goroutine owns it.
 type Node struct {
 	cfg     Config
 	self    declarer.Instance
 	members map[string]*member
-	// basis holds the IDs of the members, this one too, when nobody was missing
-	// last.
-	basis []string
-	// start is when this node's present term began.
+	// known holds the keys of this node and of the members that have not ended,
+	// sorted. It is replaced, never changed.
+	known []uint32
+	// voters holds the keys of the members with a vote, and when this node learned
+	// that they have ended.
+	voters map[uint32]time.Time
+	// published is this daemon's own state in the published permit.
+	published declarer.State
+	// start is when this node started, and while it has no voters when the members
+	// that it knows changed last.
 	start time.Time
 	// seenAt is when the node was last called.
 	seenAt time.Time
@@ -64,8 +65,9 @@
 		start:   now,
 		seenAt:  now,
 		sent:    make(map[uint64]sentPing),
+		voters:  make(map[uint32]time.Time),
 	}
-	n.setBasis()
+	n.renewKnown()
 	return n
 }
 
@@ -99,14 +101,21 @@
 	n.settle(now)
 }
 
-// Confirm takes in that a member's incarnation has ended.
+// Confirm takes in that a member's incarnation has ended. That of a missing
+// member takes effect a takeover time later, when its work has ended too.
 func (n *Node) Confirm(now time.Time, id string, incarnation uint64) {
+	n.observe(now)
 	m, ok := n.members[id]
-	if !ok || m.in.Incarnation > incarnation {
+	if !ok || m.in.Incarnation > incarnation || m.in.State == declarer.Gone {
 		return
 	}
-	m.in.State = declarer.Gone
-	m.missing = false
+	switch {
+	case !m.missing || n.cfg.faults.has(noDelay):
+		m.in.Incarnation = incarnation
+		m.end()
+	case m.endedAt.IsZero():
+		m.endedAt = now
+	}
 	n.settle(now)
 }
 
@@ -142,8 +151,9 @@
 // rejoin starts a new term: nothing is accepted, nobody expired.
 func (n *Node) rejoin(now time.Time, term uint64) {
 	n.self.Term = max(term, n.self.Term+1)
-	n.start = now
-	clear(n.sent)
+	if !n.cfg.faults.has(oldTerm) {
+		clear(n.sent)
+	}
 	for id, m := range n.members {
 		if m.in.State != declarer.Gone {
 			n.members[id] = newMember(m.in, now)
--- a/internal/peer/detector/ping.go
+++ b/internal/peer/detector/ping.go
@@ -34,15 +34,20 @@
 	case !ok || !m.is(&p.From) || m.in.State == declarer.Gone:
 		// An earlier membership: it is told to join again.
 		ack.Rejoin = true
-	case m.expired && !n.cfg.faults.noExpiry:
+	case m.expired && !n.cfg.faults.has(noExpiry):
 		ack.Rejoin = true
 	default:
 		m.expired, m.missing = false, false
 		m.ackedAt = now
 		m.takeReport(p.Expired, now)
-		ack.Accept = n.accepts(m)
+		m.known = p.Known
+		n.settle(now)
+		n.inherit(&p)
+		ack.Accept = n.accepts(m, &p)
+		ack.Drained = n.isDrained()
 	}
 	n.settle(now)
+	ack.Told = n.told(&p)
 	ack.Expired = n.expired()
 	return ack
 }
@@ -57,7 +62,7 @@
 	delete(n.sent, a.Seq)
 	n.Learn(now, a.From)
 	m, ok := n.members[a.From.ID]
-	if !ok || !m.is(&a.From) || s.term != n.self.Term {
+	if !ok || !m.is(&a.From) || s.term != n.self.Term && !n.cfg.faults.has(oldTerm) {
 		return
 	}
 	if a.Rejoin {
@@ -65,36 +70,66 @@
 		return
 	}
 	m.takeReport(a.Expired, now)
+	if n.cfg.faults.has(lateFence) {
+		s.at = now
+	}
 	if a.Accept {
-		n.takeAccept(m, s.at)
+		m.takeAccept(s.at)
+		m.drained = m.drained || n.cfg.faults.has(oldDrain) && m.in.State == declarer.Leaving
+	}
+	m.drained = m.drained || a.Drained
+	for _, in := range a.Told {
+		n.Learn(now, in)
 	}
 	n.settle(now)
 }
 
-// takeAccept notes that a member accepted the ping sent at the given time.
-func (n *Node) takeAccept(m *member, sentAt time.Time) {
-	m.accepted = true
-	if sentAt.After(m.heardAt) {
-		m.heardAt = sentAt
+// accepts reports whether the member, which this node counts live, knows all
+// members that this node knows, and this node has no work left for which the
+// member ranks before it.
+func (n *Node) accepts(m *member, p *Ping) bool {
+	f := n.cfg.faults
+	if !isSubset(n.known, p.Known) && !f.has(noKnown) {
+		return false
 	}
-	if m.in.State == declarer.Leaving {
-		m.drained = true
+	if !m.published && !f.has(noPublication) {
+		return false
+	}
+	return f.has(noDrain) || n.cfg.InFlight(m.in.ID, false) == 0
+}
+
+// isDrained reports whether this node leaves and has no work left.
+func (n *Node) isDrained() bool {
+	return n.published == declarer.Leaving && n.cfg.InFlight("", true) == 0
+}
+
+// told returns the records that the sender of a ping lacks.
+func (n *Node) told(p *Ping) []declarer.Instance {
+	var told []declarer.Instance
+	for id, m := range n.members {
+		if id != p.From.ID && p.lacks(m) && len(told) < maxTold && !n.cfg.faults.has(noKnown) {
+			told = append(told, m.in)
+		}
 	}
+	return told
 }
 
-// accepts reports whether this node has no work left for which the member, which
-// it counts live, ranks before it.
-func (n *Node) accepts(m *member) bool {
-	if n.cfg.faults.noDrain {
+// lacks reports whether the sender does not know the member, that it has ended,
+// or that it has joined again since the sender expired it.
+func (p *Ping) lacks(m *member) bool {
+	_, knows := slices.BinarySearch(p.Known, m.key)
+	if knows == (m.in.State == declarer.Gone) {
 		return true
 	}
-	return n.cfg.InFlight(m.in.ID, n.self.State == declarer.Leaving) == 0
+	return slices.ContainsFunc(p.Expired, func(e Membership) bool {
+		return e.ID == m.in.ID && e.Incarnation == m.in.Incarnation && e.Term < m.in.Term
+	})
 }
 
 func (n *Node) ping(now time.Time, m *member) Ping {
 	n.seq++
 	n.sent[n.seq] = sentPing{to: m.in.ID, at: now, term: n.self.Term}
-	return Ping{From: n.self, To: m.in.ID, Seq: n.seq, Expired: n.expired()}
+	return Ping{From: n.self, To: m.in.ID, Seq: n.seq, Expired: n.expired(), Known: n.known, Voters: n.voterBits()}
 }
 
 // pingAll makes a ping to every member due.
