--- a/internal/peer/detector/world_test.go
+++ b/internal/peer/detector/world_test.go
@@ -34,8 +34,8 @@
 	cut       act = iota // between the daemons in the bits of a and all others
 	cutOneWay            // from the daemons in the bits of a to all others
 	heal                 // every cut
-	freeze // stops the process
-	stall  // stops the control goroutine only
+	freeze               // stops the process
+	stall                // stops the control goroutine only
 	resume
 	kill // the kernel closes connections and refuses new ones
 	lose // the machine is lost
@@ -50,9 +50,9 @@
 
 // event is one entry of a schedule.
 type event struct {
-	at   int
-	act  act
-	a    int
+	at  int
+	act act
+	a   int
 }
 
 func (e event) String() string { return fmt.Sprintf("{%d, %s, %d}", e.at, e.act, e.a) }
@@ -60,18 +60,18 @@
 // plan is a schedule, with the seed of what it leaves open: delays, losses, the
 // order within a step and the work offered.
 type plan struct {
-	seed                uint64
-	size, atStart       int // daemons, and how many of them start at step 0
-	upstreams           int
-	loss, delay         int  // in 100; in steps
-	load, gossip        int  // in 100
-	listLag             int  // in steps
-	fast                uint // the daemons in its bits have faster clocks by 1 in 100
-	relay, fewContacts  bool
-	longWork            bool // work outlives the takeover time
-	events              []event
-	faults              faults
-	horizon             int
+	seed               uint64
+	size, atStart      int // daemons, and how many of them start at step 0
+	upstreams          int
+	loss, delay        int  // in 100; in steps
+	load, gossip       int  // in 100
+	listLag            int  // in steps
+	fast               uint // the daemons in its bits have faster clocks by 1 in 100
+	relay, fewContacts bool
+	longWork           bool // work outlives the takeover time
+	events             []event
+	faults             faults
+	horizon            int
 }
 
 // work is a sub-request at an upstream, until a time of its daemon's clock.
