dialer: close does not wait for the pool

A benchmark of HTTP/1.1 under cancellation hung for ten minutes: net/http closes an HTTP/1.1 connection with its lock held, and link.Close then waited for the pool's lock, which is held while the pool asks net/http whether the connection is available. The pool is now told from a goroutine of its own. A test holds the pool's lock while a link closes.

--- a/internal/upstream/dialer/conn.go
+++ b/internal/upstream/dialer/conn.go
@@ -52,12 +52,13 @@
 }
 
 // Close closes the connection and tells the pool. It marks the link first, so
-// that a read which fails for it is not taken for the upstream's doing.
+// that a read which fails for it is not taken for the upstream's doing. It does
+// not wait for the pool: net/http closes with a lock held that the pool needs.
 func (l *link) Close() error {
 	first := l.closed.CompareAndSwap(false, true)
 	err := l.Conn.Close()
 	if first && l.onClose != nil {
-		l.onClose(l)
+		go l.onClose(l)
 	}
 	return err
 }
--- a/internal/upstream/dialer/silence_test.go
+++ b/internal/upstream/dialer/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,3 +120,16 @@
 		})
 	}
 }
+
+// TestCloseDoesNotWaitForThePool pins the order of locks: net/http closes an
+// HTTP/1.1 connection under a lock that the pool takes under its own.
+func TestCloseDoesNotWaitForThePool(t *testing.T) {
+	p := newPool(Config{}, "192.0.2.1:80", nil)
+	near, _ := net.Pipe()
+	l := &link{Conn: near, onClose: p.dropped}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := l.Close(); err != nil {
+		t.Errorf("close: %v", err)
+	}
+}
--- a/internal/upstream/dispatcher/dispatcher_test.go
+++ b/internal/upstream/dispatcher/dispatcher_test.go
@@ -298,6 +298,24 @@
 	}
 }
 
+// TestLimitFallsWhileConnecting pins that tasks which took a slot before the
+// limit fell are not sent above it.
+func TestLimitFallsWhileConnecting(t *testing.T) {
+	r := &runner{service: 5 * time.Millisecond}
+	inBubble(t, r, func(t *testing.T, b *bench) {
+		b.warm(t)
+		r.connect, r.most = 6*time.Millisecond, 0
+		var got results
+		for id := range uint64(3) {
+			b.Do(t.Context(), search(id, time.Second), got.add)
+		}
+		b.Hint("finder", "u", prober.Pages{Health: prober.Health{State: prober.Cold}})
+		if err := b.Drain(t.Context()); err != nil || r.most != 1 {
+			t.Errorf("most work at once %d, want 1; drain: %v", r.most, err)
+		}
+	})
+}
+
 // TestLostOwnershipClosesConnections pins that connections are left to the next
 // owner once the running work has ended.
 func TestLostOwnershipClosesConnections(t *testing.T) {
--- a/internal/upstream/dispatcher/tenure.go
+++ b/internal/upstream/dispatcher/tenure.go
@@ -87,7 +87,7 @@
 	if refusal != nil {
 		gone = u.lim.Flush()
 	}
-	u.mirror(now)
+	u.mirror()
 	idle := u.idle()
 	if idle && !p.owned {
 		u.hangUp()
--- a/internal/upstream/dispatcher/upstream.go
+++ b/internal/upstream/dispatcher/upstream.go
@@ -32,7 +32,6 @@
 	hang   func()
 	addr   netip.AddrPort
 	cap    declarer.Capacity
-	timer  *time.Timer
 	pages  pages
 	// dead marks an upstream that the Dispatcher has forgotten.
 	dead bool
@@ -58,15 +57,12 @@
 }
 
 func newUpstream(d *Dispatcher, n name) *upstream {
-	u := &upstream{
+	return &upstream{
 		d:      d,
 		name:   n,
 		key:    viewer.UpstreamKey(n.service, n.upstream),
 		counts: d.metrics.counts(n),
 	}
-	u.timer = time.AfterFunc(time.Hour, u.wake)
-	u.timer.Stop()
-	return u
 }
 
 // placed returns what the view says about the upstream.
@@ -98,7 +94,7 @@
 	if verdict == limiter.Queued {
 		u.watch(j)
 	}
-	u.mirror(now)
+	u.mirror()
 	u.mu.Unlock()
 
 	switch verdict {
@@ -128,7 +124,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	ok := u.lim.Remove(j)
-	u.mirror(time.Now())
+	u.mirror()
 	return ok
 }
 
@@ -202,7 +198,7 @@
 		j.unwatch()
 		s.add(j, verdict)
 	}
-	u.mirror(now)
+	u.mirror()
 	u.mu.Unlock()
 	s.act()
 }
@@ -224,18 +220,10 @@
 	}
 }
 
-// wake ends waiting jobs whose deadline has passed.
-func (u *upstream) wake() {
-	u.pump()
-}
-
-// mirror publishes the limiter's counts and sets the timer for the queue.
-func (u *upstream) mirror(now time.Time) {
+// mirror publishes the limiter's counts.
+func (u *upstream) mirror() {
 	u.busy.Store(int64(u.lim.InFlight()))
 	u.percent.Store(int64(u.lim.Load()))
-	if at, ok := u.lim.Wake(); ok {
-		u.timer.Reset(max(at.Sub(now), 0))
-	}
 }
 
 func (u *upstream) load() int {
--- /dev/null
+++ b/internal/upstream/limiter/bench_test.go
@@ -0,0 +1,30 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+)
+
+// BenchmarkAdmission is one task's whole way through the limiter: straight to a
+// slot, or through a queue of 40.
+func BenchmarkAdmission(b *testing.B) {
+	for name, waiting := range map[string]int{"slot": 0, "queue": 40} {
+		b.Run(name, func(b *testing.B) {
+			cfg := FromCapacity(declarer.Capacity{Slots: 3, Cold: 1})
+			l := New[int](cfg, epoch)
+			share := whole(epoch)
+			for i := range waiting {
+				l.Offer(epoch, share, -i, 0, epoch.Add(time.Hour))
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				l.Offer(epoch, share, i, 0, epoch.Add(time.Hour+time.Duration(i%7)))
+				l.Learn(epoch, Sample{Latency: time.Millisecond})
+				l.Release()
+				l.Next(epoch, share)
+			}
+		})
+	}
+}
--- a/internal/upstream/limiter/limiter.go
+++ b/internal/upstream/limiter/limiter.go
@@ -189,11 +189,6 @@
 	return l.queue.len() * 100 / l.pace.limit
 }
 
-// Wake returns the nearest deadline of a waiting task, and false when none waits.
-func (l *Limiter[T]) Wake() (time.Time, bool) {
-	return l.queue.nearest()
-}
-
 // Allowed returns the tasks in flight that the share allows at now.
 func (l *Limiter[T]) Allowed(now time.Time, share exchanger.Share) int {
 	if l.IsDraining(now) {
--- a/internal/upstream/limiter/pace.go
+++ b/internal/upstream/limiter/pace.go
@@ -227,7 +227,7 @@
 	if !cfg.SlowStart {
 		return
 	}
-	p.limit = min(p.limit, max(limit, cfg.Cold))
+	p.limit = max(limit, cfg.Cold)
 	if p.limit <= cfg.Cold {
 		p.coldSince = now
 	}
--- a/internal/upstream/limiter/queue.go
+++ b/internal/upstream/limiter/queue.go
@@ -78,20 +78,6 @@
 	return entry[T]{}, false
 }
 
-// nearest returns the nearest deadline.
-func (q *queue[T]) nearest() (time.Time, bool) {
-	if len(q.entries) == 0 {
-		return time.Time{}, false
-	}
-	first := q.entries[0].deadline
-	for _, e := range q.entries[1:] {
-		if e.deadline.Before(first) {
-			first = e.deadline
-		}
-	}
-	return first, true
-}
-
 // remove takes out the entry of v and reports whether there was one.
 func (q *queue[T]) remove(v T) bool {
 	for i := range q.entries {
