limiter: a draining upstream is left alone; lateness counts only when it is long

And an upstream that drains was tried again each second; it now gets no work until its health page says otherwise, or that page has been silent for 30 s. Early refusal now asks for the mean service time rather than a low estimate of it, also in an idle upstream, and doubts an estimate that refuses everything.

--- a/internal/upstream/dialer/client_test.go
+++ b/internal/upstream/dialer/client_test.go
@@ -90,8 +90,8 @@
 					want.Oldest, want.Newest = 3, 9
 				}
 				assertResult(t, want, out.Result)
-				if d := cmp.Diff(limiter.Sample{Kind: tt.kind}, out.Sample); d != "" {
-					t.Errorf("sample (-want +got):\n%s", d)
+				if out.Sample.Kind != tt.kind {
+					t.Errorf("sample %+v, want kind %d", out.Sample, tt.kind)
 				}
 			})
 		})
--- a/internal/upstream/dialer/exchange.go
+++ b/internal/upstream/dialer/exchange.go
@@ -94,7 +94,7 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		out.Result.Status = exchanger.Late
 		out.Result.Reason = "deadline passed while it ran"
-		out.Sample.Kind = limiter.Slow
+		out.Sample = limiter.Sample{Kind: limiter.Slow, Latency: clock() - x.began}
 	case ctx.Err() != nil:
 		out.Result.Status = exchanger.Failed
 		out.Result.Reason = "cancelled"
--- a/internal/upstream/dialer/reply.go
+++ b/internal/upstream/dialer/reply.go
@@ -125,7 +125,7 @@
 		out.Sample.Kind = limiter.Draining
 	case http.StatusGatewayTimeout:
 		out.Result.Status = exchanger.Late
-		out.Sample.Kind = limiter.Slow
+		out.Sample = limiter.Sample{Kind: limiter.Slow, Latency: clock() - x.began}
 	default:
 		out.Result.Status = exchanger.Failed
 	}
--- a/internal/upstream/limiter/limiter.go
+++ b/internal/upstream/limiter/limiter.go
@@ -171,7 +171,7 @@
 // IsDraining reports whether the upstream said that it drains, and is not to be
 // tried yet.
 func (l *Limiter[T]) IsDraining(now time.Time) bool {
-	return now.Before(l.pace.pausedUntil)
+	return l.pace.isDraining(now)
 }
 
 // InFlight returns the number of slots taken.
@@ -212,7 +212,10 @@
 	if left <= 0 {
 		return Expired
 	}
-	if l.cfg.EarlyRefusal && l.inFlight > 0 && left < l.pace.quick {
+	if l.cfg.EarlyRefusal && left < l.pace.mean {
+		if l.inFlight == 0 {
+			l.pace.doubt()
+		}
 		return Hopeless
 	}
 	l.inFlight++
@@ -229,6 +232,5 @@
 func (l *Limiter[T]) finishes(now time.Time, e entry[T], allowed int) bool {
 	ahead := l.queue.countBefore(e) + 1
 	rounds := (ahead + max(allowed, 1) - 1) / max(allowed, 1)
-	wait := time.Duration(rounds) * l.pace.mean
-	return e.deadline.Sub(now) >= wait+l.pace.quick
+	return e.deadline.Sub(now) >= time.Duration(rounds+1)*l.pace.mean
 }
--- a/internal/upstream/limiter/limiter_test.go
+++ b/internal/upstream/limiter/limiter_test.go
@@ -224,6 +224,13 @@
 	return now
 }
 
+// late lets a run of tasks miss the deadline after d.
+func late(l *Limiter[int], now time.Time, d time.Duration) {
+	for range shiftRun {
+		l.Learn(now, Sample{Kind: Slow, Latency: d})
+	}
+}
+
 func TestGrowthAndFall(t *testing.T) {
 	cfg := FromCapacity(declarer.Capacity{Slots: 3, Cold: 1})
 	shift := func(l *Limiter[int], now time.Time) {
@@ -236,17 +243,19 @@
 		do   func(*Limiter[int], time.Time)
 		want int
 	}{
-		"shed":             {learn(Shed), 1},
-		"reset":            {learn(Reset), 1},
-		"draining":         {learn(Draining), 1},
-		"latency shift":    {shift, 1},
-		"cancelled early":  {func(l *Limiter[int], now time.Time) { l.Learn(now, Sample{Kind: Unused}) }, 3},
-		"one straggler":    {func(l *Limiter[int], now time.Time) { succeed(l, now, time.Millisecond, 50*time.Millisecond) }, 3},
-		"health page cold": {func(l *Limiter[int], now time.Time) { l.Hint(now, Hint{Cold: true}) }, 1},
-		"load page full":   {func(l *Limiter[int], now time.Time) { l.Hint(now, Hint{Busy: true}) }, 2},
-		"held anew":        {func(l *Limiter[int], now time.Time) { l.Cool(now) }, 1},
-		"idle":             {func(l *Limiter[int], now time.Time) { l.Next(now.Add(cfg.Idle+1), whole(now)) }, 1},
-		"short pause":      {func(l *Limiter[int], now time.Time) { l.Next(now.Add(cfg.Idle-1), whole(now)) }, 3},
+		"shed":                  {learn(Shed), 1},
+		"reset":                 {learn(Reset), 1},
+		"draining":              {learn(Draining), 1},
+		"latency shift":         {shift, 1},
+		"cancelled early":       {func(l *Limiter[int], now time.Time) { l.Learn(now, Sample{Kind: Unused}) }, 3},
+		"late for a short time": {func(l *Limiter[int], now time.Time) { late(l, now, 10*time.Millisecond) }, 3},
+		"late for a long time":  {func(l *Limiter[int], now time.Time) { late(l, now, 50*time.Millisecond) }, 1},
+		"one straggler":         {func(l *Limiter[int], now time.Time) { succeed(l, now, time.Millisecond, 50*time.Millisecond) }, 3},
+		"health page cold":      {func(l *Limiter[int], now time.Time) { l.Hint(now, Hint{Cold: true}) }, 1},
+		"load page full":        {func(l *Limiter[int], now time.Time) { l.Hint(now, Hint{Busy: true}) }, 2},
+		"held anew":             {func(l *Limiter[int], now time.Time) { l.Cool(now) }, 1},
+		"idle":                  {func(l *Limiter[int], now time.Time) { l.Next(now.Add(cfg.Idle+1), whole(now)) }, 1},
+		"short pause":           {func(l *Limiter[int], now time.Time) { l.Next(now.Add(cfg.Idle-1), whole(now)) }, 3},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -317,15 +326,47 @@
 	}
 }
 
+// TestDrainingPausesWork pins that an upstream which drains gets no work until
+// its health page, or a long silence of that page, says otherwise.
 func TestDrainingPausesWork(t *testing.T) {
 	l, now := warm(t, FromCapacity(declarer.Capacity{Slots: 3, Cold: 1}))
+	start := now
+	got := make(map[time.Duration]int)
+	at := func(d time.Duration) {
+		now = start.Add(d)
+		got[d] = l.Allowed(now, whole(start))
+	}
+	l.Learn(now, Sample{Kind: Draining})
+	at(0)
+	at(29 * time.Second)
+	at(30 * time.Second)
+	l.Hint(now, Hint{Cold: true, Draining: true})
+	at(31 * time.Second)
+	l.Hint(now, Hint{})
+	at(32 * time.Second)
 	l.Learn(now, Sample{Kind: Draining})
-	l.Hint(now.Add(drainPause/2), Hint{Cold: true, Draining: true})
-	var got []int
-	for _, after := range []time.Duration{0, 2 * drainPause, 3 * drainPause} {
-		got = append(got, l.Allowed(now.Add(after), whole(now)))
+	at(33 * time.Second)
+	l.Hint(now, Hint{})
+	at(33*time.Second + 1)
+	at(34 * time.Second)
+	want := map[time.Duration]int{
+		0: 0, 29 * time.Second: 0, 30 * time.Second: 1, 31 * time.Second: 0, 32 * time.Second: 1,
+		33 * time.Second: 0, 33*time.Second + 1: 0, 34 * time.Second: 1,
 	}
-	if d := cmp.Diff([]int{0, 0, 1}, got); d != "" {
+	if d := cmp.Diff(want, got); d != "" {
 		t.Errorf("allowed (-want +got):\n%s", d)
 	}
 }
+
+// TestPoisonedEstimate pins that a service time learned in a bad hour does not
+// refuse everything for good.
+func TestPoisonedEstimate(t *testing.T) {
+	l := New[int](FromCapacity(declarer.Capacity{Slots: 1, Cold: 1}), epoch)
+	l.Learn(epoch, Sample{Latency: 10 * time.Second})
+	for i := range 100 {
+		if v, _, _ := l.Offer(epoch, whole(epoch), i, 0, epoch.Add(50*time.Millisecond)); v == Start {
+			return
+		}
+	}
+	t.Error("100 tasks refused, none started")
+}
--- a/internal/upstream/limiter/pace.go
+++ b/internal/upstream/limiter/pace.go
@@ -17,8 +17,10 @@
 	// steadyRun is the number of successes since the last cold time after which a
 	// fall does not count as a growth that came too early.
 	steadyRun = 64
-	// drainPause is the time without work after the upstream said that it drains.
+	// drainPause is the least time without work after the upstream said that it
+	// drains; it doubles up to maxDrains times while it goes on saying so.
 	drainPause = time.Second
+	maxDrains  = 5
 	// shiftRun is the run of slow answers that counts as a shift of latency.
 	shiftRun = 3
 	// shiftFactor is how many times the normal latency a slow answer takes.
@@ -38,7 +40,7 @@
 const (
 	// Success is a valid answer.
 	Success Kind = iota
-	// Slow is an answer that did not come in time.
+	// Slow is an answer that did not come in the time that was left.
 	Slow
 	// Shed is a refusal by the upstream itself.
 	Shed
@@ -53,7 +55,7 @@
 // Sample is the end of one started task.
 type Sample struct {
 	Kind Kind
-	// Latency is the time from the write to the answer of a Success, or to the
+	// Latency is the time from the write to the answer, or to the deadline or
 	// cancellation.
 	Latency time.Duration
 }
@@ -80,15 +82,17 @@
 	backoff int
 	// normal is the latency that successes are compared with, 0 when unknown.
 	normal time.Duration
-	// mean is the mean service time, and quick a low estimate of it.
-	mean, quick time.Duration
+	// mean is the mean service time.
+	mean time.Duration
 	// last is when the last success came, and coldSince when the upstream turned
 	// cold.
 	last, coldSince time.Time
 	hinted          Hint
 	hintedAt        time.Time
-	// pausedUntil is when a draining upstream may be tried again.
-	pausedUntil time.Time
+	// drainedAt is when the upstream last refused work because it drains, and
+	// drains how often in a row it did after a pause; zero after a success.
+	drainedAt time.Time
+	drains    int
 }
 
 // reset forgets everything but the health page's last word.
@@ -111,16 +115,14 @@
 	switch s.Kind {
 	case Success:
 		p.last = now
+		p.drainedAt, p.drains = time.Time{}, 0
 		p.succeed(cfg, now, s.Latency)
-	case Slow:
-		p.run = 0
-		p.slowed(cfg, now)
 	case Draining:
-		p.pausedUntil = now.Add(drainPause)
+		p.drain(now)
 		p.fall(cfg, now)
 	case Shed, Reset:
 		p.fall(cfg, now)
-	case Unused:
+	case Slow, Unused:
 		if p.isSlow(s.Latency) {
 			p.run = 0
 			p.slowed(cfg, now)
@@ -137,9 +139,6 @@
 	if h.Busy && !p.hinted.Busy {
 		p.lower(cfg, now, p.limit-1)
 	}
-	if h.Draining && now.Before(p.pausedUntil.Add(drainPause)) {
-		p.pausedUntil = now.Add(2 * drainPause)
-	}
 	p.hinted = h
 	p.hintedAt = now
 }
@@ -167,6 +166,31 @@
 	p.grow(cfg, now)
 }
 
+// drain notes that the upstream refused work because it drains.
+func (p *pace) drain(now time.Time) {
+	if !p.isDraining(now) {
+		p.drains = min(p.drains+1, maxDrains)
+	}
+	p.drainedAt = now
+}
+
+// isDraining reports whether the upstream refused work because it drains, and
+// neither its health page nor a long silence of that page says otherwise since.
+func (p *pace) isDraining(now time.Time) bool {
+	if p.drainedAt.IsZero() {
+		return false
+	}
+	since := now.Sub(p.drainedAt)
+	switch {
+	case since < drainPause<<(p.drains-1):
+		return true
+	case p.hintedAt.IsZero() || now.Sub(p.hintedAt) > hintLife:
+		return since < vetoLife
+	default:
+		return p.hinted.Draining || p.hintedAt.Before(p.drainedAt.Add(hintLag))
+	}
+}
+
 // isSlow reports whether a latency is far above the normal one.
 func (p *pace) isSlow(latency time.Duration) bool {
 	return p.normal > 0 && latency > p.normal*shiftFactor && latency-p.normal > shiftFloor
@@ -200,10 +224,11 @@
 	return p.hinted.Cold || p.hintedAt.Before(p.coldSince.Add(hintLag))
 }
 
-// slowed counts a slow answer, and makes the upstream cold after a run of them.
+// slowed counts a slow answer, and makes a warm upstream cold after a run of
+// them.
 func (p *pace) slowed(cfg *Config, now time.Time) {
 	p.slow++
-	if p.slow >= shiftRun {
+	if p.slow >= shiftRun && p.limit > cfg.Cold {
 		p.fall(cfg, now)
 	}
 }
@@ -242,16 +267,17 @@
 	p.normal += (latency - p.normal) / weight
 }
 
-// estimate updates the service times that early refusal uses.
+// estimate updates the mean service time, which early refusal uses.
 func (p *pace) estimate(latency time.Duration) {
 	if p.mean == 0 {
-		p.mean, p.quick = latency, latency
+		p.mean = latency
 		return
 	}
 	p.mean += (latency - p.mean) / weightMean
-	if latency < p.quick {
-		p.quick = latency
-		return
-	}
-	p.quick += (latency - p.quick) / weightWarm
+}
+
+// doubt lowers the mean service time: while all work is refused for it, no
+// answer would correct it.
+func (p *pace) doubt() {
+	p.mean -= p.mean / weightMean
 }
