dialer: whether a task was sent is judged by the writes on its connection

httptrace's hook for header fields cost an allocation for each field, and had a hole: when its context ends, net/http's HTTP/2 client returns before its writer does, so that a task could be called unsent and still go out.

--- a/internal/upstream/dialer/client.go
+++ b/internal/upstream/dialer/client.go
@@ -65,7 +65,7 @@
 		x := &exchange{client: c, conn: cn, task: t, attempt: attempt, timeout: timeout}
 		out := x.run(ctx, body)
 		c.pool.release(cn)
-		if x.sent.Load() || out.Result.Status != exchanger.Unreachable || try == maxTries {
+		if out.Result.Status != exchanger.Unreachable || try == maxTries {
 			return out
 		}
 	}
--- a/internal/upstream/dialer/client_test.go
+++ b/internal/upstream/dialer/client_test.go
@@ -118,6 +118,30 @@
 	})
 }
 
+// TestUnsentIsTriedAgain pins that an action whose connection was closed before
+// any byte was written goes out on another, and that it is said to be sent once
+// it has been handed over, even when its time is up at once.
+func TestUnsentIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"request":"t"}`) })
+		c := f.client(t, nil)
+		c.Do(t.Context(), action(), within(time.Second))
+		out := c.Do(t.Context(), action(), func() (time.Duration, *exchanger.Result) {
+			if f.opened() == 1 {
+				_ = c.pool.conns[0].http.Close()
+			}
+			return time.Second, nil
+		})
+		assertResult(t, exchanger.Result{ID: 1, Sent: true}, out.Result)
+		ctx, cancel := context.WithCancel(t.Context())
+		out = c.Do(ctx, action(), func() (time.Duration, *exchanger.Result) {
+			cancel()
+			return time.Second, nil
+		})
+		assertResult(t, exchanger.Result{ID: 1, Status: exchanger.Failed, Sent: true}, out.Result)
+	})
+}
+
 // TestActionIsNeverResent pins that an action whose connection breaks under it
 // reaches the upstream once.
 func TestActionIsNeverResent(t *testing.T) {
--- a/internal/upstream/dialer/conn.go
+++ b/internal/upstream/dialer/conn.go
@@ -21,6 +21,8 @@
 	// readAt is when bytes last came in, and owedSince when the first request
 	// after them was sent; 0 when no answer is owed.
 	readAt, owedSince atomic.Int64
+	// writes counts the writes begun.
+	writes atomic.Int64
 	// ended is true when the upstream closed or reset the connection.
 	ended atomic.Bool
 	// dropped is true when the Client closed it.
@@ -44,6 +46,7 @@
 
 // Write writes to the connection and notes when the upstream has ended it.
 func (l *link) Write(p []byte) (int, error) {
+	l.writes.Add(1)
 	n, err := l.Conn.Write(p)
 	if err != nil && !l.closed.Load() && !errors.Is(err, os.ErrDeadlineExceeded) {
 		l.ended.Store(true)
--- a/internal/upstream/dialer/exchange.go
+++ b/internal/upstream/dialer/exchange.go
@@ -7,10 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"cornelwood.example/internal/contract/exchanger"
@@ -31,8 +29,8 @@
 	task    *exchanger.Task
 	attempt string
 	timeout time.Duration
-	// sent is true from just before the first byte is written.
-	sent atomic.Bool
+	// writes is the number of writes on the connection before the request.
+	writes int64
 	// began is when the request was handed to the connection.
 	began time.Duration
 }
@@ -51,6 +49,7 @@
 	}
 	x.began = clock()
 	x.conn.link.owe()
+	x.writes = x.conn.link.writes.Load()
 	res, err := x.conn.http.RoundTrip(x.request(ctx, body, left))
 	if err != nil {
 		return x.lost(ctx, err)
@@ -66,9 +65,6 @@
 	if x.task.Once() {
 		path = runPath
 	}
-	trace := &httptrace.ClientTrace{
-		WroteHeaderField: func(string, []string) { x.sent.Store(true) },
-	}
 	req := &http.Request{
 		Method: http.MethodPost,
 		URL:    x.client.url(path),
@@ -79,7 +75,7 @@
 		Body:          io.NopCloser(bytes.NewReader(body)),
 		ContentLength: int64(len(body)),
 	}
-	return req.WithContext(httptrace.WithClientTrace(ctx, trace))
+	return req.WithContext(ctx)
 }
 
 // url returns the URL of a path of the upstream.
@@ -89,7 +85,7 @@
 
 // lost returns the outcome of a request that got no answer.
 func (x *exchange) lost(ctx context.Context, err error) Outcome {
-	out := Outcome{Result: exchanger.Result{ID: x.task.ID, Sent: x.sent.Load()}}
+	out := Outcome{Result: exchanger.Result{ID: x.task.ID, Sent: x.maySend(ctx)}}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		out.Result.Status = exchanger.Late
@@ -114,6 +110,13 @@
 	return out
 }
 
+// maySend reports whether bytes of the request may have left, or may still
+// leave. When ctx ends, net/http returns before its writer does; when the
+// connection fails, it returns after.
+func (x *exchange) maySend(ctx context.Context) bool {
+	return x.client.cfg.HTTP1 || ctx.Err() != nil || x.conn.link.writes.Load() != x.writes
+}
+
 // answered returns the outcome of a request that got an answer.
 func (x *exchange) answered(ctx context.Context, res *http.Response) Outcome {
 	if res.StatusCode != http.StatusOK {
