--- a/internal/upstream/dialer/pool.go
+++ b/internal/upstream/dialer/pool.go
@@ -16,6 +16,9 @@
 	maxRedial = time.Second
 )
 
+// maxHeaderBytes bounds the header of an answer.
+const maxHeaderBytes = 16 << 10
+
 // UnreachableError says that no connection to an upstream could be opened.
 type UnreachableError struct {
 	Addr string
@@ -70,8 +73,9 @@
 		dial = (&net.Dialer{}).DialContext
 	}
 	return &http.Transport{
-		Protocols:          protocols,
-		DisableCompression: true,
+		Protocols:              protocols,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:  cfg.PingAfter,
 			PingTimeout:      cfg.PingTimeout,
--- a/internal/upstream/dispatcher/job.go
+++ b/internal/upstream/dispatcher/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/upstream/dialer"
 	"cornelwood.example/internal/upstream/limiter"
 )
 
@@ -29,10 +30,21 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	out := u.connected().Do(ctx, &j.task, j.admit)
+	out := j.send(ctx, u.connected())
 	u.ended(j, &out)
 }
 
+// send sends the task unless the Dispatcher has been closed.
+func (j *job) send(ctx context.Context, c Client) dialer.Outcome {
+	if c == nil {
+		return dialer.Outcome{
+			Result: exchanger.Result{ID: j.task.ID, Status: exchanger.Unreachable, Reason: "daemon is ending"},
+			Sample: limiter.Sample{Kind: limiter.Unused},
+		}
+	}
+	return c.Do(ctx, &j.task, j.admit)
+}
+
 // admit checks right before the write that the upstream may still be given the
 // task, and returns the time it is given.
 func (j *job) admit() (time.Duration, *exchanger.Result) {
