--- a/internal/upstream/dispatcher/dispatcher.go
+++ b/internal/upstream/dispatcher/dispatcher.go
@@ -47,7 +47,7 @@
 	return d, func() {
 		reg.Unregister(d.metrics)
 		for _, u := range *d.upstreams.Load() {
-			u.disconnect()
+			u.end()
 		}
 	}
 }
--- a/internal/upstream/dispatcher/tenure.go
+++ b/internal/upstream/dispatcher/tenure.go
@@ -120,10 +120,11 @@
 	return u.closed(now, share, 0)
 }
 
-// disconnect closes the connections once their requests have ended.
-func (u *upstream) disconnect() {
+// end closes the connections once their requests have ended, and admits no more.
+func (u *upstream) end() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.dead = true
 	u.hangUp()
 }
 
--- a/internal/upstream/dispatcher/upstream.go
+++ b/internal/upstream/dispatcher/upstream.go
@@ -33,7 +33,8 @@
 	addr   netip.AddrPort
 	cap    declarer.Capacity
 	pages  pages
-	// dead marks an upstream that the Dispatcher has forgotten.
+	// dead marks an upstream that the Dispatcher has forgotten, or that ended with
+	// it.
 	dead bool
 }
 
