--- a/internal/control/reconciler/admission_test.go
+++ b/internal/control/reconciler/admission_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"cornelwood.example/internal/contract/declarer"
 )
 
 // TestAdmissionNeverExceedsOne lets daemons of one zone be killed, restarted,
@@ -21,10 +19,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := startedFleet(t, 4, "a")
 				defer f.end()
-				for _, d := range f.daemons {
-					listed := declarer.Instance{ID: d.self.ID, Zone: d.self.Zone, Peer: d.self.Peer}
-					f.platform.instances = append(f.platform.instances, listed)
-				}
+				f.list()
 				c := &chaos{fleet: f, rnd: newRand(seed)}
 				for range 60 {
 					c.step()
--- a/internal/control/reconciler/fleet_test.go
+++ b/internal/control/reconciler/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 	views  *viewer.Viewer
 	cancel context.CancelFunc
 	done   chan struct{}
-	busy   int
+	busy   atomic.Int64
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -67,12 +68,12 @@
 		Self:     self,
 		Seeds:    seeds,
 		Rand:     rand.New(rand.NewPCG(1, h.Sum64())),
-		InFlight: func() int { return d.busy },
+		InFlight: func() int { return int(d.busy.Load()) },
 		Detector: detector.Config{
 			Interval: f.interval,
 			Fence:    4 * f.interval,
 			Takeover: 8 * f.interval,
-			InFlight: func(string, bool) int { return d.busy },
+			InFlight: func(string, bool) int { return int(d.busy.Load()) },
 		},
 	}
 	reg := prometheus.NewRegistry()
@@ -118,6 +119,16 @@
 	}
 }
 
+// list puts all daemons on the platform's list of instances.
+func (f *fleet) list() {
+	f.platform.set(func() {
+		for _, d := range f.daemons {
+			listed := declarer.Instance{ID: d.self.ID, Zone: d.self.Zone, Peer: d.self.Peer}
+			f.platform.instances = append(f.platform.instances, listed)
+		}
+	})
+}
+
 // end ends all daemons.
 func (f *fleet) end() {
 	for _, d := range f.daemons {
--- a/internal/control/reconciler/life_test.go
+++ b/internal/control/reconciler/life_test.go
@@ -45,7 +45,7 @@
 		f := startedFleet(t, 3, "a", "b")
 		defer f.end()
 		d := f.daemons[0]
-		d.busy = 1
+		d.busy.Store(1)
 		short, cancel := context.WithTimeout(t.Context(), newsWithin)
 		defer cancel()
 		var ue *UndrainedError
@@ -56,7 +56,7 @@
 		if ok, _ := d.Ready(); ok {
 			t.Error("a leaving daemon is ready for callers")
 		}
-		d.busy = 0
+		d.busy.Store(0)
 		if err := d.Leave(t.Context()); err != nil {
 			t.Fatal(err)
 		}
