--- a/internal/control/reconciler/fleet_test.go
+++ b/internal/control/reconciler/fleet_test.go
@@ -119,6 +119,16 @@
 	}
 }
 
+// list puts all daemons on the platform's list of instances.
+func (f *fleet) list() {
+	f.platform.set(func() {
+		for _, d := range f.daemons {
+			listed := declarer.Instance{ID: d.self.ID, Zone: d.self.Zone, Peer: d.self.Peer}
+			f.platform.instances = append(f.platform.instances, listed)
+		}
+	})
+}
+
 // end ends all daemons.
 func (f *fleet) end() {
 	for _, d := range f.daemons {
