--- a/internal/control/reconciler/platform_test.go
+++ b/internal/control/reconciler/platform_test.go
@@ -137,13 +137,6 @@
 	return objects, p.revision, p.changed
 }
 
-// list adds an instance to the platform's list.
-func (p *platform) list(in declarer.Instance) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.instances = append(p.instances, in)
-}
-
 func (a *access) Instances(context.Context) ([]declarer.Instance, error) {
 	if err := a.call("instances"); err != nil {
 		return nil, err
