assembler: ready once the daemon admits work

Ruled out: waiting a fixed time (a lone daemon would wait for nobody). TestReadyMeansServing pins it, but passed without the change too, three times: the window was not hit there.

--- a/cmd/cornelwood/path_test.go
+++ b/cmd/cornelwood/path_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/standin/searcher"
 )
 
@@ -26,6 +28,23 @@
 	}
 }
 
+// TestReadyMeansServing asks each daemon as soon as all are ready: every shard must
+// have an owner that admits work.
+func TestReadyMeansServing(t *testing.T) {
+	s := withSite(t, siteOptions{zones: []string{"a", "a", "a", "b", "b", "b", "c", "c", "c"}})
+	deadline := &declarer.Duration{Duration: 20 * time.Second}
+	for _, d := range s.daemons {
+		a, err := d.query(t, answerer.Query{Service: "finder", Deadline: deadline})
+		if err != nil {
+			t.Errorf("query through %s: %v", d.id, err)
+			continue
+		}
+		if diff := cmp.Diff([]answerer.Missing(nil), a.Coverage.Missing); diff != "" {
+			t.Errorf("missing shards through %s (-want +got):\n%s", d.id, diff)
+		}
+	}
+}
+
 // assertComplete waits for a complete answer, since searchers start cold, and
 // compares it with the one right answer of its snapshot of the service "finder".
 func assertComplete(t *testing.T, d *daemon) {
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -60,6 +60,9 @@
 	callers   *httpService
 	operators *httpService
 	leaving   atomic.Bool
+	// joined is true once the daemon admits work, see admitting.
+	joined  atomic.Bool
+	started time.Time
 
 	// closeTickets refuses new runs and waits for those that run.
 	closeTickets func()
@@ -69,7 +72,7 @@
 // New listens on the settings' addresses and puts a daemon together. The
 // function returned frees what it holds; call it after Serve has returned.
 func New(set *reader.Settings, log hclog.Logger) (*Daemon, func(), error) {
-	d := &Daemon{set: set, log: log, reg: prometheus.NewRegistry(), block: blocker.New()}
+	d := &Daemon{set: set, log: log, reg: prometheus.NewRegistry(), block: blocker.New(), started: time.Now()}
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, nil, err
--- a/internal/daemon/assembler/services.go
+++ b/internal/daemon/assembler/services.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/thejerf/suture/v4"
 
@@ -68,7 +69,13 @@
 	if c.d.leaving.Load() {
 		return false, "leaving"
 	}
-	return c.d.control.Ready()
+	if ok, reason := c.d.control.Ready(); !ok {
+		return false, reason
+	}
+	if !c.d.admitting() {
+		return false, "joining the owner group"
+	}
+	return true, ""
 }
 
 // Live reports whether the control goroutine turns.
@@ -77,6 +84,30 @@
 	return err == nil
 }
 
+// admitting reports whether the daemon has admitted work to an upstream that it
+// owns, or has had the time to. Before that its callers would find its upstreams
+// without an owner.
+func (d *Daemon) admitting() bool {
+	if d.joined.Load() {
+		return true
+	}
+	v := d.views.View()
+	owned, admitted := false, false
+	for _, s := range v.Services {
+		for _, u := range s.Upstreams() {
+			if in, ok := v.Owner(s.Name, u.Name); ok && in.ID == d.self.ID {
+				owned = true
+				admitted = admitted || d.control.Share(viewer.UpstreamKey(s.Name, u.Name)).Num > 0
+			}
+		}
+	}
+	late := time.Since(d.started) > 2*d.set.Group.Takeover
+	if admitted || late {
+		d.joined.Store(true)
+	}
+	return admitted || late || !owned
+}
+
 // inFlight returns the number of sub-requests that run or wait at this daemon's
 // upstreams.
 func (d *Daemon) inFlight() int {
