--- a/internal/upstream/dispatcher/tenure.go
+++ b/internal/upstream/dispatcher/tenure.go
@@ -92,8 +92,8 @@
 	if idle && !p.owned {
 		u.hangUp()
 	}
-	u.dead = idle && !p.known
-	forget := u.dead
+	forget := idle && !p.known
+	u.dead = u.dead || forget
 	u.mu.Unlock()
 	for _, j := range gone {
 		j.unwatch()
