limiter: a task that began before the drain does not end it

Tests added for it and for two mutants that had survived: slow answers while cold, and a waiting action whose sender is gone.

--- a/internal/upstream/dispatcher/dispatcher_test.go
+++ b/internal/upstream/dispatcher/dispatcher_test.go
@@ -183,7 +183,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, &runner{service: 50 * time.Millisecond}, func(t *testing.T, b *bench) {
+			inBubble(t, &runner{service: 50 * time.Millisecond, stop: 10 * time.Millisecond}, func(t *testing.T, b *bench) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				if tt.change == nil {
--- a/internal/upstream/limiter/limiter_test.go
+++ b/internal/upstream/limiter/limiter_test.go
@@ -96,9 +96,13 @@
 		before    func(*Limiter[int])
 		cold, hot time.Duration
 	}{
-		"warm-up time":         {func(*Limiter[int]) {}, cfg.Warmup - time.Second, cfg.Warmup + time.Second},
-		"page says cold":       {func(l *Limiter[int]) { l.Hint(epoch.Add(3*time.Second), Hint{Cold: true}) }, 9 * time.Second, 15 * time.Second},
-		"page lags":            {func(l *Limiter[int]) { l.Hint(epoch, Hint{}) }, 9 * time.Second, 15 * time.Second},
+		"warm-up time":   {func(*Limiter[int]) {}, cfg.Warmup - time.Second, cfg.Warmup + time.Second},
+		"page says cold": {func(l *Limiter[int]) { l.Hint(epoch.Add(3*time.Second), Hint{Cold: true}) }, 9 * time.Second, 15 * time.Second},
+		"page lags":      {func(l *Limiter[int]) { l.Hint(epoch, Hint{}) }, 9 * time.Second, 15 * time.Second},
+		"slow answers": {func(l *Limiter[int]) {
+			succeed(l, epoch, 1, 5*time.Millisecond)
+			late(l, epoch.Add(time.Second), 50*time.Millisecond)
+		}, time.Second, cfg.Warmup + time.Second/2},
 		"fall soon after warm": {grownTooEarly, 2*cfg.Warmup - time.Second, 2*cfg.Warmup + time.Second},
 	}
 	for name, tt := range tests {
@@ -150,6 +154,7 @@
 		got[d] = l.Allowed(now, whole(start))
 	}
 	l.Learn(now, Sample{Kind: Draining})
+	l.Learn(now, Sample{Latency: 5 * time.Millisecond})
 	at(0)
 	at(29 * time.Second)
 	at(30 * time.Second)
--- a/internal/upstream/limiter/pace.go
+++ b/internal/upstream/limiter/pace.go
@@ -115,7 +115,7 @@
 	switch s.Kind {
 	case Success:
 		p.last = now
-		p.drainedAt, p.drains = time.Time{}, 0
+		p.undrain(now.Add(-s.Latency))
 		p.succeed(cfg, now, s.Latency)
 	case Draining:
 		p.drain(now)
@@ -174,6 +174,13 @@
 	p.drainedAt = now
 }
 
+// undrain notes that the upstream has run a task which began at began.
+func (p *pace) undrain(began time.Time) {
+	if began.After(p.drainedAt) {
+		p.drainedAt, p.drains = time.Time{}, 0
+	}
+}
+
 // isDraining reports whether the upstream refused work because it drains, and
 // neither its health page nor a long silence of that page says otherwise since.
 func (p *pace) isDraining(now time.Time) bool {
