--- a/internal/peer/detector/faults.go
+++ b/internal/peer/detector/faults.go
@@ -17,6 +17,8 @@
 	noDrift
 	// noKnown accepts members that do not know all others.
 	noKnown
+	// noTold does not tell members what they lack.
+	noTold
 	// noAgreement gives new members their vote before all know them.
 	noAgreement
 	// noMourning takes the vote of ended incarnations at once.
--- a/internal/peer/detector/ping.go
+++ b/internal/peer/detector/ping.go
@@ -107,7 +107,7 @@
 func (n *Node) told(p *Ping) []declarer.Instance {
 	var told []declarer.Instance
 	for id, m := range n.members {
-		if id != p.From.ID && p.lacks(m) && len(told) < maxTold && !n.cfg.faults.has(noKnown) {
+		if id != p.From.ID && p.lacks(m) && len(told) < maxTold && !n.cfg.faults.has(noTold) {
 			told = append(told, m.in)
 		}
 	}
--- a/internal/peer/detector/run_test.go
+++ b/internal/peer/detector/run_test.go
@@ -17,7 +17,7 @@
 			}
 		}
 		w.turn()
-		if !w.isConnected() {
+		if !w.isCovered() {
 			return ""
 		}
 	}
@@ -43,7 +43,7 @@
 	end := w.step + healWithin
 	for lasting := 0; lasting < 10 && w.broken == ""; w.step++ {
 		w.turn()
-		if len(w.alive()) == 0 || !w.isConnected() {
+		if len(w.alive()) == 0 || !w.isCovered() {
 			return
 		}
 		lasting++
@@ -65,22 +65,40 @@
 	})
 }
 
-// isConnected reports whether the daemons that run know of one another, at least
-// through others: the protocol does not cover those that do not.
-func (w *world) isConnected() bool {
+// isCovered reports whether the protocol covers the daemons that run: they know
+// of one another, at least through others, and none that has just started has
+// lost touch with a group that goes on.
+func (w *world) isCovered() bool {
 	all := w.alive()
-	if len(all) == 0 {
-		return true
+	if len(all) > 0 && len(w.reach(all[0], func(d, o *daemon) bool { return knows(d, o) || knows(o, d) })) < len(all) {
+		return false
 	}
-	seen := []*daemon{all[0]}
-	for i := 0; i < len(seen); i++ {
+	for _, d := range all {
+		if len(d.node.voters) > 0 {
+			continue
+		}
+		reached := w.reach(d, knows)
 		for _, o := range all {
-			if !slices.Contains(seen, o) && (knows(seen[i], o) || knows(o, seen[i])) {
+			if len(o.node.voters) > 0 && !slices.Contains(reached, o) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// reach returns the daemons that run and that a daemon is linked to, at least
+// through others.
+func (w *world) reach(d *daemon, linked func(d, o *daemon) bool) []*daemon {
+	seen := []*daemon{d}
+	for i := 0; i < len(seen); i++ {
+		for _, o := range w.alive() {
+			if !slices.Contains(seen, o) && linked(seen[i], o) {
 				seen = append(seen, o)
 			}
 		}
 	}
-	return len(seen) == len(all)
+	return seen
 }
 
 func knows(d, o *daemon) bool {
@@ -114,9 +132,8 @@
 		return
 	}
 	w.call(d, func(now time.Time) { w.tick(d, now) })
-	w.admit(d, w.load)
 	if w.chance(w.gossip) {
-		w.spread(d, w.daemons[w.rng.IntN(w.size)])
+		w.tell(d, w.daemons[w.rng.IntN(w.size)], append(d.node.Records(), d.node.Self())...)
 	}
 	if w.chance(20) {
 		w.list(d)
@@ -130,8 +147,8 @@
 func (w *world) complete(d *daemon) {
 	d.work = slices.DeleteFunc(d.work, func(v work) bool {
 		done := w.chance(10)
-		if t := d.tenures[v.key]; done && t != nil && t.held {
-			t.warm = true
+		if t := d.tenures[v.key]; done && t.held {
+			d.tenures[v.key] = tenure{held: true, warm: true}
 		}
 		return done
 	})
@@ -154,9 +171,7 @@
 	self := d.node.Self()
 	self.State = declarer.Gone
 	for _, o := range w.daemons {
-		if o != d && o.alive && w.passes(d, o) {
-			w.tell(o, []declarer.Instance{self})
-		}
+		w.tell(d, o, self)
 	}
 	w.halt(d)
 }
--- a/internal/peer/detector/world_test.go
+++ b/internal/peer/detector/world_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
@@ -27,53 +26,6 @@
 	rebootSteps = int(takeover/step) + 2
 )
 
-// act is what happens to daemon a, or to the network.
-type act int
-
-const (
-	cut       act = iota // between the daemons in the bits of a and all others
-	cutOneWay            // from the daemons in the bits of a to all others
-	heal                 // every cut
-	freeze // stops the process
-	stall  // stops the control goroutine only
-	resume
-	kill // the kernel closes connections and refuses new ones
-	lose // the machine is lost
-	start
-	leave
-	acts
-)
-
-func (a act) String() string {
-	return strings.Fields("cut cutOneWay heal freeze stall resume kill lose start leave")[a]
-}
-
-// event is one entry of a schedule.
-type event struct {
-	at   int
-	act  act
-	a    int
-}
-
-func (e event) String() string { return fmt.Sprintf("{%d, %s, %d}", e.at, e.act, e.a) }
-
-// plan is a schedule, with the seed of what it leaves open: delays, losses, the
-// order within a step and the work offered.
-type plan struct {
-	seed                uint64
-	size, atStart       int // daemons, and how many of them start at step 0
-	upstreams           int
-	loss, delay         int  // in 100; in steps
-	load, gossip        int  // in 100
-	listLag             int  // in steps
-	fast                uint // the daemons in its bits have faster clocks by 1 in 100
-	relay, fewContacts  bool
-	longWork            bool // work outlives the takeover time
-	events              []event
-	faults              faults
-	horizon             int
-}
-
 // work is a sub-request at an upstream, until a time of its daemon's clock.
 type work struct {
 	key string
@@ -93,8 +45,7 @@
 	frozen, stalled bool
 	endedAt         int
 	work            []work
-	tenures         map[string]*tenure
-	book            map[string]declarer.Instance
+	tenures         map[string]tenure
 	inbox           []func()
 }
 
@@ -148,8 +99,7 @@
 
 func (w *world) boot(d *daemon) {
 	*d = daemon{i: d.i, self: declarer.Instance{ID: d.self.ID, Incarnation: uint64(w.step + 1)}, alive: true, work: d.work}
-	d.tenures = make(map[string]*tenure)
-	d.book = make(map[string]declarer.Instance)
+	d.tenures = make(map[string]tenure)
 	cfg := Config{Interval: interval, Fence: fence, Takeover: takeover, faults: w.faults}
 	cfg.InFlight = func(id string, leaving bool) int { return w.inFlight(d, id, leaving) }
 	d.node = New(cfg, d.self, w.now(d))
@@ -184,8 +134,7 @@
 	return n
 }
 
-// publish shows the traffic what the node permits, and ends a daemon that has
-// left.
+// publish shows the traffic what the node permits.
 func (w *world) publish(d *daemon) { d.permit = d.node.Permit() }
 
 func (w *world) post(after int, do func()) {
@@ -199,6 +148,7 @@
 		if d.alive && d.self.Incarnation == inc {
 			f(w.now(d))
 			w.publish(d)
+			w.admit(d, w.load)
 		}
 	}
 	if d.frozen || d.stalled {
@@ -277,49 +227,20 @@
 	}
 }
 
-// spread tells a daemon the records of another.
-func (w *world) spread(d, to *daemon) {
-	if d == to || !d.alive || d.frozen || d.stalled || !to.alive || !w.passes(d, to) {
+// tell spreads records to a daemon, as gossip.
+func (w *world) tell(d, to *daemon, records ...declarer.Instance) {
+	if d == to || !to.alive || !w.passes(d, to) {
 		return
 	}
-	w.note(d, append(d.node.Records(), d.node.Self()))
-	w.tell(to, w.records(d))
-}
-
-func (w *world) records(d *daemon) []declarer.Instance {
-	var all []declarer.Instance
-	for _, o := range w.daemons {
-		if in, ok := d.book[o.self.ID]; ok {
-			all = append(all, in)
-		}
-	}
-	return all
-}
-
-func (w *world) tell(to *daemon, records []declarer.Instance) {
 	w.post(w.delayed(), func() {
 		w.call(to, func(now time.Time) {
-			w.note(to, append(to.node.Records(), to.node.Self()))
-			for _, in := range w.note(to, records) {
+			for _, in := range records {
 				to.node.Learn(now, in)
 			}
 		})
 	})
 }
 
-// note merges records into a daemon's book and returns the news.
-func (w *world) note(d *daemon, records []declarer.Instance) []declarer.Instance {
-	var news []declarer.Instance
-	for _, in := range records {
-		old, ok := d.book[in.ID]
-		if ok && in.Supersedes(&old) || !ok && in.State != declarer.Gone {
-			d.book[in.ID] = in
-			news = append(news, in)
-		}
-	}
-	return news
-}
-
 // list confirms, as the platform's list does, missing members that have ended.
 func (w *world) list(d *daemon) {
 	for _, in := range d.node.Records() {
@@ -331,27 +252,21 @@
 }
 
 // share is what the traffic of a daemon may admit; the tenure follows it.
-func (w *world) share(d *daemon, key string) (exchanger.Share, *tenure) {
-	t := d.tenures[key]
-	if t == nil {
-		t = &tenure{}
-		d.tenures[key] = t
-	}
+func (w *world) share(d *daemon, key string) exchanger.Share {
 	s := d.permit.Share(w.now(d), key)
 	if s.Scale(s.Den, w.now(d)) == 0 {
-		*t = tenure{}
-		return s, t
-	}
-	if !t.held {
-		*t = tenure{held: true}
+		d.tenures[key] = tenure{}
+	} else if !d.tenures[key].held {
+		d.tenures[key] = tenure{held: true}
 	}
-	return s, t
+	return s
 }
 
 // admit offers work, of a load in 100, to the traffic of a daemon.
 func (w *world) admit(d *daemon, load int) {
 	for _, key := range w.keys {
-		s, t := w.share(d, key)
+		s := w.share(d, key)
+		t := d.tenures[key]
 		for t.held && w.chance(load) {
 			mine := w.at(key, d)
 			if t.warm && mine >= s.Scale(limit, w.now(d)) || !t.warm && (!s.Cold || mine >= coldLimit) {
@@ -387,7 +302,7 @@
 
 // checkCold finds work given to a cold upstream beside other work. Only the half
 // of a group may have the upstream warm while the other half has it cold.
-func (w *world) checkCold(d *daemon, key string, s exchanger.Share, t *tenure) {
+func (w *world) checkCold(d *daemon, key string, s exchanger.Share, t tenure) {
 	if t.warm || w.at(key) <= coldLimit {
 		return
 	}
