--- a/internal/peer/linker/wire.go
+++ b/internal/peer/linker/wire.go
@@ -14,10 +14,10 @@
 	l *Linker
 	// peer is the other daemon's address; the serving end learns it from the
 	// first message.
-	peer     atomic.Pointer[netip.AddrPort]
-	muted    atomic.Bool
-	sentSum  atomic.Int64
-	recvSum  atomic.Int64
+	peer    atomic.Pointer[netip.AddrPort]
+	muted   atomic.Bool
+	sentSum atomic.Int64
+	recvSum atomic.Int64
 }
 
 func newWire(l *Linker, conn net.Conn) *wire {
