--- /dev/null
+++ b/cmd/cornelwood/path_test.go
@@ -0,0 +1,57 @@
+package main_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/standin/searcher"
+)
+
+// TestWholePath answers queries end to end through separate processes: three
+// daemons, a platform and searchers.
+func TestWholePath(t *testing.T) {
+	s := withSite(t, siteOptions{})
+	for _, d := range s.daemons {
+		t.Run("through "+d.id, func(t *testing.T) {
+			assertComplete(t, d)
+		})
+	}
+	for i, d := range s.daemons {
+		if code := d.terminate(t); code != 0 {
+			t.Errorf("daemon %d ended with %d, want 0", i, code)
+		}
+	}
+}
+
+// assertComplete waits for a complete answer, since searchers start cold, and
+// compares it with the one right answer of its snapshot of the service "finder".
+func assertComplete(t *testing.T, d *daemon) {
+	t.Helper()
+	const (
+		service = "finder"
+		limit   = 5
+	)
+	var a answerer.Answer
+	eventually(t, startWait, func() error {
+		var err error
+		a, err = d.query(t, answerer.Query{Request: "r-1", Service: service, Terms: "metal loss", Limit: limit})
+		if err == nil && !a.Coverage.Complete() {
+			err = fmt.Errorf("coverage %+v", a.Coverage)
+		}
+		return err
+	})
+	all := []int{0, 1, 2, 3}
+	shards := len(all)
+	want := answerer.Answer{
+		Request: "r-1", Service: service, Snapshot: a.Snapshot,
+		Coverage: answerer.Coverage{Shards: shards, Merged: shards, Documents: a.Coverage.Documents},
+		Results:  searcher.Merged(service, all, a.Snapshot, "metal loss", limit),
+		Took:     a.Took,
+	}
+	if diff := cmp.Diff(want, a); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/control/reconciler/platform_test.go
@@ -0,0 +1,155 @@
+package reconciler
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/platform/storer"
+)
+
+// platform is the object API in memory, with faults.
+type platform struct {
+	mu        sync.Mutex
+	revision  uint64
+	history   []declarer.Object
+	instances []declarer.Instance
+	changed   chan struct{}
+	calls     map[string]int
+	// peak is the highest number of calls in one second.
+	peak, second int
+	secondAt     time.Time
+
+	isDown bool
+	// isCut reports whether an instance is cut off from the platform.
+	isCut func(id string) bool
+	// lag is the number of last changes that lists do not show.
+	lag int
+	// mangle repeats, reorders and drops events of watches, and adds old ones.
+	mangle *rand.Rand
+	// miss is the number of next answers of watches that lack their events.
+	miss int
+}
+
+func newPlatform() *platform {
+	return &platform{changed: make(chan struct{}), calls: make(map[string]int)}
+}
+
+func (p *platform) put(o declarer.Object) declarer.Object {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	o.Version = p.revision
+	p.history = append(p.history, o)
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return o
+}
+
+func (p *platform) set(fn func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fn()
+}
+
+// access is one daemon's way to the platform.
+type access struct {
+	*platform
+	id string
+}
+
+func (a *access) call(name string) error {
+	p := a.platform
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[name]++
+	if now := time.Now(); now.Sub(p.secondAt) >= time.Second {
+		p.second, p.secondAt = 0, now
+	}
+	p.second++
+	p.peak = max(p.peak, p.second)
+	if p.isDown || p.isCut != nil && p.isCut(a.id) {
+		return &storer.UnavailableError{Call: name, Err: errors.New("down")}
+	}
+	return nil
+}
+
+func (a *access) List(context.Context, declarer.Kind) ([]declarer.Object, uint64, error) {
+	if err := a.call("list"); err != nil {
+		return nil, 0, err
+	}
+	p := a.platform
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shown := p.history[:max(0, len(p.history)-p.lag)]
+	latest := make(map[declarer.Key]declarer.Object)
+	for _, o := range shown {
+		latest[o.Key] = o
+	}
+	var objects []declarer.Object
+	for _, o := range latest {
+		objects = append(objects, o)
+	}
+	return objects, p.revision - uint64(len(p.history)-len(shown)), nil
+}
+
+func (a *access) Watch(ctx context.Context, from uint64, wait time.Duration) ([]declarer.Object, uint64, error) {
+	if err := a.call("watch"); err != nil {
+		return nil, 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		objects, revision, changed := a.since(from)
+		if revision > from {
+			return objects, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, from, nil
+		}
+	}
+}
+
+func (p *platform) since(from uint64) ([]declarer.Object, uint64, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var objects []declarer.Object
+	for _, o := range p.history {
+		if o.Version > from {
+			objects = append(objects, o)
+		}
+	}
+	if p.mangle != nil && len(objects) > 0 {
+		objects = append(objects, p.history...)
+		p.mangle.Shuffle(len(objects), func(i, j int) { objects[i], objects[j] = objects[j], objects[i] })
+		objects = objects[:1+p.mangle.IntN(len(objects))]
+	}
+	if p.miss > 0 && len(objects) > 0 {
+		p.miss--
+		objects = nil
+	}
+	return objects, p.revision, p.changed
+}
+
+// list adds an instance to the platform's list.
+func (p *platform) list(in declarer.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = append(p.instances, in)
+}
+
+func (a *access) Instances(context.Context) ([]declarer.Instance, error) {
+	if err := a.call("instances"); err != nil {
+		return nil, err
+	}
+	p := a.platform
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.instances), nil
+}
