dialer, dispatcher: a slot is freed only after an answer to something sent later

Cause: under load TestZoneOut saw one overlap at a searcher. A given-up request's slot was freed when any bytes came in after the cancellation; those may have been on their way before it. On a silent connection the margin after the deadline was 20 ms, less than a busy machine needs. Ruled out: a handover (one daemon in each zone, no change of owner in the log). Change: the slot waits for the answer to a request sent after the cancellation, which the upstream reads in order; margin 250 ms (the silent case only). A job that gives way is no longer counted by the others.

--- a/internal/upstream/dialer/config.go
+++ b/internal/upstream/dialer/config.go
@@ -48,7 +48,7 @@
 		PingAfter:   200 * time.Millisecond,
 		PingTimeout: 100 * time.Millisecond,
 		Grace:       5 * time.Millisecond,
-		Margin:      20 * time.Millisecond,
+		Margin:      250 * time.Millisecond,
 		MaxBody:     1 << 20,
 	}
 }
--- a/internal/upstream/dialer/conn.go
+++ b/internal/upstream/dialer/conn.go
@@ -18,9 +18,9 @@
 // link is the network connection below a conn. It watches for silence.
 type link struct {
 	net.Conn
-	// readAt is when bytes last came in, and owedSince when the first request
-	// after them was sent; 0 when no answer is owed.
-	readAt, owedSince atomic.Int64
+	// owedSince is when the first request was sent after bytes last came in; 0 when
+	// no answer is owed.
+	owedSince atomic.Int64
 	// writes counts the writes begun.
 	writes atomic.Int64
 	// ended is true when the upstream closed or reset the connection.
@@ -35,7 +35,6 @@
 func (l *link) Read(p []byte) (int, error) {
 	n, err := l.Conn.Read(p)
 	if n > 0 {
-		l.readAt.Store(int64(clock()))
 		l.owedSince.Store(0)
 	}
 	if err != nil && !l.closed.Load() {
@@ -80,11 +79,6 @@
 	return clock() - time.Duration(since)
 }
 
-// heardSince reports whether bytes came in after t.
-func (l *link) heardSince(t time.Duration) bool {
-	return time.Duration(l.readAt.Load()) > t
-}
-
 // conn is one connection to the upstream.
 type conn struct {
 	http *http.ClientConn
@@ -93,8 +87,9 @@
 	// takes no more; the pool's lock guards both.
 	busy    int
 	retired bool
-	// nudged is true while a nudge is under way.
-	nudged atomic.Bool
+	// nudging is true while a nudge is under way; nudge is the last one answered.
+	nudging atomic.Bool
+	nudge   atomic.Pointer[nudge]
 }
 
 // usable reports whether the connection takes new requests.
--- a/internal/upstream/dialer/hold.go
+++ b/internal/upstream/dialer/hold.go
@@ -32,9 +32,9 @@
 	}
 }
 
-// Wait returns when the upstream has stopped the request: a grace after the
-// cancellation was sent if the connection has been heard from since, or was
-// ended by the upstream; else after the request's deadline and a margin.
+// Wait returns when the upstream has stopped the request: a grace after it has
+// answered something that was sent after the cancellation, or when it has ended
+// the connection; else after the request's deadline and a margin.
 func (h *Hold) Wait() {
 	for left := h.left(); left > 0; left = h.left() {
 		time.Sleep(left)
@@ -44,37 +44,43 @@
 // left returns the time to the next check, or 0 when the upstream has stopped.
 func (h *Hold) left() time.Duration {
 	now := clock()
-	if now >= h.until {
+	if now >= h.until || h.conn.link.ended.Load() {
 		return 0
 	}
-	if now < h.from+h.grace {
-		return min(h.from+h.grace, h.until) - now
-	}
-	if h.conn.link.ended.Load() || h.conn.link.heardSince(h.from) {
-		return 0
+	if n := h.conn.nudge.Load(); n != nil && n.sent > h.from {
+		return min(n.answered+h.grace, h.until) - now
 	}
 	h.client.nudge(h.conn, h.until-now)
 	return min(h.grace, h.until-now)
 }
 
-// nudge makes the upstream send bytes on a connection: it reads the connection's
-// frames in order, so that its answer comes after it has read a cancellation.
+// nudge is a request that the upstream has answered. It reads the frames of a
+// connection in order, so it had read every cancellation written before sent.
+type nudge struct {
+	sent, answered time.Duration
+}
+
+// nudge makes the upstream answer on a connection. Bytes that merely come in
+// prove nothing: they may have been on their way before the cancellation.
 func (c *Client) nudge(cn *conn, timeout time.Duration) {
-	if c.cfg.HTTP1 || !cn.nudged.CompareAndSwap(false, true) {
+	if c.cfg.HTTP1 || !cn.nudging.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
-		defer cn.nudged.Store(false)
+		defer cn.nudging.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		if cn.http.Reserve() != nil {
 			return
 		}
 		cn.link.owe()
+		sent := clock()
 		req := &http.Request{Method: http.MethodGet, URL: c.url(healthPath), Header: http.Header{}}
 		res, err := cn.http.RoundTrip(req.WithContext(ctx))
-		if err == nil {
-			res.Body.Close()
+		if err != nil {
+			return
 		}
+		res.Body.Close()
+		cn.nudge.Store(&nudge{sent: sent, answered: clock()})
 	}()
 }
--- a/internal/upstream/dispatcher/job.go
+++ b/internal/upstream/dispatcher/job.go
@@ -17,6 +17,9 @@
 	ctx      context.Context
 	deadline time.Time
 	deliver  func(exchanger.Result)
+	// yields is true once the job gives its slot back unused; the upstream's lock
+	// guards it.
+	yields bool
 	// unwatch stops the watch for a cancellation while the job waits.
 	unwatch func() bool
 }
@@ -54,7 +57,7 @@
 		return 0, r
 	}
 	share := u.d.permit.Share(u.key)
-	if r := u.fits(now, share, j.task.ID); r != nil {
+	if r := u.fits(now, share, j); r != nil {
 		return 0, r
 	}
 	left := j.deadline.Sub(now)
--- a/internal/upstream/dispatcher/upstream.go
+++ b/internal/upstream/dispatcher/upstream.go
@@ -25,14 +25,16 @@
 	// limiter's slots taken and load for readers without the lock.
 	pending, busy, percent atomic.Int64
 
-	mu     sync.Mutex
-	lim    *limiter.Limiter[*job]
-	tenure tenure
-	client Client
-	hang   func()
-	addr   netip.AddrPort
-	cap    declarer.Capacity
-	pages  pages
+	mu  sync.Mutex
+	lim *limiter.Limiter[*job]
+	// yielding counts the slots taken whose jobs give them back unused.
+	yielding int
+	tenure   tenure
+	client   Client
+	hang     func()
+	addr     netip.AddrPort
+	cap      declarer.Capacity
+	pages    pages
 	// dead marks an upstream that the Dispatcher has forgotten, or that ended with
 	// it.
 	dead bool
@@ -130,17 +132,20 @@
 }
 
 // fits returns the Result of a job that has a slot which the share does not
-// allow any more, or nil.
-func (u *upstream) fits(now time.Time, share exchanger.Share, id uint64) *exchanger.Result {
+// allow any more, or nil. Jobs that have been told so are not counted, else all
+// would give way where one must.
+func (u *upstream) fits(now time.Time, share exchanger.Share, j *job) *exchanger.Result {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if r := u.closed(now, share, id); r != nil {
+	if r := u.closed(now, share, j.task.ID); r != nil {
 		return r
 	}
-	if u.lim.InFlight() > u.lim.Allowed(now, share) {
-		return &exchanger.Result{ID: id, Status: exchanger.Shed, Reason: "limit fell before it was sent"}
+	if u.lim.InFlight()-u.yielding <= u.lim.Allowed(now, share) {
+		return nil
 	}
-	return nil
+	j.yields = true
+	u.yielding++
+	return &exchanger.Result{ID: j.task.ID, Status: exchanger.Shed, Reason: "limit fell before it was sent"}
 }
 
 // closed returns the Result of a job when the upstream may be given no work at
@@ -167,20 +172,23 @@
 	u.turned(cold)
 	u.mu.Unlock()
 	if out.Hold == nil {
-		u.release()
+		u.release(j)
 	}
 	out.Result.Load = u.load()
 	j.finish(&out.Result)
 	if out.Hold != nil {
 		out.Hold.Wait()
-		u.release()
+		u.release(j)
 	}
 }
 
-// release frees a slot and starts what waits for it.
-func (u *upstream) release() {
+// release frees a job's slot and starts what waits for it.
+func (u *upstream) release(j *job) {
 	u.mu.Lock()
 	u.lim.Release()
+	if j.yields {
+		u.yielding--
+	}
 	u.mu.Unlock()
 	u.pump()
 }
