decoder, sleeper: one strict decoder and one sleep

Cause: duplicates showed the strict JSON decoding twice and the interruptible sleep four times. Both HTTP services now name a field at fault with the same code, bad_field; the receiver's test asked for bad_body there, which named no field's fault.

--- a/cmd/cornelwood/faults_test.go
+++ b/cmd/cornelwood/faults_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
 
 	"cornelwood.example/internal/cli/requester"
 	"cornelwood.example/internal/contract/answerer"
@@ -358,3 +360,71 @@
 	}
 	return res
 }
+
+// TestShutdownFinishesQueries stops a daemon while it runs slow queries.
+func TestShutdownFinishesQueries(t *testing.T) {
+	const queries = 5
+	s := withSite(t, siteOptions{fleet: []string{"--mean", "500ms", "--warm"}, lag: "10ms"})
+	leaver := s.daemons[0]
+	answers := make(chan error, queries)
+	for range queries {
+		go func() {
+			_, err := leaver.query(t, answerer.Query{Service: "finder", Deadline: &declarer.Duration{Duration: 20 * time.Second}})
+			answers <- err
+		}()
+	}
+	eventually(t, startWait, func() error { return leaver.runs(t, queries) })
+	leaver.signal(t, syscall.SIGTERM)
+	for range queries {
+		if err := <-answers; err != nil {
+			t.Errorf("a query that ran at the shutdown: %v", err)
+		}
+	}
+	<-leaver.done
+	if code := leaver.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("the daemon ended with %d, want 0", code)
+	}
+}
+
+// TestDrainedUpstream drains a searcher under load: it gets no new work after a few
+// seconds.
+func TestDrainedUpstream(t *testing.T) {
+	s := withSite(t, siteOptions{})
+	warm(t, s)
+	u := s.services[0].Upstreams()[0]
+	rep := underLoad(t, s.daemons, func(b *balancer) {
+		faults(t, "http://"+u.Addr.String(), map[string]any{"drain": true})
+		time.Sleep(newWork + time.Second)
+		b.awaitAnswers(t, leadAnswers)
+	})
+	assertAnswered(t, rep)
+	eachCounts(t, s, func(each declarer.Upstream, c searcher.Counts) {
+		if each.Name == u.Name && c.LastAfterDrain > newWork {
+			t.Errorf("%s got work %s after its drain began, want none after %s", u.Name, c.LastAfterDrain, newWork)
+		}
+	})
+	assertBorne(t, s)
+}
+
+// runs returns nil when the daemon runs as many queries.
+func (d *daemon) runs(t *testing.T, want int) error {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+d.caller+"/metrics", http.NoBody)
+	if err != nil {
+		return err
+	}
+	resp, err := httpClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(resp.Body)
+	if err != nil {
+		return err
+	}
+	if got := int(families["cornelwood_query_running"].GetMetric()[0].GetGauge().GetValue()); got != want {
+		return fmt.Errorf("%d queries run, want %d", got, want)
+	}
+	return nil
+}
--- a/internal/operator/commander/body.go
+++ b/internal/operator/commander/body.go
@@ -1,15 +1,14 @@
 package commander
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"strings"
 
 	"cornelwood.example/internal/contract/answerer"
 	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/web/decoder"
 )
 
 const (
@@ -48,7 +47,7 @@
 // decodeRequest reads and checks the body of a call that changes something.
 func decodeRequest(r io.Reader, f fields) (*request, error) {
 	var req request
-	if err := decodeStrictly(r, &req); err != nil {
+	if err := decoder.DecodeStrict(r, &req); err != nil {
 		return nil, err
 	}
 	if err := checkChange(req.Change); err != nil {
@@ -75,37 +74,6 @@
 	return &req, nil
 }
 
-// decodeStrictly reads one JSON value and refuses unknown fields and trailing
-// data.
-func decodeStrictly(r io.Reader, out any) error {
-	d := json.NewDecoder(r)
-	d.DisallowUnknownFields()
-	if err := d.Decode(out); err != nil {
-		return decodeRefusal(err)
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return refuse(answerer.CodeBadBody, "", "want one JSON value, got more")
-	}
-	return nil
-}
-
-// decodeRefusal names the field at fault, if one is.
-func decodeRefusal(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return refuse(answerer.CodeTooLarge, "", fmt.Sprintf("want a body of at most %d bytes", tooLarge.Limit))
-	}
-	var badType *json.UnmarshalTypeError
-	if errors.As(err, &badType) {
-		return refuse(answerer.CodeBadField, badType.Field, fmt.Sprintf("want %s, got %s", badType.Type, badType.Value))
-	}
-	const unknown = "json: unknown field "
-	if name, ok := strings.CutPrefix(err.Error(), unknown); ok {
-		return refuse(answerer.CodeBadField, strings.Trim(name, `"`), "the field is not known")
-	}
-	return refuse(answerer.CodeBadBody, "", err.Error())
-}
-
 // checkChange accepts ids of letters, digits, '-', '.' and '_'.
 func checkChange(id string) error {
 	if id == "" || len(id) > maxChangeBytes {
@@ -130,9 +98,3 @@
 	}
 	return refuse(answerer.CodeBadBody, "", err.Error())
 }
-
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // the caller is gone when it fails
-}
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -12,6 +12,8 @@
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/reconciler"
 	"cornelwood.example/internal/control/viewer"
+	"cornelwood.example/internal/time/sleeper"
+	"cornelwood.example/internal/web/decoder"
 )
 
 // changeTimeout bounds the work on one change, its settling included.
@@ -57,7 +59,7 @@
 		log:      log,
 		metrics:  metrics,
 		mux:      http.NewServeMux(),
-		pause:    sleep,
+		pause:    sleeper.Sleep,
 	}
 	c.routes()
 	return c
@@ -117,7 +119,7 @@
 // reply writes the outcome of a call.
 func (c *Commander) reply(w http.ResponseWriter, status int, body any, err error) {
 	if err == nil {
-		writeJSON(w, status, body)
+		decoder.Write(w, status, body)
 		return
 	}
 	var re *answerer.RefusalError
@@ -125,21 +127,10 @@
 		re = refuse(answerer.CodeNoPlatform, "", err.Error())
 	}
 	c.metrics.refusals.WithLabelValues(string(re.Code)).Inc()
-	writeJSON(w, re.Status(), re)
+	decoder.Write(w, re.Status(), re)
 }
 
 // refuse returns a refusal of a call that was not run.
 func refuse(code answerer.Code, field, reason string) *answerer.RefusalError {
 	return &answerer.RefusalError{Code: code, Field: field, Reason: reason, Run: answerer.NotRun}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/platform/storer/caller.go
+++ b/internal/platform/storer/caller.go
@@ -11,6 +11,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"cornelwood.example/internal/time/sleeper"
 )
 
 // Bounds of bodies.
@@ -83,7 +85,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < wait {
 		return errPause
 	}
-	if err := sleep(ctx, wait); err != nil {
+	if err := sleeper.Sleep(ctx, wait); err != nil {
 		return err
 	}
 	return s.cfg.Limiter.Wait(ctx)
@@ -192,17 +194,3 @@
 	f.Reason = f.Reason[:min(len(f.Reason), maxReasonBytes)]
 	return &RejectedError{Call: c.name, Status: a.status, Reason: f.Reason}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/upstream/prober/prober.go
+++ b/internal/upstream/prober/prober.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"cornelwood.example/internal/time/sleeper"
 )
 
 // Paths of the pages.
@@ -83,12 +85,12 @@
 		began := time.Now()
 		for _, t := range p.source.Targets() {
 			p.probe(ctx, t)
-			if err := wait(ctx, p.cfg.Gap); err != nil {
+			if err := sleeper.Sleep(ctx, p.cfg.Gap); err != nil {
 				return err
 			}
 		}
 		rest := max(p.cfg.Interval-time.Since(began), p.cfg.Gap)
-		if err := wait(ctx, rest); err != nil {
+		if err := sleeper.Sleep(ctx, rest); err != nil {
 			return err
 		}
 	}
@@ -108,15 +110,3 @@
 	}
 	p.source.Hint(t.Service, t.Upstream, pages)
 }
-
-// wait returns after d, or the error of ctx when it ends first.
-func wait(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/web/decoder/decoder.go
+++ b/internal/web/decoder/decoder.go
@@ -20,13 +20,18 @@
 // into v. It returns a *answerer.RefusalError when the body is too large, is not
 // JSON, has an unknown field, or goes on after the value.
 func Decode(w http.ResponseWriter, r *http.Request, limit int64, v any) error {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	return DecodeStrict(http.MaxBytesReader(w, r.Body, limit), v)
+}
+
+// DecodeStrict is Decode for a body that is bounded already.
+func DecodeStrict(r io.Reader, v any) error {
+	dec := json.NewDecoder(r)
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
 		return refuse(err)
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return badBody("", "the body goes on after the JSON value")
+		return badBody("the body goes on after the JSON value")
 	}
 	return nil
 }
@@ -62,17 +67,21 @@
 			Reason: fmt.Sprintf("want a body of at most %d bytes", large.Limit),
 		}
 	case errors.As(err, &typ):
-		return badBody(typ.Field, fmt.Sprintf("want %s, got %s", typ.Type, typ.Value))
+		return badField(typ.Field, fmt.Sprintf("want %s, got %s", typ.Type, typ.Value))
 	case errors.As(err, &syntax):
-		return badBody("", fmt.Sprintf("not JSON at byte %d: %v", syntax.Offset, err))
+		return badBody(fmt.Sprintf("not JSON at byte %d: %v", syntax.Offset, err))
 	case strings.HasPrefix(err.Error(), unknownFieldPrefix):
 		name := strings.Trim(strings.TrimPrefix(err.Error(), unknownFieldPrefix), `"`)
-		return badBody(name, "unknown field")
+		return badField(name, "unknown field")
 	default:
-		return badBody("", fmt.Sprintf("cannot read the body: %v", err))
+		return badBody(fmt.Sprintf("cannot read the body: %v", err))
 	}
 }
 
-func badBody(field, reason string) error {
-	return &answerer.RefusalError{Code: answerer.CodeBadBody, Field: field, Reason: reason, Run: answerer.NotRun}
+func badField(field, reason string) error {
+	return &answerer.RefusalError{Code: answerer.CodeBadField, Field: field, Reason: reason, Run: answerer.NotRun}
+}
+
+func badBody(reason string) error {
+	return &answerer.RefusalError{Code: answerer.CodeBadBody, Reason: reason, Run: answerer.NotRun}
 }
