dispatcher: shares are read under the upstream's lock; only jobs too many are refused

Two tests failed now and then under -race -count=25. And when the limit fell while several jobs were connecting, all of them could be refused, each for the slots of the others; a refused job now frees its slot at once. 300 runs of both tests under -race pass.

--- a/internal/upstream/dispatcher/job.go
+++ b/internal/upstream/dispatcher/job.go
@@ -19,6 +19,8 @@
 	deliver  func(exchanger.Result)
 	// unwatch stops the watch for a cancellation while the job waits.
 	unwatch func() bool
+	// released is true when the slot was freed before the job ended.
+	released bool
 }
 
 // run sends the task and ends the job.
@@ -53,8 +55,8 @@
 	if r := u.placed(u.d.views.View()).refusal(j.task.ID); r != nil {
 		return 0, r
 	}
-	share := u.d.permit.Share(u.key)
-	if r := u.fits(now, share, j.task.ID); r != nil {
+	share, r := u.fits(now, j)
+	if r != nil {
 		return 0, r
 	}
 	left := j.deadline.Sub(now)
--- a/internal/upstream/dispatcher/tenure.go
+++ b/internal/upstream/dispatcher/tenure.go
@@ -75,8 +75,8 @@
 // the upstream can be forgotten.
 func (u *upstream) sweep(now time.Time, v *viewer.View) bool {
 	p := u.placed(v)
-	share := u.d.permit.Share(u.key)
 	u.mu.Lock()
+	share := u.share()
 	if u.lim == nil {
 		u.dead = !p.known
 		defer u.mu.Unlock()
--- a/internal/upstream/dispatcher/upstream.go
+++ b/internal/upstream/dispatcher/upstream.go
@@ -79,8 +79,8 @@
 // offer starts the job, lets it wait, or ends it.
 func (u *upstream) offer(now time.Time, v *viewer.View, j *job) {
 	u.pending.Add(1)
-	share := u.d.permit.Share(u.key)
 	u.mu.Lock()
+	share := u.share()
 	if !u.renew(now, u.placed(v), share) {
 		u.mu.Unlock()
 		j.refuse(fenced(j.task.ID))
@@ -111,6 +111,12 @@
 	}
 }
 
+// share returns the share now. It is called under the lock, so that an older
+// share never takes the place of a newer one.
+func (u *upstream) share() exchanger.Share {
+	return u.d.permit.Share(u.key)
+}
+
 // watch withdraws a waiting job when its sender gives up. An action stays.
 func (u *upstream) watch(j *job) {
 	if j.task.Once() {
@@ -129,18 +135,23 @@
 	return ok
 }
 
-// fits returns the Result of a job that has a slot which the share does not
-// allow any more, or nil.
-func (u *upstream) fits(now time.Time, share exchanger.Share, id uint64) *exchanger.Result {
+// fits returns the share now, and the Result of a job that has a slot which the
+// share does not allow any more, or nil. It frees that slot at once, so that of several such
+// jobs only those too many are refused.
+func (u *upstream) fits(now time.Time, j *job) (exchanger.Share, *exchanger.Result) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if r := u.closed(now, share, id); r != nil {
-		return r
+	share := u.share()
+	if r := u.closed(now, share, j.task.ID); r != nil {
+		return share, r
 	}
-	if u.lim.InFlight() > u.lim.Allowed(now, share) {
-		return &exchanger.Result{ID: id, Status: exchanger.Shed, Reason: "limit fell before it was sent"}
+	if u.lim.InFlight() <= u.lim.Allowed(now, share) {
+		return share, nil
 	}
-	return nil
+	u.lim.Release()
+	u.mirror()
+	j.released = true
+	return share, &exchanger.Result{ID: j.task.ID, Status: exchanger.Shed, Reason: "limit fell before it was sent"}
 }
 
 // closed returns the Result of a job when the upstream may be given no work at
@@ -166,7 +177,7 @@
 	u.lim.Learn(now, out.Sample)
 	u.turned(cold)
 	u.mu.Unlock()
-	if out.Hold == nil {
+	if out.Hold == nil && !j.released {
 		u.release()
 	}
 	out.Result.Load = u.load()
@@ -187,10 +198,10 @@
 
 // pump starts and ends the waiting jobs whose state changes now.
 func (u *upstream) pump() {
-	share := u.d.permit.Share(u.key)
 	now := time.Now()
 	var s starting
 	u.mu.Lock()
+	share := u.share()
 	for {
 		j, verdict := u.lim.Next(now, share)
 		if verdict == limiter.None {
