--- a/internal/control/reconciler/group.go
+++ b/internal/control/reconciler/group.go
@@ -132,7 +132,11 @@
 		return
 	}
 	if r.group.has(&in) {
+		// The group protocol decides when the end takes effect, and its records
+		// tell it.
 		r.group.node.Confirm(now, in.ID, in.Incarnation)
+		r.syncGroup(now)
+		return
 	}
 	in.State = declarer.Gone
 	if was, ok := r.state.Instance(in.ID); ok && was.Incarnation != in.Incarnation {
@@ -153,11 +157,10 @@
 	return assigner.Group(upstreamKey, g.groups) == g.own
 }
 
-// publishGrant publishes what this daemon may admit.
+// publishGrant publishes what this daemon may admit. It does so before the
+// configuration is known too, since the group protocol accepts other members only
+// by what is published; the empty view of such a daemon keeps its shares at 0.
 func (r *Reconciler) publishGrant() {
-	if !r.synced {
-		return
-	}
 	groups := r.group.groups
 	r.grant.Store(&grant{
 		permit: r.group.node.Permit(),
--- a/internal/upstream/dispatcher/job.go
+++ b/internal/upstream/dispatcher/job.go
@@ -17,11 +17,10 @@
 	ctx      context.Context
 	deadline time.Time
 	deliver  func(exchanger.Result)
-	// yields is true once the job gives its slot back unused; the upstream's lock
-	// guards it.
-	yields bool
 	// unwatch stops the watch for a cancellation while the job waits.
 	unwatch func() bool
+	// released is true when the slot was freed before the job ended.
+	released bool
 }
 
 // run sends the task and ends the job.
@@ -56,8 +55,8 @@
 	if r := u.placed(u.d.views.View()).refusal(j.task.ID); r != nil {
 		return 0, r
 	}
-	share := u.d.permit.Share(u.key)
-	if r := u.fits(now, share, j); r != nil {
+	share, r := u.fits(now, j)
+	if r != nil {
 		return 0, r
 	}
 	left := j.deadline.Sub(now)
--- a/internal/upstream/dispatcher/upstream.go
+++ b/internal/upstream/dispatcher/upstream.go
@@ -25,16 +25,14 @@
 	// limiter's slots taken and load for readers without the lock.
 	pending, busy, percent atomic.Int64
 
-	mu  sync.Mutex
-	lim *limiter.Limiter[*job]
-	// yielding counts the slots taken whose jobs give them back unused.
-	yielding int
-	tenure   tenure
-	client   Client
-	hang     func()
-	addr     netip.AddrPort
-	cap      declarer.Capacity
-	pages    pages
+	mu     sync.Mutex
+	lim    *limiter.Limiter[*job]
+	tenure tenure
+	client Client
+	hang   func()
+	addr   netip.AddrPort
+	cap    declarer.Capacity
+	pages  pages
 	// dead marks an upstream that the Dispatcher has forgotten, or that ended with
 	// it.
 	dead bool
@@ -81,8 +79,8 @@
 // offer starts the job, lets it wait, or ends it.
 func (u *upstream) offer(now time.Time, v *viewer.View, j *job) {
 	u.pending.Add(1)
-	share := u.d.permit.Share(u.key)
 	u.mu.Lock()
+	share := u.share()
 	if !u.renew(now, u.placed(v), share) {
 		u.mu.Unlock()
 		j.refuse(fenced(j.task.ID))
@@ -113,6 +111,12 @@
 	}
 }
 
+// share returns the share now. It is called under the lock, so that an older
+// share never takes the place of a newer one.
+func (u *upstream) share() exchanger.Share {
+	return u.d.permit.Share(u.key)
+}
+
 // watch withdraws a waiting job when its sender gives up. An action stays.
 func (u *upstream) watch(j *job) {
 	if j.task.Once() {
@@ -131,21 +135,23 @@
 	return ok
 }
 
-// fits returns the Result of a job that has a slot which the share does not
-// allow any more, or nil. Jobs that have been told so are not counted, else all
-// would give way where one must.
-func (u *upstream) fits(now time.Time, share exchanger.Share, j *job) *exchanger.Result {
+// fits returns the share now, and the Result of a job that has a slot which the
+// share does not allow any more, or nil. It frees that slot at once, so that of several such
+// jobs only those too many are refused.
+func (u *upstream) fits(now time.Time, j *job) (exchanger.Share, *exchanger.Result) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	share := u.share()
 	if r := u.closed(now, share, j.task.ID); r != nil {
-		return r
+		return share, r
 	}
-	if u.lim.InFlight()-u.yielding <= u.lim.Allowed(now, share) {
-		return nil
+	if u.lim.InFlight() <= u.lim.Allowed(now, share) {
+		return share, nil
 	}
-	j.yields = true
-	u.yielding++
-	return &exchanger.Result{ID: j.task.ID, Status: exchanger.Shed, Reason: "limit fell before it was sent"}
+	u.lim.Release()
+	u.mirror()
+	j.released = true
+	return share, &exchanger.Result{ID: j.task.ID, Status: exchanger.Shed, Reason: "limit fell before it was sent"}
 }
 
 // closed returns the Result of a job when the upstream may be given no work at
@@ -171,34 +177,31 @@
 	u.lim.Learn(now, out.Sample)
 	u.turned(cold)
 	u.mu.Unlock()
-	if out.Hold == nil {
-		u.release(j)
+	if out.Hold == nil && !j.released {
+		u.release()
 	}
 	out.Result.Load = u.load()
 	j.finish(&out.Result)
 	if out.Hold != nil {
 		out.Hold.Wait()
-		u.release(j)
+		u.release()
 	}
 }
 
-// release frees a job's slot and starts what waits for it.
-func (u *upstream) release(j *job) {
+// release frees a slot and starts what waits for it.
+func (u *upstream) release() {
 	u.mu.Lock()
 	u.lim.Release()
-	if j.yields {
-		u.yielding--
-	}
 	u.mu.Unlock()
 	u.pump()
 }
 
 // pump starts and ends the waiting jobs whose state changes now.
 func (u *upstream) pump() {
-	share := u.d.permit.Share(u.key)
 	now := time.Now()
 	var s starting
 	u.mu.Lock()
+	share := u.share()
 	for {
 		j, verdict := u.lim.Next(now, share)
 		if verdict == limiter.None {
