--- a/internal/control/reconciler/leave.go
+++ b/internal/control/reconciler/leave.go
@@ -48,7 +48,8 @@
 // Leave makes the daemon leave: it owns nothing from now on and says so, waits
 // until nothing is in flight, and tells its group that it has ended. It returns
 // an *UndrainedError when the context ends before all work has; the group is
-// then not told, since the work may go on at upstreams.
+// then not told, since the work may go on at upstreams. The daemon has to serve
+// its peers' calls until Leave returns: a refused connection counts as its end.
 func (r *Reconciler) Leave(ctx context.Context) error {
 	e := &leaveEvent{done: make(chan struct{})}
 	if _, err := ask(ctx, r, e, e.done); err != nil {
