limiter, planner: revert the choice by work in flight

Cause: at 70% of capacity the zone drill misses the target with all zones in. Ruled out: cold upstreams (none in three samples).

--- a/internal/contract/exchanger/task.go
+++ b/internal/contract/exchanger/task.go
@@ -97,8 +97,7 @@
 	Oldest uint64          `json:"e,omitempty"`
 	Newest uint64          `json:"w,omitempty"`
 	Reply  json.RawMessage `json:"y,omitempty"`
-	// Load is the owner's work in flight and queue for the upstream, over its limit,
-	// in percent.
+	// Load is the owner's queue for the upstream, over its limit, in percent.
 	Load int `json:"q,omitempty"`
 }
 
--- a/internal/query/planner/sorter.go
+++ b/internal/query/planner/sorter.go
@@ -20,10 +20,9 @@
 	// staleAge is the age from which an upstream may hold newer versions than it
 	// last said.
 	staleAge = 2 * time.Second
-	// farPercent is the cost of a replica in another zone, in percent of the same in
-	// this daemon's own. It outweighs the way between zones, and no more, so that a
-	// busy own zone sheds load to the others.
-	farPercent = 125
+	// farFactor is how many times the cost of a replica in another zone counts
+	// against one in this daemon's own.
+	farFactor = 2
 	// baseCost stands in for the latency of an upstream that has none yet, and keeps
 	// small differences from deciding.
 	baseCost = time.Millisecond
@@ -130,7 +129,7 @@
 
 // choose moves the replica to ask first to the front: of two at random in the own
 // zone, and of two at random elsewhere, the cheaper one, and of these the one in
-// the own zone unless it costs more by farPercent.
+// the own zone unless it costs farFactor times more.
 func (s *sorter) choose(cs []candidate) {
 	n, near := 0, 0
 	for n < len(cs) && cs[n].rank == cs[0].rank {
@@ -193,7 +192,7 @@
 	if c.near {
 		return c.cost
 	}
-	return c.cost * farPercent / 100
+	return c.cost * farFactor
 }
 
 // cost grows with an upstream's latency, load and open sub-requests.
--- a/internal/query/tracker/upstream.go
+++ b/internal/query/tracker/upstream.go
@@ -30,8 +30,7 @@
 	Age time.Duration
 	// Latency is the moving average of successful answers; 0 when there is none.
 	Latency time.Duration
-	// Load is the owner's work in flight and queue over the upstream's limit, in
-	// percent.
+	// Load is the owner's queue over the upstream's limit, in percent.
 	Load int32
 	// Inflight is the number of this daemon's open sub-requests.
 	Inflight int32
--- a/internal/upstream/limiter/limiter.go
+++ b/internal/upstream/limiter/limiter.go
@@ -184,10 +184,9 @@
 	return l.queue.len()
 }
 
-// Load returns the tasks in flight and in the queue over the limit, in percent:
-// 100 is a full upstream without a queue.
+// Load returns the queue over the limit, in percent.
 func (l *Limiter[T]) Load() int {
-	return (l.inFlight + l.queue.len()) * 100 / l.pace.limit
+	return l.queue.len() * 100 / l.pace.limit
 }
 
 // Allowed returns the tasks in flight that the share allows at now.
