--- a/internal/upstream/dialer/conn.go
+++ b/internal/upstream/dialer/conn.go
@@ -87,9 +87,9 @@
 	// takes no more; the pool's lock guards both.
 	busy    int
 	retired bool
-	// nudging is true while a nudge is under way; nudge is the last one answered.
-	nudging atomic.Bool
-	nudge   atomic.Pointer[nudge]
+	// probing is true while a probe is under way; probe is the last one answered.
+	probing atomic.Bool
+	probe   atomic.Pointer[probe]
 }
 
 // usable reports whether the connection takes new requests.
--- a/internal/upstream/dialer/hold.go
+++ b/internal/upstream/dialer/hold.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// healthPath is the page that a nudge reads.
+// healthPath is the page that a probe reads.
 const healthPath = "/health"
 
 // Hold is a request that was given up while the upstream may still be running
@@ -47,27 +47,27 @@
 	if now >= h.until || h.conn.link.ended.Load() {
 		return 0
 	}
-	if n := h.conn.nudge.Load(); n != nil && n.sent > h.from {
+	if n := h.conn.probe.Load(); n != nil && n.sent > h.from {
 		return min(n.answered+h.grace, h.until) - now
 	}
-	h.client.nudge(h.conn, h.until-now)
+	h.client.probe(h.conn, h.until-now)
 	return min(h.grace, h.until-now)
 }
 
-// nudge is a request that the upstream has answered. It reads the frames of a
+// probe is a request that the upstream has answered. It reads the frames of a
 // connection in order, so it had read every cancellation written before sent.
-type nudge struct {
+type probe struct {
 	sent, answered time.Duration
 }
 
-// nudge makes the upstream answer on a connection. Bytes that merely come in
+// probe makes the upstream answer on a connection. Bytes that merely come in
 // prove nothing: they may have been on their way before the cancellation.
-func (c *Client) nudge(cn *conn, timeout time.Duration) {
-	if c.cfg.HTTP1 || !cn.nudging.CompareAndSwap(false, true) {
+func (c *Client) probe(cn *conn, timeout time.Duration) {
+	if c.cfg.HTTP1 || !cn.probing.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
-		defer cn.nudging.Store(false)
+		defer cn.probing.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		if cn.http.Reserve() != nil {
@@ -81,6 +81,6 @@
 			return
 		}
 		res.Body.Close()
-		cn.nudge.Store(&nudge{sent: sent, answered: clock()})
+		cn.probe.Store(&probe{sent: sent, answered: clock()})
 	}()
 }
--- a/internal/upstream/dialer/silence_test.go
+++ b/internal/upstream/dialer/silence_test.go
@@ -59,7 +59,7 @@
 }
 
 // TestHold pins for how long a slot stays taken after a cancellation: two
-// graces when the upstream answers a nudge, else until the deadline and the margin.
+// graces when the upstream answers a probe, else until the deadline and the margin.
 func TestHold(t *testing.T) {
 	margin := FromCapacity(declarer.Capacity{}).Margin
 	for silent, want := range map[bool]time.Duration{false: 10 * time.Millisecond, true: 90*time.Millisecond + margin} {
@@ -107,7 +107,7 @@
 		}
 		out.Hold.Wait()
 		if held := time.Since(from); held < healthTakes {
-			t.Errorf("held for %s, want until the nudge is answered after %s", held, healthTakes)
+			t.Errorf("held for %s, want until the probe is answered after %s", held, healthTakes)
 		}
 	})
 }
