--- a/cmd/cornelwood/faults_test.go
+++ b/cmd/cornelwood/faults_test.go
@@ -1,13 +1,11 @@
 package main_test
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -20,7 +18,6 @@
 	"cornelwood.example/internal/cli/requester"
 	"cornelwood.example/internal/contract/answerer"
 	"cornelwood.example/internal/contract/declarer"
-	"cornelwood.example/internal/load/driver"
 	"cornelwood.example/internal/standin/searcher"
 )
 
@@ -193,87 +190,6 @@
 	}
 }
 
-// balancer sends queries to the daemons in turn, as the platform's balancer does:
-// none to those that are out.
-type balancer struct {
-	daemons  []*daemon
-	next     atomic.Int64
-	out      atomic.Pointer[daemon]
-	answered atomic.Int64
-}
-
-// Ask sends one query to the next daemon.
-func (b *balancer) Ask(ctx context.Context, q *answerer.Query) (*answerer.Answer, error) {
-	d := b.pick()
-	var out answerer.Answer
-	if err := requester.New("http://"+d.caller, httpClient).Do(ctx, http.MethodPost, "/v1/query", q, &out); err != nil {
-		return nil, fmt.Errorf("%s: %w", d.id, err)
-	}
-	b.answered.Add(1)
-	return &out, nil
-}
-
-func (b *balancer) pick() *daemon {
-	for {
-		d := b.daemons[b.next.Add(1)%int64(len(b.daemons))]
-		if d != b.out.Load() {
-			return d
-		}
-	}
-}
-
-// awaitAnswers waits until as many more queries are answered.
-func (b *balancer) awaitAnswers(t *testing.T, n int64) {
-	t.Helper()
-	want := b.answered.Load() + n
-	eventually(t, startWait, func() error {
-		if got := b.answered.Load(); got < want {
-			return fmt.Errorf("%d answers, want %d", got, want)
-		}
-		return nil
-	})
-}
-
-// leadAnswers is the number of answers before and after what happens under load.
-const leadAnswers = 30
-
-// underLoad runs during while queries arrive at the daemons, and returns what the
-// callers saw.
-func underLoad(t *testing.T, daemons []*daemon, during func(b *balancer)) *driver.Report {
-	t.Helper()
-	b := &balancer{daemons: daemons}
-	cfg := driver.Config{
-		Askers: []driver.Asker{b}, Services: []string{"finder"},
-		Rate: 60, Duration: 10 * startWait, Wait: 10 * time.Second, Seed: 1,
-	}
-	ctx, stop := context.WithCancel(t.Context())
-	done := make(chan *driver.Report, 1)
-	go func() {
-		rep, err := driver.Run(ctx, cfg)
-		if err != nil {
-			t.Errorf("load: %v", err)
-		}
-		done <- rep
-	}()
-	b.awaitAnswers(t, leadAnswers)
-	during(b)
-	b.awaitAnswers(t, leadAnswers)
-	stop()
-	rep := <-done
-	t.Logf("load: %d sent, %d answered, %d complete, refused %v, missing %v, p99 %s", rep.Sent, rep.Answered, rep.Complete, rep.Refused, rep.Missing, rep.P99)
-	return rep
-}
-
-// assertAnswered fails when a caller got no answer, or another's.
-func assertAnswered(t *testing.T, rep *driver.Report) {
-	t.Helper()
-	got := map[string]int{"errors": rep.Errors, "wrong": rep.Wrong, "refused": len(rep.Refused), "unanswered": rep.Sent - rep.Answered}
-	want := map[string]int{"errors": 0, "wrong": 0, "refused": 0, "unanswered": 0}
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("callers without an answer (-want +got):\n%s%v", diff, rep.Refused)
-	}
-}
-
 // eachCounts calls do with what each searcher counted.
 func eachCounts(t *testing.T, s *site, do func(u declarer.Upstream, c searcher.Counts)) {
 	t.Helper()
