platform, route: entry daemons serve the users' platform

Cause: nothing of cornelwood ran on the platform. Entry daemons follow its store (routes, searchers, zones taken out), send single requests and queries to searchers directly, hedge and retry within a budget, and leave gracefully.

Ruled out: the owner that admits work for others; at 7 to 8 daemons a searcher's connections suffice, and a direct send saves a hop (docs/PLATFORM.md). Before: nothing served.

--- a/internal/cli/builder/builder.go
+++ b/internal/cli/builder/builder.go
@@ -23,6 +23,7 @@
 		ErrWriter: stderr,
 		Commands: []*cli.Command{
 			daemonCommand(),
+			entryCommand(),
 			checkCommand(),
 			queryCommand(),
 			ticketCommand(),
--- a/internal/cli/builder/check.go
+++ b/internal/cli/builder/check.go
@@ -17,7 +17,7 @@
 		Usage:     "check settings and schema files",
 		ArgsUsage: "FILE...",
 		Description: "Reads each file with the checks that the daemon and the operator commands use and lists every fault with file, " +
-			"section and key. Files named *.schema.ini are read as schemas, others as a daemon's settings. Exits with 1 when there is a fault.",
+			"section and key. Files named *.schema.ini are read as schemas, those with a section [store] as an entry daemon's settings, others as a daemon's. Exits with 1 when there is a fault.",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "schema", Usage: "read the files as schemas, whatever their names"},
 		},
@@ -56,6 +56,10 @@
 		_, err := reader.ReadSchema(path)
 		return err
 	}
+	if reader.IsEntry(path) {
+		_, err := reader.ReadEntry(path)
+		return err
+	}
 	_, err := reader.ReadSettings(path)
 	return err
 }
--- /dev/null
+++ b/internal/cli/builder/entry.go
@@ -0,0 +1,65 @@
+package builder
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"cornelwood.example/internal/daemon/router"
+	"cornelwood.example/internal/settings/reader"
+)
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "run one instance's entry daemon",
+		Description: "Answers clients by the routes of the desired state in the metadata store, with the searchers that register there. " +
+			"Runs until SIGTERM or SIGINT, then leaves gracefully: the load balancer's check says no, open connections are served " +
+			"and closed with their next answer, and what runs finishes. SIGHUP reads the settings again. Logs go to standard output.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagSettings, Required: true, Usage: "settings file"},
+		},
+		Action: runEntry,
+	}
+}
+
+func runEntry(ctx context.Context, cmd *cli.Command) error {
+	set, err := reader.ReadEntry(cmd.String(flagSettings))
+	if err != nil {
+		return err
+	}
+	log := newLogger(set.Log, cmd.Root().Writer)
+	d, closer, err := router.New(set, log)
+	if err != nil {
+		return eris.Wrap(err, "start")
+	}
+	defer closer()
+	defer reloadOnHangup(d, cmd.String(flagSettings), log)()
+	return d.Serve(ctx)
+}
+
+// reloadOnHangup reads the settings again at each SIGHUP until the function that
+// it returns is called. Faulty settings change nothing.
+func reloadOnHangup(d *router.Router, path string, log hclog.Logger) func() {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			set, err := reader.ReadEntry(path)
+			if err != nil {
+				log.Error("settings not reloaded", "error", err)
+				continue
+			}
+			d.Reload(set)
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(hangups)
+	}
+}
--- /dev/null
+++ b/internal/control/follower/follower.go
@@ -0,0 +1,154 @@
+// Package follower keeps a copy of one kind of objects of a store: it lists them
+// once, watches for changes, and lists again when the store has forgotten its
+// history.
+//
+// Each call ends on its own after a short time, so that a connection that has
+// gone silent, or a store behind a network partition, delays knowledge by no
+// more than one call.
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"cornelwood.example/internal/time/sleeper"
+)
+
+// Config holds the pace of a Follower.
+type Config struct {
+	// Wait is how long the store holds a watch that has nothing to tell.
+	Wait time.Duration
+	// Slack is how much longer than its wait a call may take.
+	Slack time.Duration
+	// Pause is the time between an answer and the next watch: changes within it
+	// come with one call.
+	Pause time.Duration
+	// Retry is the least pause after a failed call; it doubles up to MaxRetry.
+	Retry, MaxRetry time.Duration
+	// Rand draws a number from 0 up to 1 to spread the calls of many daemons.
+	Rand func() float64
+}
+
+// Default returns the pace for bounds of 3 s on knowledge: a change that a silent
+// connection hides is found by the next call, within Wait, Slack and Pause.
+func Default() Config {
+	return Config{
+		Wait:     1200 * time.Millisecond,
+		Slack:    600 * time.Millisecond,
+		Pause:    300 * time.Millisecond,
+		Retry:    100 * time.Millisecond,
+		MaxRetry: 800 * time.Millisecond,
+		Rand:     rand.Float64,
+	}
+}
+
+// Follower is the service that follows one kind of objects.
+type Follower[T any] struct {
+	name string
+	cfg  Config
+	feed Feed[T]
+	sink Sink[T]
+
+	// from is the revision up to which changes are known; listed is false until a
+	// list has been read since the history was lost.
+	from   uint64
+	listed bool
+	// failures counts failed calls in a row, since failedAt.
+	failures int
+	failedAt time.Time
+}
+
+// New returns a Follower; name stands for it in logs.
+func New[T any](name string, cfg Config, feed Feed[T], sink Sink[T]) *Follower[T] {
+	return &Follower[T]{name: name, cfg: cfg, feed: feed, sink: sink}
+}
+
+// String names the service for its supervisor.
+func (f *Follower[T]) String() string {
+	return "follower " + f.name
+}
+
+// Serve follows the store until ctx ends.
+func (f *Follower[T]) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := f.settle(ctx, f.round(ctx))
+		if err := sleeper.Sleep(ctx, pause); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// round makes one call.
+func (f *Follower[T]) round(ctx context.Context) error {
+	if !f.listed {
+		return f.list(ctx)
+	}
+	return f.watch(ctx)
+}
+
+func (f *Follower[T]) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Slack)
+	defer cancel()
+	items, revision, err := f.feed.List(ctx)
+	if err != nil {
+		return err
+	}
+	f.regain()
+	f.from, f.listed = revision, true
+	f.sink.Replace(items, revision)
+	return nil
+}
+
+func (f *Follower[T]) watch(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Slack)
+	defer cancel()
+	changes, revision, err := f.feed.Watch(ctx, f.from, f.cfg.Wait)
+	var lost *HistoryError
+	if errors.As(err, &lost) {
+		f.listed = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.regain()
+	f.from = max(f.from, revision)
+	f.sink.Apply(changes, revision)
+	return nil
+}
+
+// settle notes the outcome of a call and returns the pause before the next.
+func (f *Follower[T]) settle(ctx context.Context, err error) time.Duration {
+	if err == nil {
+		if !f.listed {
+			return 0
+		}
+		return f.vary(f.cfg.Pause)
+	}
+	if ctx.Err() != nil {
+		return 0
+	}
+	if f.failures == 0 {
+		f.failedAt = time.Now()
+		f.sink.Lost(err)
+	}
+	pause := min(f.cfg.MaxRetry, f.cfg.Retry<<min(f.failures, 8))
+	f.failures++
+	return f.vary(pause)
+}
+
+func (f *Follower[T]) regain() {
+	if f.failures == 0 {
+		return
+	}
+	f.failures = 0
+	f.sink.Regained(time.Since(f.failedAt))
+}
+
+// vary returns d, longer or shorter by up to a quarter.
+func (f *Follower[T]) vary(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + f.cfg.Rand()/2))
+}
--- /dev/null
+++ b/internal/daemon/router/router.go
@@ -0,0 +1,193 @@
+// Package router puts an entry daemon together from its settings: followers of
+// the store, the control goroutine, the connections to searchers and the HTTP
+// services, under one suture supervisor.
+package router
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"cornelwood.example/internal/control/follower"
+	"cornelwood.example/internal/route/forwarder"
+	"cornelwood.example/internal/route/locator"
+	"cornelwood.example/internal/route/picker"
+	"cornelwood.example/internal/settings/reader"
+	"cornelwood.example/internal/upstream/connector"
+	"cornelwood.example/platform"
+)
+
+const (
+	// memoryShare is the share of the memory limit that the runtime aims to stay under.
+	memoryShare = 0.7
+	// garbagePercent lets the heap grow to five times what is live: the live heap is a
+	// few MB, and collections cost processor time.
+	garbagePercent = 400
+	// headerTimeout, idleTimeout and maxHeader bound a client's connection; they lie above what desired
+	// states let clients do.
+	headerTimeout = 30 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+	// ratioShare is the share of the budget's ratio that is spent: requests are counted
+	// where they arrive, some time after this daemon counts them.
+	ratioShare = 0.9
+	// sweepInterval is the time between two closings of idle connections to searchers.
+	sweepInterval = 2 * time.Second
+)
+
+// Router is one instance's entry daemon.
+type Router struct {
+	// set holds the settings in force, which Reload changes.
+	set atomic.Pointer[reader.Entry]
+	log hclog.Logger
+	reg *prometheus.Registry
+
+	callers, checks net.Listener
+	store           *platform.Client
+	locator         *locator.Locator
+	conns           *connector.Connector
+	forwarder       *forwarder.Forwarder
+	server          *http.Server
+	// leaving is true from SIGTERM on.
+	leaving atomic.Bool
+	closers []func()
+}
+
+// New listens on the settings' addresses and puts the daemon together. The
+// function returned frees what it holds; call it after Serve has returned.
+func New(set *reader.Entry, log hclog.Logger) (*Router, func(), error) {
+	r := &Router{log: log, reg: prometheus.NewRegistry()}
+	r.set.Store(set)
+	if set.Process.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(set.Process.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	debug.SetGCPercent(garbagePercent)
+	for _, l := range []struct {
+		key  string
+		addr netip.AddrPort
+		lis  *net.Listener
+	}{{"listen", set.Caller.Listen, &r.callers}, {"checks", set.Caller.Checks, &r.checks}} {
+		lis, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.addr))
+		if err != nil {
+			r.close()
+			return nil, nil, eris.Wrapf(err, "section [caller]: key %q", l.key)
+		}
+		*l.lis = lis
+		r.closers = append(r.closers, func() { lis.Close() })
+	}
+	r.build(set)
+	return r, r.close, nil
+}
+
+func (r *Router) build(set *reader.Entry) {
+	r.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cornelwood_store_calls_total", Help: "Calls to the metadata store by kind and result.",
+	}, []string{"call", "result"})
+	r.reg.MustRegister(calls)
+	var closer func()
+	r.store, closer = platform.NewClient(set.Store.Address, func(call string, err error) {
+		result := "answered"
+		if err != nil {
+			result = "failed"
+		}
+		calls.WithLabelValues(call, result).Inc()
+	})
+	r.closers = append(r.closers, closer)
+	r.locator = locator.New(r.log.Named("control"))
+	r.conns, closer = connector.New(connector.Default(), platform.Codec{})
+	r.closers = append(r.closers, closer)
+	r.forwarder = forwarder.New(policy(set), r.locator, picker.New(set.Daemon.Zone, time.Now), r.conns, r.log.Named("route"), forwarder.NewMetrics(r.reg))
+	r.server = &http.Server{
+		Handler:           platform.NewFront(r.forwarder, r.leaving.Load),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+}
+
+// policy returns the forwarder's policy with the settings' budget.
+func policy(set *reader.Entry) forwarder.Config {
+	cfg := forwarder.Default()
+	cfg.ExtraPercent = int(math.Floor(set.Extra.Ratio * 100 * ratioShare))
+	return cfg
+}
+
+// Reload takes changed settings over: the level of logs, the grace time and the
+// budget of extra requests. Addresses and names hold until the next start.
+func (r *Router) Reload(set *reader.Entry) {
+	r.log.SetLevel(hclog.LevelFromString(set.Log.Level))
+	r.forwarder.SetExtraPercent(policy(set).ExtraPercent)
+	r.set.Store(set)
+	r.log.Info("settings reloaded", "instance", set.Daemon.ID, "grace", set.Shutdown.Grace, "ratio", set.Extra.Ratio)
+}
+
+// Serve runs the daemon until ctx ends, and then shuts it down gracefully.
+func (r *Router) Serve(ctx context.Context) error {
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := r.supervise(run)
+	set := r.set.Load()
+	r.log.Info("started", "instance", set.Daemon.ID, "zone", set.Daemon.Zone, "callers", r.callers.Addr(), "checks", r.checks.Addr())
+	<-ctx.Done()
+	r.shutdown()
+	stop()
+	<-done
+	r.log.Info("stopped", "instance", set.Daemon.ID)
+	return nil
+}
+
+// supervise starts every service under one supervisor. The channel is closed when
+// all have ended.
+func (r *Router) supervise(ctx context.Context) <-chan struct{} {
+	sup := suture.New(r.set.Load().Daemon.ID, suture.Spec{EventHook: func(e suture.Event) {
+		r.log.Error("service ended", "event", e.String())
+	}})
+	cfg := follower.Default()
+	sup.Add(r.locator)
+	sup.Add(follower.New("routing", cfg, r.store.Routings(), r.locator.Routings()))
+	sup.Add(follower.New("searchers", cfg, r.store.Searchers(), r.locator.Searchers()))
+	sup.Add(follower.New("closures", cfg, r.store.Closures(), r.locator.Closures()))
+	sup.Add(&httpService{name: "callers", lis: r.callers, srv: r.server})
+	metrics := promhttp.HandlerFor(r.reg, promhttp.HandlerOpts{})
+	sup.Add(&httpService{name: "checks", lis: r.checks, srv: &http.Server{
+		Handler: platform.NewChecks(r.ready, metrics), ReadHeaderTimeout: headerTimeout,
+	}})
+	sup.Add(&sweeper{r.conns})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := sup.Serve(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			r.log.Error("supervisor ended", "error", err)
+		}
+	}()
+	return done
+}
+
+// ready reports whether new clients are welcome.
+func (r *Router) ready() (bool, string) {
+	if r.leaving.Load() {
+		return false, "leaving"
+	}
+	return r.locator.View().Ready()
+}
+
+// close frees what the daemon holds, last made first.
+func (r *Router) close() {
+	for i := len(r.closers) - 1; i >= 0; i-- {
+		r.closers[i]()
+	}
+}
--- a/internal/query/hedger/budget.go
+++ b/internal/query/hedger/budget.go
@@ -9,7 +9,7 @@
 // Budget is a token bucket that bounds the extra sub-requests, hedges and retries
 // together, to a percentage of the first attempts plus a burst.
 type Budget struct {
-	percent int64
+	percent atomic.Int64
 	limit   int64
 	units   atomic.Int64
 }
@@ -17,16 +17,22 @@
 // NewBudget returns a full Budget of percent extra sub-requests in 100, and at
 // most burst of them at once.
 func NewBudget(percent, burst int) *Budget {
-	b := &Budget{percent: int64(percent), limit: int64(burst) * tokenUnits}
+	b := &Budget{limit: int64(burst) * tokenUnits}
+	b.percent.Store(int64(percent))
 	b.units.Store(b.limit)
 	return b
 }
 
+// SetPercent changes the number of extra sub-requests for 100 first attempts.
+func (b *Budget) SetPercent(percent int) {
+	b.percent.Store(int64(percent))
+}
+
 // Deposit counts first attempts.
 func (b *Budget) Deposit(attempts int) {
 	for {
 		was := b.units.Load()
-		next := min(was+int64(attempts)*b.percent, b.limit)
+		next := min(was+int64(attempts)*b.percent.Load(), b.limit)
 		if next == was || b.units.CompareAndSwap(was, next) {
 			return
 		}
--- a/internal/query/hedger/estimator.go
+++ b/internal/query/hedger/estimator.go
@@ -131,3 +131,9 @@
 	units := (stepsPerOctave | i&(stepsPerOctave-1)) + 1
 	return time.Duration(units) << shift * unit
 }
+
+// Record adds one latency.
+func (e *Estimator) Record(d time.Duration) {
+	e.counts[bucketOf(d)].Add(1)
+	e.fresh.Add(1)
+}
--- /dev/null
+++ b/internal/route/forwarder/policy.go
@@ -0,0 +1,70 @@
+package forwarder
+
+import (
+	"net/http"
+	"time"
+
+	"cornelwood.example/internal/upstream/connector"
+)
+
+// verdict says what an exchange with a searcher means for its request.
+type verdict int
+
+const (
+	// success: the answer can be used.
+	success verdict = iota
+	// final: the searcher's refusal of the request itself, to be passed on.
+	final
+	// notRun: the request surely did not run at this searcher.
+	notRun
+	// failure: the request may have run, and there is no answer to use.
+	failure
+)
+
+// judge returns the verdict on an exchange.
+func judge(rep *connector.Reply, err error) verdict {
+	if err != nil {
+		if e, ok := asConnectorError(err); ok && !e.Sent {
+			return notRun
+		}
+		return failure
+	}
+	switch {
+	case rep.Meta.NotRun || rep.Status == http.StatusMisdirectedRequest:
+		return notRun
+	case rep.Meta.Stamp == "":
+		return failure
+	case rep.Status < http.StatusMultipleChoices:
+		return success
+	case rep.Status < http.StatusInternalServerError && !isPromise(rep.Status):
+		return final
+	default:
+		return failure
+	}
+}
+
+// isPromise reports whether a status tells a client that its request has not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+const (
+	// cutoffShare is the share of the goal that is kept for the way back to the client.
+	cutoffShare = 0.1
+	// minCutoffMargin is the least time kept for it: a round trip and the merge.
+	minCutoffMargin = 9 * time.Millisecond
+)
+
+// cutoff returns how long a query waits for its last shards: past it, an answer
+// that covers enough goes out, since a complete one would come after the goal.
+//
+// Load pattern: searchers that pause or turn slow, so that most queries lack one
+// shard for longer than the goal.
+func cutoff(goal time.Duration) time.Duration {
+	return goal - max(minCutoffMargin, time.Duration(float64(goal)*cutoffShare))
+}
--- /dev/null
+++ b/internal/route/forwarder/race.go
@@ -0,0 +1,224 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/query/hedger"
+	"cornelwood.example/internal/route/locator"
+	"cornelwood.example/internal/route/picker"
+	"cornelwood.example/internal/upstream/connector"
+)
+
+// race sends one request to the searchers of one or more services, each service
+// a leg, and takes the first answer of each.
+type race struct {
+	f        *Forwarder
+	req      *Request
+	body     []byte
+	route    *declarer.Route
+	view     *locator.View
+	latency  *latency
+	deadline time.Time
+	legs     []leg
+	results  chan result
+	// delay is the time after which a running attempt is hedged.
+	delay time.Duration
+	// ran is true once a searcher may have run the request.
+	ran     bool
+	cancels []context.CancelFunc
+}
+
+// leg is the part of a race at one service.
+type leg struct {
+	service   string
+	searchers []locator.Searcher
+	budget    *hedger.Budget
+	tried     []int
+	// attempts counts the sends that may have run or may still run.
+	attempts int
+	// refusals counts the sends that surely did not run.
+	refusals int
+	running  int
+	lastSent time.Time
+	done     bool
+	// last is the last exchange that failed.
+	last *result
+}
+
+// result is the outcome of one attempt.
+type result struct {
+	leg     int
+	reply   *connector.Reply
+	err     error
+	verdict verdict
+}
+
+// maxRefusals bounds the searchers of one leg that refuse a request unrun before
+// it is given up.
+const maxRefusals = 2
+
+func (f *Forwarder) newRace(req *Request, body []byte, rt *declarer.Route, v *locator.View, services []string, deadline time.Time) *race {
+	lat := f.stats.route(rt)
+	r := &race{
+		f: f, req: req, body: body, route: rt, view: v, latency: lat, deadline: deadline,
+		legs:    make([]leg, len(services)),
+		results: make(chan result, len(services)*(rt.Attempts+maxRefusals+1)),
+		delay:   lat.hedgeDelay(time.Now()),
+	}
+	for i, s := range services {
+		r.legs[i] = leg{service: s, searchers: v.Searchers(s), budget: f.stats.budget(s)}
+		r.legs[i].budget.Deposit(1)
+	}
+	return r
+}
+
+// send starts an attempt at a leg. It returns false when no searcher may get one.
+func (r *race) send(i int) bool {
+	l := &r.legs[i]
+	n, ticket := r.f.picker.Pick(l.searchers, l.tried, time.Duration(r.latency.usual.Load()))
+	if n < 0 {
+		return false
+	}
+	l.tried = append(l.tried, n)
+	l.attempts++
+	l.running++
+	l.lastSent = time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
+	r.cancels = append(r.cancels, cancel)
+	go r.attempt(ctx, cancel, i, &l.searchers[n], ticket)
+	return true
+}
+
+// attempt carries out one exchange and notes what it tells about the searcher.
+func (r *race) attempt(ctx context.Context, cancel context.CancelFunc, i int, s *locator.Searcher, ticket *picker.Ticket) {
+	defer cancel()
+	start := time.Now()
+	rep, err := r.f.exchanger.Do(ctx, s.Addr, &connector.Request{
+		Method:   r.req.Method,
+		Target:   r.req.Target,
+		Host:     r.req.Host,
+		Header:   r.req.Header,
+		Body:     r.body,
+		HasBody:  r.req.HasBody,
+		ID:       r.req.ID,
+		Instance: s.ID,
+		Deadline: r.deadline,
+	}, !r.route.Idempotent)
+	res := result{leg: i, reply: rep, err: err, verdict: judge(rep, err)}
+	ticket.End(outcome(&res))
+	if res.verdict == success {
+		r.latency.record(time.Since(start))
+	}
+	if res.verdict == failure || res.verdict == notRun {
+		r.f.noteFailure(r.req, s, &res, time.Since(start))
+	}
+	r.results <- res
+}
+
+// outcome returns what a result tells about its searcher.
+func outcome(res *result) picker.Outcome {
+	e, isError := asConnectorError(res.err)
+	switch {
+	case isError && e.Dial:
+		return picker.Unreachable
+	case isError && (errors.Is(e.Err, context.Canceled) || errors.Is(e.Err, context.DeadlineExceeded)):
+		return picker.Abandoned
+	case isError:
+		return picker.Failed
+	case res.verdict == notRun:
+		return picker.Shed
+	case res.verdict == failure:
+		return picker.Failed
+	default:
+		return picker.Answered
+	}
+}
+
+// settle takes a failed result in and tries another searcher when that is
+// allowed. It returns false when the leg has failed.
+func (r *race) settle(res *result) bool {
+	l := &r.legs[res.leg]
+	l.running--
+	l.last = res
+	if res.verdict == notRun {
+		l.attempts--
+		l.refusals++
+	} else {
+		r.ran = true
+	}
+	if l.done || l.running > 0 {
+		return true
+	}
+	return r.retry(res.leg)
+}
+
+// retry sends a leg's request to another searcher after a failure.
+func (r *race) retry(i int) bool {
+	l := &r.legs[i]
+	mayRun := l.attempts > 0
+	if mayRun && !r.route.Idempotent || l.attempts >= r.route.Attempts || l.refusals > maxRefusals {
+		return false
+	}
+	return l.budget.Take() && r.send(i)
+}
+
+// hedge sends the requests of legs that take longer than usual to a second
+// searcher, and returns the time until the next such leg, 0 when there is none.
+func (r *race) hedge(now time.Time) time.Duration {
+	if !r.route.Idempotent {
+		return 0
+	}
+	var next time.Duration
+	for i := range r.legs {
+		l := &r.legs[i]
+		if l.done || l.running != 1 || l.attempts >= r.route.Attempts || l.attempts == 0 {
+			continue
+		}
+		wait := r.delay - now.Sub(l.lastSent)
+		if wait <= 0 {
+			if l.budget.Take() {
+				r.send(i)
+			} else {
+				// The budget may fill again while the leg runs.
+				l.lastSent = now
+			}
+			continue
+		}
+		if next == 0 || wait < next {
+			next = wait
+		}
+	}
+	return next
+}
+
+// stop ends the attempts that still run: at once when the client has left, after
+// a while otherwise, so that a searcher's work and the connection are not lost.
+func (r *race) stop(linger time.Duration) {
+	running := 0
+	for i := range r.legs {
+		running += r.legs[i].running
+	}
+	cancels := r.cancels
+	switch {
+	case running == 0:
+	case linger <= 0:
+		cancelAll(cancels)
+	default:
+		time.AfterFunc(linger, func() { cancelAll(cancels) })
+	}
+}
+
+func cancelAll(cancels []context.CancelFunc) {
+	for _, cancel := range cancels {
+		cancel()
+	}
+}
+
+func asConnectorError(err error) (*connector.Error, bool) {
+	var e *connector.Error
+	ok := errors.As(err, &e)
+	return e, ok
+}
--- /dev/null
+++ b/internal/route/forwarder/stats.go
@@ -0,0 +1,107 @@
+package forwarder
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/query/hedger"
+)
+
+const (
+	// usualShift sets the weight of the newest latency in the usual one: 1 in 32.
+	usualShift = 5
+	// firstUsualPart is the part of the goal that is taken for the usual latency
+	// before any is known.
+	firstUsualPart = 8
+	// defaultGoal stands in for a goal that a route does not state.
+	defaultGoal = time.Second
+)
+
+// stats holds the latencies of each route and the budget of each service.
+type stats struct {
+	cfg Config
+
+	mu      sync.Mutex
+	routes  map[string]*latency
+	budgets map[string]*hedger.Budget
+}
+
+// latency is what the sub-requests of one route take.
+type latency struct {
+	quantile *hedger.Estimator
+	usual    atomic.Int64
+	goal     time.Duration
+}
+
+func newStats(cfg Config) *stats {
+	return &stats{cfg: cfg, routes: make(map[string]*latency), budgets: make(map[string]*hedger.Budget)}
+}
+
+// route returns the latencies of a route.
+func (s *stats) route(rt *declarer.Route) *latency {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.routes[rt.Name]
+	if l == nil {
+		goal := rt.Goal.Duration
+		if goal <= 0 {
+			goal = defaultGoal
+		}
+		l = &latency{quantile: hedger.NewEstimator(s.cfg.HedgeQuantile, time.Now()), goal: goal}
+		l.usual.Store(int64(goal / firstUsualPart))
+		s.routes[rt.Name] = l
+	}
+	return l
+}
+
+// budget returns the budget of extra requests to a service.
+func (s *stats) budget(service string) *hedger.Budget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.budgets[service]
+	if b == nil {
+		b = hedger.NewBudget(s.cfg.ExtraPercent, s.cfg.ExtraBurst)
+		s.budgets[service] = b
+	}
+	return b
+}
+
+// setPercent changes every budget.
+func (s *stats) setPercent(percent int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.ExtraPercent = percent
+	for _, b := range s.budgets {
+		b.SetPercent(percent)
+	}
+}
+
+// record takes the latency of an answer in.
+func (l *latency) record(d time.Duration) {
+	l.quantile.Record(d)
+	was := l.usual.Load()
+	// A lost update changes the average by one sample in 32.
+	l.usual.Store(was + (int64(d)-was)>>usualShift)
+}
+
+// hedgeDelay returns the time after which an exchange counts as slow.
+func (l *latency) hedgeDelay(now time.Time) time.Duration {
+	d, ok := l.quantile.Estimate(now)
+	if !ok {
+		return l.goal / hedgeFirstPart
+	}
+	return min(max(d, minHedgeDelay), l.goal/hedgeLastPart)
+}
+
+const (
+	// minHedgeDelay keeps very fast services from hedging on noise.
+	minHedgeDelay = 4 * time.Millisecond
+	// hedgeFirstPart is the part of the goal after which an exchange is hedged while
+	// too few latencies are known.
+	hedgeFirstPart = 4
+	// hedgeLastPart is the part of the goal after which it is hedged at the latest: the
+	// second answer then still comes within the goal.
+	hedgeLastPart = 2
+)
--- /dev/null
+++ b/internal/route/matcher/matcher.go
@@ -0,0 +1,58 @@
+// Package matcher finds the route of a request: among the routes of its host,
+// the one with the longest prefix of its path.
+package matcher
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"cornelwood.example/internal/contract/declarer"
+)
+
+// Matcher finds routes of one version of the routing. It is immutable.
+type Matcher struct {
+	routing *declarer.Routing
+	// hosts holds the routes of each host, longest prefix first.
+	hosts map[string][]*declarer.Route
+}
+
+// New returns a Matcher. Routes that Check refuses are left out.
+func New(r *declarer.Routing) *Matcher {
+	m := &Matcher{routing: r, hosts: make(map[string][]*declarer.Route)}
+	for i := range r.Routes {
+		rt := &r.Routes[i]
+		if rt.Check() != nil {
+			continue
+		}
+		host := strings.ToLower(rt.Host)
+		m.hosts[host] = append(m.hosts[host], rt)
+	}
+	for _, routes := range m.hosts {
+		slices.SortStableFunc(routes, func(a, b *declarer.Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return m
+}
+
+// Routing returns the routing that the Matcher was made of.
+func (m *Matcher) Routing() *declarer.Routing {
+	return m.routing
+}
+
+// Match returns the route of a request, or nil when there is none. The host may
+// carry a port.
+func (m *Matcher) Match(host, path string) *declarer.Route {
+	for _, rt := range m.hosts[normalize(host)] {
+		if strings.HasPrefix(path, rt.Prefix) {
+			return rt
+		}
+	}
+	return nil
+}
+
+func normalize(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
--- a/internal/settings/reader/reference.go
+++ b/internal/settings/reader/reference.go
@@ -19,6 +19,15 @@
 			return err
 		}
 	}
+	var e Entry
+	if _, err := fmt.Fprint(w, "\n## Settings of an entry daemon\n"); err != nil {
+		return err
+	}
+	for _, sec := range e.sections() {
+		if err := writeSection(w, sec); err != nil {
+			return err
+		}
+	}
 	if _, err := fmt.Fprint(w, "\n## Schema\n"); err != nil {
 		return err
 	}
--- a/internal/settings/reader/settings.go
+++ b/internal/settings/reader/settings.go
@@ -119,8 +119,13 @@
 }
 
 func (s *Settings) read(file *ini.File, f *faults) {
+	readSections(file, s.sections(), f)
+}
+
+// readSections reads the sections of a file, and refuses those it does not know.
+func readSections(file *ini.File, sections []section, f *faults) {
 	var names []string
-	for _, sec := range s.sections() {
+	for _, sec := range sections {
 		names = append(names, sec.name)
 		found, err := file.GetSection(sec.name)
 		if err != nil {
@@ -191,15 +196,8 @@
 // sections lists every key, in the order of the reference page.
 func (s *Settings) sections() []section {
 	return []section{
-		{"daemon", "the instance and its place", []field{
-			{key: "id", required: true, help: "the instance's name, unique in the fleet", parse: text(&s.Daemon.ID)},
-			{key: "zone", required: true, help: "the availability zone it runs in", parse: text(&s.Daemon.Zone)},
-			{key: "region", required: true, help: "the region of the zone", parse: text(&s.Daemon.Region)},
-		}},
-		{"log", "logs on standard error", []field{
-			{key: "level", preset: "info", help: "trace, debug, info, warn or error", parse: oneOf(&s.Log.Level, "trace", "debug", "info", "warn", "error")},
-			{key: "json", preset: "false", help: "one JSON object a line", parse: boolean(&s.Log.JSON)},
-		}},
+		{"daemon", "the instance and its place", daemonFields(&s.Daemon)},
+		{"log", "logs on standard error", logFields(&s.Log)},
 		{"caller", "towards callers", []field{
 			{key: "listen", required: true, help: "IP number and port for callers, /ready, /live and /metrics", parse: address(&s.Caller.Listen)},
 			{key: "queries", preset: "1024", help: "queries that run at once; more are refused by priority", parse: integer(&s.Caller.Queries, 1, maxQueries)},
@@ -237,3 +235,18 @@
 		}},
 	}
 }
+
+func daemonFields(d *Daemon) []field {
+	return []field{
+		{key: "id", required: true, help: "the instance's name, unique in the fleet", parse: text(&d.ID)},
+		{key: "zone", required: true, help: "the availability zone it runs in", parse: text(&d.Zone)},
+		{key: "region", required: true, help: "the region of the zone", parse: text(&d.Region)},
+	}
+}
+
+func logFields(l *Log) []field {
+	return []field{
+		{key: "level", preset: "info", help: "trace, debug, info, warn or error", parse: oneOf(&l.Level, "trace", "debug", "info", "warn", "error")},
+		{key: "json", preset: "false", help: "one JSON object a line", parse: boolean(&l.JSON)},
+	}
+}
--- /dev/null
+++ b/internal/upstream/connector/conn.go
@@ -0,0 +1,170 @@
+package connector
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// readBufferBytes holds the header of an answer and most bodies whole.
+	readBufferBytes = 4 << 10
+	// syncBodyBytes is the largest body that is written before the answer is read; a
+	// larger one could fill the connection's window while the searcher answers.
+	syncBodyBytes = 8 << 10
+	// strayAnswers is how many answers to earlier requests are read over before the
+	// connection is given up.
+	strayAnswers = 2
+)
+
+// errStray says that a connection held only answers to other requests.
+var errStray = errors.New("the connection carries answers to other requests")
+
+// conn is one HTTP/1.1 connection to a searcher. It carries one exchange at a
+// time.
+type conn struct {
+	net.Conn
+	r *bufio.Reader
+	// idleSince is when the last exchange ended.
+	idleSince time.Time
+	// keep is how long the searcher keeps the connection open when idle; 0 when it
+	// does not say.
+	keep time.Duration
+	// aborted is set when the exchange was cancelled.
+	aborted atomic.Bool
+}
+
+func newConn(nc net.Conn) *conn {
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferBytes)}
+}
+
+// usable reports whether the connection is open and silent, so that the next
+// answer on it belongs to the next request.
+func (c *conn) usable() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var peek [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// abort ends the running exchange.
+func (c *conn) abort() {
+	c.aborted.Store(true)
+	c.Close()
+}
+
+// exchange writes one request and reads its answer. The first result tells
+// whether bytes of the request may have left.
+func (c *conn) exchange(req *Request, codec Codec) (sent bool, rep *Reply, err error) {
+	head := req.head(codec)
+	written := make(chan error, 1)
+	if len(req.Body) <= syncBodyBytes {
+		n, err := c.Write(append(head, req.Body...))
+		if err != nil {
+			return n > 0, nil, err
+		}
+		written <- nil
+	} else {
+		go func() {
+			_, err := c.Write(append(head, req.Body...))
+			written <- err
+		}()
+	}
+	rep, err = c.read(req, codec)
+	if err != nil {
+		return true, nil, err
+	}
+	select {
+	case err := <-written:
+		rep.reusable = rep.reusable && err == nil
+	default:
+		// The searcher answered before it had the whole body.
+		rep.reusable = false
+	}
+	return true, rep, nil
+}
+
+// read reads answers until the one to the request.
+func (c *conn) read(req *Request, codec Codec) (*Reply, error) {
+	for range strayAnswers + 1 {
+		rep, err := c.readOne(req, codec)
+		if err != nil {
+			return nil, err
+		}
+		if rep.Meta.RequestID == "" || rep.Meta.RequestID == req.ID {
+			return rep, nil
+		}
+	}
+	return nil, errStray
+}
+
+// readOne reads one whole answer.
+func (c *conn) readOne(req *Request, codec Codec) (*Reply, error) {
+	for {
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: req.Method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		body, err := readBody(resp)
+		if err != nil {
+			return nil, err
+		}
+		if len(body) > maxReplyBytes {
+			return nil, &http.MaxBytesError{Limit: maxReplyBytes}
+		}
+		c.keep = keepTime(resp.Header)
+		return &Reply{
+			Status:   resp.StatusCode,
+			Header:   resp.Header,
+			Body:     body,
+			Meta:     codec.Read(resp.Header),
+			reusable: !resp.Close && c.r.Buffered() == 0,
+		}, nil
+	}
+}
+
+// readBody reads an answer's body whole, as far as the bound.
+func readBody(resp *http.Response) ([]byte, error) {
+	defer resp.Body.Close()
+	return io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+}
+
+// keepTime returns how long the other side keeps an idle connection, 0 when the
+// header does not say.
+func keepTime(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		key, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(key, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && n > 0 {
+			return time.Duration(n) * time.Second
+		}
+	}
+	return 0
+}
