control: one reader of the store a zone, the others hear from it

Members of a zone are ranked by a hash; the first reads, the others hold a call open at it and read the store themselves when it knows nothing fresh. Ruled out: longer watches (a silent connection then hides a change beyond 3 s).

--- a/internal/contract/declarer/searcher.go
+++ b/internal/contract/declarer/searcher.go
@@ -7,16 +7,16 @@
 
 // Searcher is one upstream process as it registered itself.
 type Searcher struct {
-	ID      string
-	Service string
-	Addr    netip.AddrPort
-	Zone    string
+	ID      string         `json:"id"`
+	Service string         `json:"service"`
+	Addr    netip.AddrPort `json:"addr"`
+	Zone    string         `json:"zone"`
 	// Slots is the number of requests that it runs at once; 0 means not stated.
-	Slots int
+	Slots int `json:"slots,omitempty"`
 	// Draining searchers finish what they run and want nothing new.
-	Draining bool
+	Draining bool `json:"draining,omitempty"`
 	// ColdFor is how much longer it stays slow after its start.
-	ColdFor time.Duration
+	ColdFor time.Duration `json:"cold,omitempty"`
 }
 
 // Check returns every fault of the searcher as joined FieldErrors, or nil.
--- a/internal/control/follower/feed.go
+++ b/internal/control/follower/feed.go
@@ -35,13 +35,16 @@
 
 // Sink takes what a Follower reads. Its methods are called one at a time.
 type Sink[T any] interface {
+	// Revision returns the revision up to which changes are known, and false when
+	// a list is needed first.
+	Revision() (uint64, bool)
 	// Replace takes the whole list.
 	Replace(items []Item[T], revision uint64)
 	// Apply takes changes in the order in which they happened.
 	Apply(changes []Change[T], revision uint64)
-	// Lost tells that the store stopped answering, Regained that it answers again.
+	// Lost tells that the store does not answer; the next list or changes tell that
+	// it does again.
 	Lost(err error)
-	Regained(after time.Duration)
 }
 
 // HistoryError says that the store has forgotten the changes after a revision.
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -44,25 +44,31 @@
 	}
 }
 
+// Gate decides whether a Follower calls the store.
+type Gate interface {
+	// Open reports whether it does, and a channel that closes when that may have
+	// changed.
+	Open() (bool, <-chan struct{})
+}
+
 // Follower is the service that follows one kind of objects.
 type Follower[T any] struct {
 	name string
 	cfg  Config
 	feed Feed[T]
 	sink Sink[T]
+	gate Gate
 
-	// from is the revision up to which changes are known; listed is false until a
-	// list has been read since the history was lost.
-	from   uint64
-	listed bool
-	// failures counts failed calls in a row, since failedAt.
+	// forgotten is true when the store has lost the history that a watch needs.
+	forgotten bool
+	// failures counts failed calls in a row.
 	failures int
-	failedAt time.Time
 }
 
-// New returns a Follower; name stands for it in logs.
-func New[T any](name string, cfg Config, feed Feed[T], sink Sink[T]) *Follower[T] {
-	return &Follower[T]{name: name, cfg: cfg, feed: feed, sink: sink}
+// New returns a Follower that calls the store while the gate is open; name stands
+// for it in logs.
+func New[T any](name string, cfg Config, feed Feed[T], sink Sink[T], gate Gate) *Follower[T] {
+	return &Follower[T]{name: name, cfg: cfg, feed: feed, sink: sink, gate: gate}
 }
 
 // String names the service for its supervisor.
@@ -73,6 +79,14 @@
 // Serve follows the store until ctx ends.
 func (f *Follower[T]) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if open, changed := f.gate.Open(); !open {
+			f.failures = 0
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+			continue
+		}
 		pause := f.settle(ctx, f.round(ctx))
 		if err := sleeper.Sleep(ctx, pause); err != nil {
 			return err
@@ -83,10 +97,11 @@
 
 // round makes one call.
 func (f *Follower[T]) round(ctx context.Context) error {
-	if !f.listed {
+	from, known := f.sink.Revision()
+	if !known || f.forgotten {
 		return f.list(ctx)
 	}
-	return f.watch(ctx)
+	return f.watch(ctx, from)
 }
 
 func (f *Follower[T]) list(ctx context.Context) error {
@@ -96,26 +111,25 @@
 	if err != nil {
 		return err
 	}
-	f.regain()
-	f.from, f.listed = revision, true
+	f.failures = 0
+	f.forgotten = false
 	f.sink.Replace(items, revision)
 	return nil
 }
 
-func (f *Follower[T]) watch(ctx context.Context) error {
+func (f *Follower[T]) watch(ctx context.Context, from uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Slack)
 	defer cancel()
-	changes, revision, err := f.feed.Watch(ctx, f.from, f.cfg.Wait)
+	changes, revision, err := f.feed.Watch(ctx, from, f.cfg.Wait)
 	var lost *HistoryError
 	if errors.As(err, &lost) {
-		f.listed = false
+		f.forgotten = true
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	f.regain()
-	f.from = max(f.from, revision)
+	f.failures = 0
 	f.sink.Apply(changes, revision)
 	return nil
 }
@@ -123,7 +137,7 @@
 // settle notes the outcome of a call and returns the pause before the next.
 func (f *Follower[T]) settle(ctx context.Context, err error) time.Duration {
 	if err == nil {
-		if !f.listed {
+		if f.forgotten {
 			return 0
 		}
 		return f.vary(f.cfg.Pause)
@@ -132,7 +146,6 @@
 		return 0
 	}
 	if f.failures == 0 {
-		f.failedAt = time.Now()
 		f.sink.Lost(err)
 	}
 	pause := min(f.cfg.MaxRetry, f.cfg.Retry<<min(f.failures, 8))
@@ -140,14 +153,6 @@
 	return f.vary(pause)
 }
 
-func (f *Follower[T]) regain() {
-	if f.failures == 0 {
-		return
-	}
-	f.failures = 0
-	f.sink.Regained(time.Since(f.failedAt))
-}
-
 // vary returns d, longer or shorter by up to a quarter.
 func (f *Follower[T]) vary(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.75 + f.cfg.Rand()/2))
--- /dev/null
+++ b/internal/control/relayer/signal.go
@@ -0,0 +1,28 @@
+package relayer
+
+import "sync"
+
+// signal wakes everybody who waits for news.
+type signal struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+// wait returns a channel that is closed with the next raise.
+func (s *signal) wait() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ch == nil {
+		s.ch = make(chan struct{})
+	}
+	return s.ch
+}
+
+func (s *signal) raise() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ch != nil {
+		close(s.ch)
+		s.ch = nil
+	}
+}
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -21,7 +21,11 @@
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
+	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/follower"
+	"cornelwood.example/internal/control/registrar"
+	"cornelwood.example/internal/control/relayer"
+	"cornelwood.example/internal/peer/linker"
 	"cornelwood.example/internal/route/forwarder"
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
@@ -44,6 +48,8 @@
 	// ratioShare is the share of the budget's ratio that is spent: requests are counted
 	// where they arrive, some time after this daemon counts them.
 	ratioShare = 0.9
+	// linkHeartbeat is the pace at which idle links to peers are looked after.
+	linkHeartbeat = time.Second
 	// sweepInterval is the time between two closings of idle connections to searchers.
 	sweepInterval = 2 * time.Second
 )
@@ -55,12 +61,16 @@
 	log hclog.Logger
 	reg *prometheus.Registry
 
-	callers, checks net.Listener
-	store           *platform.Client
-	locator         *locator.Locator
-	conns           *connector.Connector
-	forwarder       *forwarder.Forwarder
-	server          *http.Server
+	callers, checks, peers net.Listener
+	store                  *platform.Client
+	locator                *locator.Locator
+	conns                  *connector.Connector
+	forwarder              *forwarder.Forwarder
+	link                   *linker.Linker
+	relay                  *relayer.Relayer
+	registrar              *registrar.Registrar
+	followers              []suture.Service
+	server                 *http.Server
 	// leaving is true from SIGTERM on.
 	leaving atomic.Bool
 	closers []func()
@@ -79,7 +89,7 @@
 		key  string
 		addr netip.AddrPort
 		lis  *net.Listener
-	}{{"listen", set.Caller.Listen, &r.callers}, {"checks", set.Caller.Checks, &r.checks}} {
+	}{{"listen", set.Caller.Listen, &r.callers}, {"checks", set.Caller.Checks, &r.checks}, {"peers", set.Caller.Peers, &r.peers}} {
 		lis, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(l.addr))
 		if err != nil {
 			r.close()
@@ -108,6 +118,7 @@
 	})
 	r.closers = append(r.closers, closer)
 	r.locator = locator.New(r.log.Named("control"))
+	r.buildControl(set)
 	r.conns, closer = connector.New(connector.Default(), platform.Codec{})
 	r.closers = append(r.closers, closer)
 	r.forwarder = forwarder.New(policy(set), r.locator, picker.New(set.Daemon.Zone, time.Now), r.conns, r.log.Named("route"), forwarder.NewMetrics(r.reg))
@@ -119,10 +130,30 @@
 	}
 }
 
+// buildControl makes what reads the store and spreads it among the daemons.
+func (r *Router) buildControl(set *reader.Entry) {
+	self := declarer.Member{ID: set.Daemon.ID, Zone: set.Daemon.Zone, Peer: set.Caller.Peers}
+	var closer func()
+	r.link, closer = linker.New(linker.Config{Self: self.Peer, Heartbeat: linkHeartbeat}, nil, r.log.Named("peer"), r.reg)
+	r.closers = append(r.closers, closer)
+	r.relay = relayer.New(relayer.Default(), self, func() []declarer.Member { return r.locator.View().Members() }, r.link, r.log.Named("control"))
+	r.link.Handle(relayer.CallName(), r.relay.Handle)
+	members := relayer.NewCache("members", r.locator.Members(), r.relay)
+	r.registrar = registrar.New(self, r.store, r.log.Named("control"))
+	cfg := follower.Default()
+	r.followers = []suture.Service{
+		follower.New("members", cfg, r.store.Members(), members, r.relay),
+		follower.New("routing", cfg, r.store.Routings(), relayer.NewCache("routing", r.locator.Routings(), r.relay), r.relay),
+		follower.New("searchers", cfg, r.store.Searchers(), relayer.NewCache("searchers", r.locator.Searchers(), r.relay), r.relay),
+		follower.New("closures", cfg, r.store.Closures(), relayer.NewCache("closures", r.locator.Closures(), r.relay), r.relay),
+	}
+}
+
 // policy returns the forwarder's policy with the settings' budget.
 func policy(set *reader.Entry) forwarder.Config {
 	cfg := forwarder.Default()
 	cfg.ExtraPercent = int(math.Floor(set.Extra.Ratio * 100 * ratioShare))
+	cfg.ExtraSlack = set.Extra.Slack
 	return cfg
 }
 
@@ -156,11 +187,13 @@
 	sup := suture.New(r.set.Load().Daemon.ID, suture.Spec{EventHook: func(e suture.Event) {
 		r.log.Error("service ended", "event", e.String())
 	}})
-	cfg := follower.Default()
 	sup.Add(r.locator)
-	sup.Add(follower.New("routing", cfg, r.store.Routings(), r.locator.Routings()))
-	sup.Add(follower.New("searchers", cfg, r.store.Searchers(), r.locator.Searchers()))
-	sup.Add(follower.New("closures", cfg, r.store.Closures(), r.locator.Closures()))
+	sup.Add(r.link.Server(r.peers))
+	sup.Add(r.registrar)
+	sup.Add(r.relay)
+	for _, f := range r.followers {
+		sup.Add(f)
+	}
 	sup.Add(&httpService{name: "callers", lis: r.callers, srv: r.server})
 	metrics := promhttp.HandlerFor(r.reg, promhttp.HandlerOpts{})
 	sup.Add(&httpService{name: "checks", lis: r.checks, srv: &http.Server{
--- a/internal/peer/linker/linker.go
+++ b/internal/peer/linker/linker.go
@@ -113,6 +113,11 @@
 	l.handlers[name] = fn
 }
 
+// Encode returns the form in which calls carry v.
+func Encode(v any) ([]byte, error) {
+	return wireCodec.Marshal(v)
+}
+
 // Decode reads the body of a unary call into out, and checks it when out has a
 // Check method. Its error is a *RemoteError that tells the caller.
 func Decode(body []byte, out any) error {
--- a/internal/query/hedger/budget.go
+++ b/internal/query/hedger/budget.go
@@ -10,16 +10,17 @@
 // together, to a percentage of the first attempts plus a burst.
 type Budget struct {
 	percent atomic.Int64
-	limit   int64
+	limit   atomic.Int64
 	units   atomic.Int64
 }
 
 // NewBudget returns a full Budget of percent extra sub-requests in 100, and at
 // most burst of them at once.
 func NewBudget(percent, burst int) *Budget {
-	b := &Budget{limit: int64(burst) * tokenUnits}
+	b := &Budget{}
+	b.limit.Store(int64(burst) * tokenUnits)
 	b.percent.Store(int64(percent))
-	b.units.Store(b.limit)
+	b.units.Store(b.limit.Load())
 	return b
 }
 
@@ -28,11 +29,17 @@
 	b.percent.Store(int64(percent))
 }
 
+// SetBurst changes the number of extra sub-requests allowed at once. What the
+// budget holds beyond it is lost with the next deposit.
+func (b *Budget) SetBurst(burst int) {
+	b.limit.Store(int64(burst) * tokenUnits)
+}
+
 // Deposit counts first attempts.
 func (b *Budget) Deposit(attempts int) {
 	for {
 		was := b.units.Load()
-		next := min(was+int64(attempts)*b.percent.Load(), b.limit)
+		next := min(was+int64(attempts)*b.percent.Load(), b.limit.Load())
 		if next == was || b.units.CompareAndSwap(was, next) {
 			return
 		}
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -38,9 +38,11 @@
 	// HedgeQuantile is the share of latencies, 0 to 1, after which an exchange is
 	// hedged.
 	HedgeQuantile float64
-	// ExtraPercent is the number of extra requests for 100 first ones, and
-	// ExtraBurst how many are allowed at once, both for each service.
-	ExtraPercent, ExtraBurst int
+	// ExtraPercent is the number of extra requests to a service for 100 first ones.
+	ExtraPercent int
+	// ExtraSlack is the number of extra requests to a service that all daemons
+	// together may send beside.
+	ExtraSlack int
 	// Linger is how long an exchange that lost the race may run on.
 	Linger time.Duration
 	// RetryAfter is when a client that was refused may come back.
@@ -52,7 +54,7 @@
 	return Config{
 		HedgeQuantile: 0.93,
 		ExtraPercent:  17,
-		ExtraBurst:    2,
+		ExtraSlack:    50,
 		Linger:        400 * time.Millisecond,
 		RetryAfter:    150 * time.Millisecond,
 	}
@@ -93,6 +95,7 @@
 // Handle returns the final answer to a request.
 func (f *Forwarder) Handle(ctx context.Context, req *Request) Answer {
 	v := f.views.View()
+	f.stats.setMembers(len(v.Members()))
 	name, a := f.answer(ctx, req, v)
 	f.note(req, name, v, &a)
 	return a
--- a/internal/route/forwarder/stats.go
+++ b/internal/route/forwarder/stats.go
@@ -10,11 +10,16 @@
 )
 
 const (
+	// assumedMembers is the number of daemons taken for granted while none is known.
+	assumedMembers = 32
 	// usualShift sets the weight of the newest latency in the usual one: 1 in 32.
 	usualShift = 5
 	// firstUsualPart is the part of the goal that is taken for the usual latency
 	// before any is known.
 	firstUsualPart = 8
+	// slackShare is the share of the slack that is divided among the known daemons;
+	// the rest is for those that start again within the window, with a full budget.
+	slackShare = 0.5
 	// defaultGoal stands in for a goal that a route does not state.
 	defaultGoal = time.Second
 )
@@ -26,6 +31,8 @@
 	mu      sync.Mutex
 	routes  map[string]*latency
 	budgets map[string]*hedger.Budget
+	// members is the number of daemons that share the slack.
+	members atomic.Int64
 }
 
 // latency is what the sub-requests of one route take.
@@ -36,7 +43,9 @@
 }
 
 func newStats(cfg Config) *stats {
-	return &stats{cfg: cfg, routes: make(map[string]*latency), budgets: make(map[string]*hedger.Budget)}
+	s := &stats{cfg: cfg, routes: make(map[string]*latency), budgets: make(map[string]*hedger.Budget)}
+	s.members.Store(assumedMembers)
+	return s
 }
 
 // route returns the latencies of a route.
@@ -62,7 +71,7 @@
 	defer s.mu.Unlock()
 	b := s.budgets[service]
 	if b == nil {
-		b = hedger.NewBudget(s.cfg.ExtraPercent, s.cfg.ExtraBurst)
+		b = hedger.NewBudget(s.cfg.ExtraPercent, s.burst())
 		s.budgets[service] = b
 	}
 	return b
@@ -78,6 +87,24 @@
 	}
 }
 
+// setMembers divides the slack of the budgets among the daemons of the fleet.
+func (s *stats) setMembers(n int) {
+	if int(s.members.Swap(int64(n))) == n {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.budgets {
+		b.SetBurst(s.burst())
+	}
+}
+
+// burst returns the extra requests that this daemon may send at once.
+func (s *stats) burst() int {
+	n := max(1, int(s.members.Load()))
+	return max(1, int(float64(s.cfg.ExtraSlack)*slackShare)/n)
+}
+
 // record takes the latency of an answer in.
 func (l *latency) record(d time.Duration) {
 	l.quantile.Record(d)
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -6,13 +6,15 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"cornelwood.example/internal/contract/declarer"
-	"cornelwood.example/internal/control/follower"
+	"cornelwood.example/internal/control/relayer"
 	"cornelwood.example/internal/route/matcher"
 )
 
@@ -32,6 +34,7 @@
 	matcher   *matcher.Matcher
 	searchers map[string]*entry
 	closed    map[string]bool
+	members   map[string]declarer.Member
 	listed    bool
 	revision  uint64
 	// trusted is when entries that vanish count as gone again, after an outage.
@@ -55,6 +58,7 @@
 		updates:   make(chan func(), updateBacklog),
 		searchers: make(map[string]*entry),
 		closed:    make(map[string]bool),
+		members:   make(map[string]declarer.Member),
 	}
 	l.view.Store(&View{})
 	return l
@@ -117,6 +121,7 @@
 		closed:   l.closed,
 		listed:   l.listed,
 		revision: l.revision,
+		members:  slices.Collect(maps.Values(l.members)),
 	}
 	bounds := make(map[string]declarer.RouteService)
 	if l.matcher != nil {
@@ -142,16 +147,21 @@
 }
 
 // Routings returns the sink of desired states.
-func (l *Locator) Routings() follower.Sink[*declarer.Routing] {
+func (l *Locator) Routings() relayer.Sink[*declarer.Routing] {
 	return &routingSink{l}
 }
 
 // Searchers returns the sink of searchers.
-func (l *Locator) Searchers() follower.Sink[declarer.Searcher] {
+func (l *Locator) Searchers() relayer.Sink[declarer.Searcher] {
 	return &searcherSink{l}
 }
 
 // Closures returns the sink of availability zones taken out.
-func (l *Locator) Closures() follower.Sink[string] {
+func (l *Locator) Closures() relayer.Sink[string] {
 	return &closureSink{l}
 }
+
+// Members returns the sink of daemons.
+func (l *Locator) Members() relayer.Sink[declarer.Member] {
+	return &memberSink{l}
+}
--- a/internal/route/locator/sink.go
+++ b/internal/route/locator/sink.go
@@ -82,6 +82,7 @@
 		}
 		s.l.listed = true
 		s.l.revision = revision
+		s.l.log.Info("searchers listed", "count", len(s.l.searchers), "revision", revision)
 	})
 }
 
@@ -136,9 +137,9 @@
 	e := &entry{Searcher: it.Value, warmAt: time.Now().Add(it.Value.ColdFor)}
 	l.searchers[it.Name] = e
 	switch {
-	case !known:
+	case !known && l.listed:
 		l.log.Info("searcher found", "searcher", it.Name, "service", e.Service, "zone", e.Zone, "address", e.Addr, "cold", e.ColdFor, "revision", it.Revision)
-	case was.Draining != e.Draining || was.Addr != e.Addr || was.Service != e.Service:
+	case known && (was.Draining != e.Draining || was.Addr != e.Addr || was.Service != e.Service):
 		l.log.Info("searcher changed", "searcher", it.Name, "service", e.Service, "draining", e.Draining, "address", e.Addr, "revision", it.Revision)
 	}
 }
@@ -225,3 +226,45 @@
 	}
 	l.closed = closed
 }
+
+// memberSink takes daemons.
+type memberSink struct {
+	l *Locator
+}
+
+// Replace takes the whole list over.
+func (s *memberSink) Replace(items []follower.Item[declarer.Member], _ uint64) {
+	s.l.do(func() {
+		clear(s.l.members)
+		for _, it := range items {
+			s.l.join(it)
+		}
+	})
+}
+
+// Apply takes changes over.
+func (s *memberSink) Apply(changes []follower.Change[declarer.Member], _ uint64) {
+	s.l.do(func() {
+		for _, c := range changes {
+			if c.Removed {
+				delete(s.l.members, c.Name)
+				continue
+			}
+			s.l.join(c.Item)
+		}
+	})
+}
+
+// Lost does nothing: a daemon that is gone is noticed by its silence.
+func (s *memberSink) Lost(error) {}
+
+// Regained does nothing.
+func (s *memberSink) Regained(time.Duration) {}
+
+func (l *Locator) join(it follower.Item[declarer.Member]) {
+	if it.Err != nil {
+		l.log.Warn("daemon's record not usable", "daemon", it.Name, "error", it.Err)
+		return
+	}
+	l.members[it.Name] = it.Value
+}
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -17,6 +17,7 @@
 	revision uint64
 	closed   map[string]bool
 	listed   bool
+	members  []declarer.Member
 }
 
 // Searcher is one searcher that may get new work.
@@ -59,3 +60,8 @@
 func (v *View) Revision() uint64 {
 	return v.revision
 }
+
+// Members returns the registered daemons. The slice must not be changed.
+func (v *View) Members() []declarer.Member {
+	return v.members
+}
--- a/internal/settings/reader/entry.go
+++ b/internal/settings/reader/entry.go
@@ -24,6 +24,8 @@
 	Listen netip.AddrPort
 	// Checks serves the load balancer's check and the metrics.
 	Checks netip.AddrPort
+	// Peers serves the other daemons.
+	Peers netip.AddrPort
 }
 
 // Store holds the settings towards the metadata store.
@@ -89,6 +91,7 @@
 		{"caller", "towards clients", []field{
 			{key: "listen", required: true, help: "IP number and port for clients", parse: address(&s.Caller.Listen)},
 			{key: "checks", required: true, help: "IP number and port for the load balancer's check and /metrics", parse: address(&s.Caller.Checks)},
+			{key: "peers", required: true, help: "IP number and port for the other daemons", parse: address(&s.Caller.Peers)},
 		}},
 		{"store", "towards the metadata store", []field{
 			{key: "address", required: true, help: "IP number and port of the store", parse: address(&s.Store.Address)},
