--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -28,8 +28,10 @@
 // it read them itself or heard of them. It is safe for concurrent use.
 type Cache[T any] struct {
 	kind string
-	sink Sink[T]
-	news *signal
+	// timeless kinds may be of any age.
+	timeless bool
+	sink     Sink[T]
+	news     *signal
 
 	mu       sync.Mutex
 	items    map[string]follower.Item[T]
@@ -66,6 +68,13 @@
 	return c
 }
 
+// Timeless lets the cache count as fresh at any age: what it holds is corrected
+// when it is used.
+func (c *Cache[T]) Timeless() *Cache[T] {
+	c.timeless = true
+	return c
+}
+
 // Revision returns the revision up to which changes are known, and false before
 // the first list.
 func (c *Cache[T]) Revision() (uint64, bool) {
@@ -231,6 +240,9 @@
 func (c *Cache[T]) fresh(age time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.timeless {
+		return c.listed
+	}
 	return c.listed && c.lostAt.IsZero() && time.Since(c.verified) <= age
 }
 
--- a/internal/control/relayer/rank.go
+++ b/internal/control/relayer/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,3 +28,18 @@
 func rank(m *declarer.Member) uint64 {
 	return xxhash.Sum64String(m.Zone + "/" + m.ID)
 }
+
+// firsts returns the first ranked member of each zone but one, those that are
+// silent left out.
+func firsts(but string, members []declarer.Member, silent func(id string) bool) []declarer.Member {
+	best := make(map[string]declarer.Member)
+	for _, m := range members {
+		if m.Zone == but || silent(m.ID) {
+			continue
+		}
+		if b, ok := best[m.Zone]; !ok || rank(&m) < rank(&b) {
+			best[m.Zone] = m
+		}
+	}
+	return slices.Collect(maps.Values(best))
+}
--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -9,6 +9,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/control/follower"
 	"cornelwood.example/internal/peer/linker"
 	"cornelwood.example/internal/time/sleeper"
 )
@@ -28,9 +30,11 @@
 	Pause time.Duration
 	// Silence is how long a member that did not answer is passed over.
 	Silence time.Duration
-	// Settle is how long a daemon that starts waits for others that start at the same
-	// time to register; it reads the store itself meanwhile.
-	Settle time.Duration
+	// Patience is how long a daemon that starts waits for its sources, and Retry the
+	// pause between two questions meanwhile.
+	Patience, Retry time.Duration
+	// Consult is the time between two questions to the first daemons of other zones.
+	Consult time.Duration
 	// Hold is how long a daemon reads the store itself before it asks its sources again.
 	Hold time.Duration
 	// Sources is the number of members ranked before this one that it asks.
@@ -40,14 +44,15 @@
 // Default returns the pace for bounds of 3 s on knowledge.
 func Default() Config {
 	return Config{
-		Wait:    time.Second,
-		Slack:   400 * time.Millisecond,
-		MaxAge:  2200 * time.Millisecond,
-		Pause:   50 * time.Millisecond,
-		Silence: 4 * time.Second,
-		Settle:  500 * time.Millisecond,
-		Hold:    1500 * time.Millisecond,
-		Sources: 2,
+		Wait:     time.Second,
+		Slack:    400 * time.Millisecond,
+		MaxAge:   2200 * time.Millisecond,
+		Pause:    50 * time.Millisecond,
+		Silence:  4 * time.Second,
+		Patience: 900 * time.Millisecond,
+		Retry:    100 * time.Millisecond,
+		Hold:     1500 * time.Millisecond,
+		Sources:  2,
 	}
 }
 
@@ -68,8 +73,15 @@
 
 // poll asks for what changed after the revisions that a peer knows.
 type poll struct {
+	// From and Zone name the daemon that asks.
+	From      string            `json:"from"`
+	Zone      string            `json:"zone"`
 	Revisions map[string]uint64 `json:"revisions"`
 	Wait      time.Duration     `json:"wait"`
+	// Seen is what the daemon has seen of the searchers, and Number the last note of
+	// others that it knows.
+	Seen   []exchanger.Observation `json:"seen,omitempty"`
+	Number uint64                  `json:"number,omitempty"`
 }
 
 // Check returns the fault of a poll, or nil.
@@ -77,12 +89,28 @@
 	if p.Wait < 0 || p.Wait > time.Minute {
 		return &declarer.FieldError{Field: "wait", Reason: "want 0 to one minute, got " + p.Wait.String()}
 	}
-	return nil
+	return checkSeen(p.Seen)
 }
 
 // news is the answer to a poll.
 type news struct {
-	Updates []update `json:"updates"`
+	Updates []update                `json:"updates"`
+	Seen    []exchanger.Observation `json:"seen,omitempty"`
+	Number  uint64                  `json:"number,omitempty"`
+}
+
+// Check returns the fault of an answer, or nil.
+func (n *news) Check() error {
+	return checkSeen(n.Seen)
+}
+
+func checkSeen(seen []exchanger.Observation) error {
+	for i := range seen {
+		if err := seen[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Relayer is the service that keeps the caches fresh from peers, and decides
@@ -94,18 +122,30 @@
 	log    hclog.Logger
 	news   signal
 	kinds  []kind
+	board  board
+	// observer holds what this daemon has seen of the searchers.
+	observer Observer
+	// numbers holds the last note known of each peer that relays.
+	numbers map[string]uint64
 	// members returns the known members.
 	members func() []declarer.Member
 	// silent holds until when a member that did not answer is passed over.
 	silent map[string]time.Time
 
+	started time.Time
+	// direct is true while this daemon reads the store itself, leading while it reads
+	// the list of members: at the start and as the first of its zone.
 	direct  atomic.Bool
+	leading atomic.Bool
 	changed signal
 }
 
 // New returns a Relayer without caches; add them with NewCache before Serve.
-func New(cfg Config, self declarer.Member, members func() []declarer.Member, caller Caller, log hclog.Logger) *Relayer {
-	return &Relayer{cfg: cfg, self: self, members: members, caller: caller, log: log, silent: make(map[string]time.Time)}
+func New(cfg Config, self declarer.Member, members func() []declarer.Member, caller Caller, observer Observer, log hclog.Logger) *Relayer {
+	return &Relayer{
+		cfg: cfg, self: self, members: members, caller: caller, observer: observer, log: log,
+		silent: make(map[string]time.Time), numbers: make(map[string]uint64),
+	}
 }
 
 // String names the service for its supervisor.
@@ -119,6 +159,28 @@
 	return r.direct.Load(), ch
 }
 
+// Members returns the gate of the follower of the members.
+func (r *Relayer) Members() follower.Gate {
+	return memberGate{r}
+}
+
+// memberGate is open while the relayer reads the list of members.
+type memberGate struct {
+	r *Relayer
+}
+
+// Open reports whether this daemon reads the list of members.
+func (g memberGate) Open() (bool, <-chan struct{}) {
+	ch := g.r.changed.wait()
+	return g.r.leading.Load(), ch
+}
+
+func (r *Relayer) setLeading(leading bool) {
+	if r.leading.Swap(leading) != leading {
+		r.changed.raise()
+	}
+}
+
 func (r *Relayer) setDirect(direct bool, reason string) {
 	if r.direct.Swap(direct) == direct {
 		return
@@ -129,17 +191,25 @@
 
 // Serve keeps the caches fresh until ctx ends.
 func (r *Relayer) Serve(ctx context.Context) error {
-	r.setDirect(true, "just started")
-	r.pause(ctx, r.cfg.Settle)
+	r.started = time.Now()
+	r.setLeading(true)
 	for ctx.Err() == nil {
+		if len(r.members()) == 0 && r.isStarting() {
+			r.pause(ctx, r.cfg.Retry)
+			continue
+		}
 		sources := ranked(r.self, r.members())
+		r.setLeading(len(sources) == 0)
 		switch {
 		case len(sources) == 0:
 			r.setDirect(true, "first of its zone")
-			r.pause(ctx, r.cfg.Wait)
+			r.consult(ctx)
+			r.pause(ctx, r.cfg.Consult)
 		case r.ask(ctx, sources):
 			r.setDirect(false, "a peer relays the store")
 			r.pause(ctx, r.cfg.Pause)
+		case r.isStarting():
+			r.pause(ctx, r.cfg.Retry)
 		default:
 			r.setDirect(true, "no peer knows the store's state")
 			r.pause(ctx, r.cfg.Hold)
@@ -148,6 +218,12 @@
 	return ctx.Err()
 }
 
+// isStarting reports whether the daemon has just started, when its sources may
+// have, too.
+func (r *Relayer) isStarting() bool {
+	return time.Since(r.started) < r.cfg.Patience
+}
+
 // pause sleeps; the end of ctx is seen by the caller's loop.
 func (r *Relayer) pause(ctx context.Context, d time.Duration) {
 	_ = sleeper.Sleep(ctx, d)
@@ -157,7 +233,7 @@
 func (r *Relayer) ask(ctx context.Context, sources []declarer.Member) bool {
 	asked := 0
 	for i := range sources {
-		if time.Now().Before(r.silent[sources[i].ID]) {
+		if r.isSilent(sources[i].ID) {
 			continue
 		}
 		if r.pollOne(ctx, &sources[i]) {
@@ -172,28 +248,72 @@
 
 // pollOne polls one source, and reports whether the caches are fresh then.
 func (r *Relayer) pollOne(ctx context.Context, m *declarer.Member) bool {
-	in := poll{Revisions: make(map[string]uint64), Wait: r.cfg.Wait}
+	in := r.poll(m, r.cfg.Wait)
+	in.Seen = r.observer.Drain()
+	if !r.exchange(ctx, m, in) {
+		return false
+	}
+	return r.isFresh()
+}
+
+// isFresh reports whether every cache is.
+func (r *Relayer) isFresh() bool {
+	for _, k := range r.kinds {
+		if !k.fresh(r.cfg.MaxAge) {
+			return false
+		}
+	}
+	return true
+}
+
+// consult asks the first daemon of each other zone what was seen there.
+func (r *Relayer) consult(ctx context.Context) {
+	r.share()
+	for _, m := range firsts(r.self.Zone, r.members(), r.isSilent) {
+		r.exchange(ctx, &m, r.poll(&m, 0))
+	}
+}
+
+// share puts what this daemon has seen up for its peers.
+func (r *Relayer) share() {
+	r.board.add(r.self.ID, r.self.Zone, r.observer.Drain())
+}
+
+func (r *Relayer) isSilent(id string) bool {
+	return time.Now().Before(r.silent[id])
+}
+
+// poll returns what to ask a peer.
+func (r *Relayer) poll(m *declarer.Member, wait time.Duration) *poll {
+	in := &poll{From: r.self.ID, Zone: r.self.Zone, Revisions: make(map[string]uint64), Wait: wait, Number: r.numbers[m.ID]}
 	for _, k := range r.kinds {
 		if revision, known := k.Revision(); known {
 			in.Revisions[k.name()] = revision
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.cfg.Wait+r.cfg.Slack)
+	return in
+}
+
+// exchange asks a peer, and takes over what it tells.
+func (r *Relayer) exchange(ctx context.Context, m *declarer.Member, in *poll) bool {
+	ctx, cancel := context.WithTimeout(ctx, in.Wait+r.cfg.Slack)
 	defer cancel()
 	var out news
-	if err := r.caller.Call(ctx, m.Peer, callPoll, &in, &out); err != nil {
+	if err := r.caller.Call(ctx, m.Peer, callPoll, in, &out); err != nil {
 		r.log.Debug("peer relays nothing", "peer", m.ID, "error", err)
-		r.silent[m.ID] = time.Now().Add(r.cfg.Silence)
+		silence := r.cfg.Silence
+		if r.isStarting() {
+			silence = r.cfg.Retry
+		}
+		r.silent[m.ID] = time.Now().Add(silence)
 		return false
 	}
 	for i := range out.Updates {
 		r.take(m, &out.Updates[i])
 	}
-	for _, k := range r.kinds {
-		if !k.fresh(r.cfg.MaxAge) {
-			return false
-		}
-	}
+	r.numbers[m.ID] = out.Number
+	r.observer.Merge(out.Seen)
+	r.board.add(m.ID, m.Zone, out.Seen)
 	return true
 }
 
@@ -215,6 +335,8 @@
 	if err := linker.Decode(body, &in); err != nil {
 		return nil, err
 	}
+	r.observer.Merge(in.Seen)
+	r.board.add(in.From, in.Zone, in.Seen)
 	end := time.NewTimer(in.Wait)
 	defer end.Stop()
 	for {
@@ -249,7 +371,9 @@
 }
 
 func (r *Relayer) answer(in *poll) (any, error) {
+	r.share()
 	var out news
+	out.Seen, out.Number = r.board.since(in.Number, in.From, in.Zone, r.self.Zone)
 	for _, k := range r.kinds {
 		if _, known := k.Revision(); !known {
 			continue
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -51,7 +51,7 @@
 	// linkHeartbeat is the pace at which idle links to peers are looked after.
 	linkHeartbeat = time.Second
 	// sweepInterval is the time between two closings of idle connections to searchers.
-	sweepInterval = 2 * time.Second
+	sweepInterval = 500 * time.Millisecond
 )
 
 // Router is one instance's entry daemon.
@@ -65,6 +65,7 @@
 	store                  *platform.Client
 	locator                *locator.Locator
 	conns                  *connector.Connector
+	picker                 *picker.Picker
 	forwarder              *forwarder.Forwarder
 	link                   *linker.Linker
 	relay                  *relayer.Relayer
@@ -118,10 +119,11 @@
 	})
 	r.closers = append(r.closers, closer)
 	r.locator = locator.New(r.log.Named("control"))
+	r.picker = picker.New(set.Daemon.Zone, time.Now)
 	r.buildControl(set)
 	r.conns, closer = connector.New(connector.Default(), platform.Codec{})
 	r.closers = append(r.closers, closer)
-	r.forwarder = forwarder.New(policy(set), r.locator, picker.New(set.Daemon.Zone, time.Now), r.conns, r.log.Named("route"), forwarder.NewMetrics(r.reg))
+	r.forwarder = forwarder.New(policy(set), r.locator, r.picker, r.conns, r.log.Named("route"), forwarder.NewMetrics(r.reg))
 	r.server = &http.Server{
 		Handler:           platform.NewFront(r.forwarder, r.leaving.Load),
 		ReadHeaderTimeout: headerTimeout,
@@ -136,13 +138,13 @@
 	var closer func()
 	r.link, closer = linker.New(linker.Config{Self: self.Peer, Heartbeat: linkHeartbeat}, nil, r.log.Named("peer"), r.reg)
 	r.closers = append(r.closers, closer)
-	r.relay = relayer.New(relayer.Default(), self, func() []declarer.Member { return r.locator.View().Members() }, r.link, r.log.Named("control"))
+	r.relay = relayer.New(relayer.Default(), self, func() []declarer.Member { return r.locator.View().Members() }, r.link, r.picker, r.log.Named("control"))
 	r.link.Handle(relayer.CallName(), r.relay.Handle)
-	members := relayer.NewCache("members", r.locator.Members(), r.relay)
+	members := relayer.NewCache("members", r.locator.Members(), r.relay).Timeless()
 	r.registrar = registrar.New(self, r.store, r.log.Named("control"))
 	cfg := follower.Default()
 	r.followers = []suture.Service{
-		follower.New("members", cfg, r.store.Members(), members, r.relay),
+		follower.New("members", cfg, r.store.Members(), members, r.relay.Members()),
 		follower.New("routing", cfg, r.store.Routings(), relayer.NewCache("routing", r.locator.Routings(), r.relay), r.relay),
 		follower.New("searchers", cfg, r.store.Searchers(), relayer.NewCache("searchers", r.locator.Searchers(), r.relay), r.relay),
 		follower.New("closures", cfg, r.store.Closures(), relayer.NewCache("closures", r.locator.Closures(), r.relay), r.relay),
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -16,13 +16,14 @@
 	"sync"
 	"time"
 
+	"cornelwood.example/internal/contract/exchanger"
 	"cornelwood.example/internal/route/locator"
 )
 
 const (
 	// zoneCost is what an answer from another zone costs beside its latency, in
 	// shares of the usual latency.
-	zoneCost = 0.5
+	zoneCost = 1.2
 	// zoneDelay is about the round trip between zones.
 	zoneDelay = 2 * time.Millisecond
 	// loadCost is how much each running exchange adds, in shares of the usual latency.
@@ -45,17 +46,19 @@
 
 	mu      sync.Mutex
 	known   map[string]*health
+	pending map[string]*exchanger.Observation
 	sweepAt time.Time
 }
 
 // New returns a Picker of a daemon in zone.
 func New(zone string, now func() time.Time) *Picker {
-	return &Picker{zone: zone, now: now, known: make(map[string]*health)}
+	return &Picker{zone: zone, now: now, known: make(map[string]*health), pending: make(map[string]*exchanger.Observation)}
 }
 
 // Ticket stands for one running exchange.
 type Ticket struct {
 	picker *Picker
+	id     string
 	health *health
 	start  time.Time
 	usual  time.Duration
@@ -129,19 +132,24 @@
 }
 
 func (p *Picker) start(id string, usual time.Duration, now time.Time) *Ticket {
-	h := p.known[id]
-	if h == nil {
-		h = &health{running: make(map[*Ticket]struct{})}
-		p.known[id] = h
-	}
+	h := p.healthOf(id)
 	// After a backoff one request alone tries the searcher.
 	h.trial = h.streak > 0
-	t := &Ticket{picker: p, health: h, start: now, usual: usual}
+	t := &Ticket{picker: p, id: id, health: h, start: now, usual: usual}
 	h.running[t] = struct{}{}
 	p.sweep(now)
 	return t
 }
 
+func (p *Picker) healthOf(id string) *health {
+	h := p.known[id]
+	if h == nil {
+		h = &health{running: make(map[*Ticket]struct{})}
+		p.known[id] = h
+	}
+	return h
+}
+
 // End ends the exchange with its outcome.
 func (t *Ticket) End(o Outcome) {
 	now := t.picker.now()
@@ -152,7 +160,9 @@
 	}
 	t.ended = true
 	delete(t.health.running, t)
-	t.health.settle(o, now.Sub(t.start), t.usual, now)
+	took := now.Sub(t.start)
+	t.health.settle(o, took, t.usual, now)
+	t.picker.observe(t.id, o, ratio(took, t.usual))
 }
 
 // sweep forgets searchers that have been quiet for long.
--- a/internal/upstream/connector/connector.go
+++ b/internal/upstream/connector/connector.go
@@ -21,7 +21,8 @@
 type Config struct {
 	// DialTimeout bounds the time for a new connection.
 	DialTimeout time.Duration
-	// IdleTimeout is how long an unused connection is kept.
+	// IdleTimeout is how long an unused connection is kept. Searchers count the
+	// connections of all daemons, those of dead ones too until they time out.
 	IdleTimeout time.Duration
 	// FreshIdle is the longest idle time of a connection that may carry a request
 	// which must not be lost: a searcher may forget an idle connection unnoticed.
@@ -36,7 +37,7 @@
 func Default() Config {
 	return Config{
 		DialTimeout: 300 * time.Millisecond,
-		IdleTimeout: 8 * time.Second,
+		IdleTimeout: 1500 * time.Millisecond,
 		FreshIdle:   time.Second,
 		Silence:     2 * time.Second,
 	}
