relayer: polls of 0.3 s, and a pause between consultations of other zones

Cause: Consult was missing in Default, so first daemons asked each other without a pause: 31,000 calls in 26 s, 0.02 GB between zones. Polls of 1 s delayed what daemons see of searchers.

--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -44,13 +44,14 @@
 // Default returns the pace for bounds of 3 s on knowledge.
 func Default() Config {
 	return Config{
-		Wait:     time.Second,
+		Wait:     300 * time.Millisecond,
 		Slack:    400 * time.Millisecond,
 		MaxAge:   2200 * time.Millisecond,
 		Pause:    50 * time.Millisecond,
 		Silence:  4 * time.Second,
 		Patience: 900 * time.Millisecond,
 		Retry:    100 * time.Millisecond,
+		Consult:  300 * time.Millisecond,
 		Hold:     1500 * time.Millisecond,
 		Sources:  2,
 	}
