--- a/internal/query/hedger/budget.go
+++ b/internal/query/hedger/budget.go
@@ -37,9 +37,18 @@
 
 // Deposit counts first attempts.
 func (b *Budget) Deposit(attempts int) {
+	b.add(int64(attempts) * b.percent.Load())
+}
+
+// Grant adds a number of extra sub-requests that no first attempts pay for.
+func (b *Budget) Grant(extra float64) {
+	b.add(int64(extra * tokenUnits))
+}
+
+func (b *Budget) add(units int64) {
 	for {
 		was := b.units.Load()
-		next := min(was+int64(attempts)*b.percent.Load(), b.limit.Load())
+		next := min(was+units, b.limit.Load())
 		if next == was || b.units.CompareAndSwap(was, next) {
 			return
 		}
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -43,6 +43,8 @@
 	// ExtraSlack is the number of extra requests to a service that all daemons
 	// together may send beside.
 	ExtraSlack int
+	// ExtraWindow is the time for which the slack is meant.
+	ExtraWindow time.Duration
 	// Linger is how long an exchange that lost the race may run on.
 	Linger time.Duration
 	// RetryAfter is when a client that was refused may come back.
@@ -55,6 +57,7 @@
 		HedgeQuantile: 0.93,
 		ExtraPercent:  17,
 		ExtraSlack:    50,
+		ExtraWindow:   10 * time.Second,
 		Linger:        400 * time.Millisecond,
 		RetryAfter:    150 * time.Millisecond,
 	}
--- a/internal/route/forwarder/race.go
+++ b/internal/route/forwarder/race.go
@@ -62,15 +62,15 @@
 
 func (f *Forwarder) newRace(req *Request, body []byte, rt *declarer.Route, v *locator.View, services []string, deadline time.Time) *race {
 	lat := f.stats.route(rt)
+	now := time.Now()
 	r := &race{
 		f: f, req: req, body: body, route: rt, view: v, latency: lat, deadline: deadline,
 		legs:    make([]leg, len(services)),
 		results: make(chan result, len(services)*(rt.Attempts+maxRefusals+1)),
-		delay:   lat.hedgeDelay(time.Now()),
+		delay:   lat.hedgeDelay(now),
 	}
 	for i, s := range services {
-		r.legs[i] = leg{service: s, searchers: v.Searchers(s), budget: f.stats.budget(s)}
-		r.legs[i].budget.Deposit(1)
+		r.legs[i] = leg{service: s, searchers: v.Searchers(s), budget: f.stats.budget(s, now)}
 	}
 	return r
 }
--- a/internal/route/forwarder/stats.go
+++ b/internal/route/forwarder/stats.go
@@ -17,9 +17,13 @@
 	// firstUsualPart is the part of the goal that is taken for the usual latency
 	// before any is known.
 	firstUsualPart = 8
-	// slackShare is the share of the slack that is divided among the known daemons;
-	// the rest is for those that start again within the window, with a full budget.
-	slackShare = 0.5
+	// slackShare is the share of the slack that is divided among the known daemons as
+	// what they may send at once, grantShare the one that they get with the time. The
+	// rest is for daemons that start again within the window, with a full budget.
+	slackShare = 0.35
+	grantShare = 0.4
+	// maxBurst bounds what one daemon may send at once.
+	maxBurst = 8
 	// defaultGoal stands in for a goal that a route does not state.
 	defaultGoal = time.Second
 )
@@ -30,7 +34,7 @@
 
 	mu      sync.Mutex
 	routes  map[string]*latency
-	budgets map[string]*hedger.Budget
+	budgets map[string]*allowance
 	// members is the number of daemons that share the slack.
 	members atomic.Int64
 }
@@ -43,7 +47,7 @@
 }
 
 func newStats(cfg Config) *stats {
-	s := &stats{cfg: cfg, routes: make(map[string]*latency), budgets: make(map[string]*hedger.Budget)}
+	s := &stats{cfg: cfg, routes: make(map[string]*latency), budgets: make(map[string]*allowance)}
 	s.members.Store(assumedMembers)
 	return s
 }
@@ -65,16 +69,53 @@
 	return l
 }
 
-// budget returns the budget of extra requests to a service.
-func (s *stats) budget(service string) *hedger.Budget {
+// allowance is the budget of extra requests to one service: a share of the first
+// ones, and a part of the fleet's slack that comes with the time.
+//
+// Load pattern: searchers that refuse or fail for many seconds, when the share of
+// the first requests alone leaves most of the slack unused.
+type allowance struct {
+	*hedger.Budget
+	grantedAt atomic.Int64
+}
+
+// minGrantTime is the least time between two grants, so that each is a whole unit
+// of the budget or more.
+const minGrantTime = 200 * time.Millisecond
+
+// first counts a first request to the service.
+func (a *allowance) first(now time.Time, perSecond float64) {
+	a.Deposit(1)
+	at := a.grantedAt.Load()
+	since := time.Duration(now.UnixNano() - at)
+	if since < minGrantTime || !a.grantedAt.CompareAndSwap(at, now.UnixNano()) {
+		return
+	}
+	a.Grant(min(since, maxGrantTime).Seconds() * perSecond)
+}
+
+// maxGrantTime bounds the time that one grant is for.
+const maxGrantTime = 5 * time.Second
+
+// budget returns the budget of extra requests to a service, with one first request
+// counted.
+func (s *stats) budget(service string, now time.Time) *hedger.Budget {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	b := s.budgets[service]
-	if b == nil {
-		b = hedger.NewBudget(s.cfg.ExtraPercent, s.burst())
-		s.budgets[service] = b
+	a := s.budgets[service]
+	if a == nil {
+		a = &allowance{Budget: hedger.NewBudget(s.cfg.ExtraPercent, s.burst())}
+		a.grantedAt.Store(now.UnixNano())
+		s.budgets[service] = a
 	}
-	return b
+	s.mu.Unlock()
+	a.first(now, s.perSecond())
+	return a.Budget
+}
+
+// perSecond returns this daemon's part of the slack for each second.
+func (s *stats) perSecond() float64 {
+	n := max(1, int(s.members.Load()))
+	return float64(s.cfg.ExtraSlack) * grantShare / s.cfg.ExtraWindow.Seconds() / float64(n)
 }
 
 // setPercent changes every budget.
@@ -102,7 +143,7 @@
 // burst returns the extra requests that this daemon may send at once.
 func (s *stats) burst() int {
 	n := max(1, int(s.members.Load()))
-	return max(1, int(float64(s.cfg.ExtraSlack)*slackShare)/n)
+	return min(maxBurst, max(1, int(float64(s.cfg.ExtraSlack)*slackShare)/n))
 }
 
 // record takes the latency of an answer in.
