control, route: tests of followers, caches, relays, locator and picker

Found by them: a whole list relayed to a cache that had one removed nothing (TestCacheRelay), and a searcher that recovered got no request, since idle ones never win against recent good answers (TestStall).

--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -88,12 +88,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.setLost(nil)
+	c.replace(items, revision, 0)
+}
+
+// replace takes over a whole list that a source confirmed age ago.
+func (c *Cache[T]) replace(items []follower.Item[T], revision uint64, age time.Duration) {
 	if !c.listed {
 		for _, it := range items {
 			c.items[it.Name] = it
 		}
 		c.listed = true
-		c.confirm(revision, 0)
+		c.confirm(revision, age)
 		c.sink.Replace(items, revision)
 		c.news.raise()
 		return
@@ -109,7 +114,7 @@
 			changes = append(changes, follower.Change[T]{Item: follower.Item[T]{Name: name, Revision: it.Revision}, Removed: true})
 		}
 	}
-	c.apply(changes, revision, 0)
+	c.apply(changes, revision, age)
 }
 
 // Apply takes changes over.
@@ -302,14 +307,8 @@
 		items = append(items, it)
 		changes = append(changes, follower.Change[T]{Item: it, Removed: e.Removed})
 	}
-	if u.Whole && !c.listed {
-		for _, it := range items {
-			c.items[it.Name] = it
-		}
-		c.listed = true
-		c.confirm(u.Revision, u.Age)
-		c.sink.Replace(items, u.Revision)
-		c.news.raise()
+	if u.Whole {
+		c.replace(items, u.Revision, u.Age)
 		return nil
 	}
 	c.apply(changes, u.Revision, u.Age)
--- /dev/null
+++ b/internal/control/relayer/relayer_test.go
@@ -0,0 +1,217 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/control/follower"
+	"cornelwood.example/internal/peer/linker"
+)
+
+// TestDefault keeps every pace above 0: without Consult, first daemons asked each
+// other 1,200 times a second.
+func TestDefault(t *testing.T) {
+	v := reflect.ValueOf(Default())
+	for i := range v.NumField() {
+		if v.Field(i).IsZero() {
+			t.Errorf("%s is 0", v.Type().Field(i).Name)
+		}
+	}
+}
+
+// watcher is an Observer that keeps what it is told.
+type watcher struct {
+	own, told []exchanger.Observation
+}
+
+func (w *watcher) Drain() []exchanger.Observation {
+	out := w.own
+	w.own = nil
+	return out
+}
+
+func (w *watcher) Merge(seen []exchanger.Observation) { w.told = append(w.told, seen...) }
+
+// fleet is daemons that call each other without a network.
+type fleet struct {
+	t       *testing.T
+	daemons map[netip.AddrPort]*Relayer
+	members []declarer.Member
+	caches  []*Cache[string]
+	seen    []*watcher
+	silent  map[netip.AddrPort]bool
+	calls   int
+}
+
+func newFleet(t *testing.T, zones ...string) *fleet {
+	f := &fleet{t: t, daemons: make(map[netip.AddrPort]*Relayer), silent: make(map[netip.AddrPort]bool)}
+	for i, zone := range zones {
+		m := declarer.Member{ID: fmt.Sprintf("d%d", i), Zone: zone, Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)}
+		w := &watcher{}
+		r := New(Default(), m, func() []declarer.Member { return f.members }, f, w, hclog.NewNullLogger())
+		f.daemons[m.Peer] = r
+		f.members = append(f.members, m)
+		f.caches = append(f.caches, NewCache[string]("test", &memory{}, r))
+		f.seen = append(f.seen, w)
+	}
+	return f
+}
+
+func (f *fleet) Call(ctx context.Context, peer netip.AddrPort, _ string, in, out any) error {
+	f.calls++
+	if f.silent[peer] {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	body, err := linker.Encode(in)
+	if err != nil {
+		return err
+	}
+	answer, err := f.daemons[peer].Handle(ctx, netip.AddrPort{}, body)
+	if err != nil {
+		return err
+	}
+	if body, err = linker.Encode(answer); err != nil {
+		return err
+	}
+	return linker.Decode(body, out)
+}
+
+// first returns the index of the first ranked daemon, and of another one.
+func (f *fleet) first() (first, other int) {
+	for i := range f.members {
+		if len(ranked(f.members[i], f.members)) == 0 {
+			first = i
+		} else {
+			other = i
+		}
+	}
+	return first, other
+}
+
+// run serves every daemon while during runs; a daemon that reads the store finds
+// the revision there.
+func (f *fleet) run(store *uint64, during func()) {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	done := make(chan struct{}, len(f.members))
+	for i, m := range f.members {
+		r, c := f.daemons[m.Peer], f.caches[i]
+		go func() {
+			_ = r.Serve(ctx)
+			done <- struct{}{}
+		}()
+		go func() {
+			for ctx.Err() == nil {
+				if open, _ := r.Open(); open && *store > 0 {
+					c.Replace([]follower.Item[string]{item("a", *store, fmt.Sprint(*store))}, *store)
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			done <- struct{}{}
+		}()
+	}
+	during()
+	cancel()
+	for range 2 * len(f.members) {
+		<-done
+	}
+}
+
+func (f *fleet) assertRevision(i int, want uint64) {
+	f.t.Helper()
+	if got, _ := f.caches[i].Revision(); got != want {
+		f.t.Errorf("daemon %d knows revision %d, want %d", i, got, want)
+	}
+}
+
+func (f *fleet) assertDirect(want int) {
+	f.t.Helper()
+	got := 0
+	for _, r := range f.daemons {
+		if open, _ := r.Open(); open {
+			got++
+		}
+	}
+	if got != want {
+		f.t.Errorf("%d daemons read the store, want %d", got, want)
+	}
+}
+
+func TestRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "a", "a", "a")
+		store := uint64(5)
+		f.run(&store, func() {
+			time.Sleep(2 * time.Second)
+			f.assertDirect(1)
+			store = 6
+			time.Sleep(500 * time.Millisecond)
+			for i := range f.members {
+				f.assertRevision(i, 6)
+			}
+		})
+	})
+}
+
+func TestFallback(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "a", "a", "a")
+		store := uint64(5)
+		first, other := f.first()
+		f.run(&store, func() {
+			time.Sleep(2 * time.Second)
+			f.silent[f.members[first].Peer] = true
+			store = 6
+			// The bound on knowledge is 3 s.
+			time.Sleep(2500 * time.Millisecond)
+			f.assertRevision(other, 6)
+			f.silent[f.members[first].Peer] = false
+			time.Sleep(8 * time.Second)
+			f.assertDirect(1)
+		})
+	})
+}
+
+func TestShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "a", "b")
+		store := uint64(5)
+		f.run(&store, func() {
+			time.Sleep(2 * time.Second)
+			f.seen[0].own = []exchanger.Observation{{Searcher: "s", Answers: 2, Slowness: 1}, {Searcher: "bad", Failures: 1}}
+			time.Sleep(2 * time.Second)
+		})
+		whole := []exchanger.Observation{{Searcher: "s", Answers: 2, Slowness: 1}, {Searcher: "bad", Failures: 1}}
+		if diff := cmp.Diff(whole, f.seen[1].told); diff != "" {
+			t.Errorf("the own zone learns everything once (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(whole[1:], f.seen[2].told); diff != "" {
+			t.Errorf("another zone learns the unusual once (-want +got):\n%s", diff)
+		}
+		if len(f.seen[0].told) != 0 {
+			t.Errorf("a daemon hears what it told: %v", f.seen[0].told)
+		}
+	})
+}
+
+// TestPace bounds the calls between peers: 4 a second for each daemon.
+func TestPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "a", "a", "b")
+		store := uint64(5)
+		f.run(&store, func() { time.Sleep(10 * time.Second) })
+		if f.calls > 4*4*10 {
+			t.Errorf("%d calls in 10 s", f.calls)
+		}
+	})
+}
--- /dev/null
+++ b/internal/route/locator/locator_test.go
@@ -0,0 +1,170 @@
+package locator
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/control/follower"
+)
+
+// withLocator runs a Locator that knows version 3 and two searchers.
+func withLocator(t *testing.T, during func(l *Locator)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		l := New(hclog.NewNullLogger())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- l.Serve(ctx) }()
+		l.Routings().Replace([]follower.Item[*declarer.Routing]{routing(3)}, 1)
+		l.Searchers().Replace([]follower.Item[declarer.Searcher]{searcher("s1", "a"), searcher("s2", "b")}, 2)
+		synctest.Wait()
+		during(l)
+		cancel()
+		<-done
+	})
+}
+
+func routing(version uint64) follower.Item[*declarer.Routing] {
+	return follower.Item[*declarer.Routing]{Name: "main", Value: &declarer.Routing{Version: version}}
+}
+
+func searcher(id, zone string) follower.Item[declarer.Searcher] {
+	return follower.Item[declarer.Searcher]{Name: id, Value: declarer.Searcher{
+		ID: id, Service: "svc", Zone: zone, Addr: netip.MustParseAddrPort("10.0.0.1:80"),
+	}}
+}
+
+func change[T any](it follower.Item[T], removed bool) []follower.Change[T] {
+	return []follower.Change[T]{{Item: it, Removed: removed}}
+}
+
+func assertSearchers(t *testing.T, l *Locator, want string) {
+	t.Helper()
+	synctest.Wait()
+	var ids []string
+	for _, s := range l.View().Searchers("svc") {
+		ids = append(ids, s.ID)
+	}
+	slices.Sort(ids)
+	if diff := cmp.Diff(want, strings.Join(ids, " ")); diff != "" {
+		t.Errorf("searchers for new work (-want +got):\n%s", diff)
+	}
+}
+
+func TestReady(t *testing.T) {
+	l := New(hclog.NewNullLogger())
+	if ok, reason := l.View().Ready(); ok || reason == "" {
+		t.Errorf("ready %v with reason %q before anything is known", ok, reason)
+	}
+	withLocator(t, func(l *Locator) {
+		if ok, reason := l.View().Ready(); !ok {
+			t.Errorf("not ready: %s", reason)
+		}
+	})
+}
+
+func TestVersions(t *testing.T) {
+	withLocator(t, func(l *Locator) {
+		for _, tt := range []struct{ version, want uint64 }{{2, 3}, {3, 3}, {9, 9}, {4, 9}} {
+			l.Routings().Apply(change(routing(tt.version), false), 5)
+			synctest.Wait()
+			if got := l.View().Version(); got != tt.want {
+				t.Errorf("version %d came: want %d in force, got %d", tt.version, tt.want, got)
+			}
+		}
+		l.Routings().Apply(change(routing(9), true), 6)
+		faulty := routing(12)
+		faulty.Err = errors.New("no json")
+		l.Routings().Apply(change(faulty, false), 7)
+		synctest.Wait()
+		if got := l.View().Version(); got != 9 {
+			t.Errorf("after a removal and a faulty version: want 9, got %d", got)
+		}
+	})
+}
+
+func TestSearchers(t *testing.T) {
+	t.Run("new, draining, back", func(t *testing.T) {
+		withLocator(t, func(l *Locator) {
+			l.Searchers().Apply(change(searcher("s3", "a"), false), 3)
+			assertSearchers(t, l, "s1 s2 s3")
+			leaving := searcher("s1", "a")
+			leaving.Value.Draining = true
+			l.Searchers().Apply(change(leaving, false), 4)
+			assertSearchers(t, l, "s2 s3")
+			l.Searchers().Apply(change(searcher("s1", "a"), false), 5)
+			assertSearchers(t, l, "s1 s2 s3")
+		})
+	})
+	t.Run("entry that cannot be read", func(t *testing.T) {
+		withLocator(t, func(l *Locator) {
+			faulty := searcher("s1", "a")
+			faulty.Err = errors.New("no address")
+			l.Searchers().Apply(change(faulty, false), 3)
+			assertSearchers(t, l, "s2")
+		})
+	})
+	t.Run("removal in calm times counts at once", func(t *testing.T) {
+		withLocator(t, func(l *Locator) {
+			l.Searchers().Apply(change(searcher("s1", "a"), true), 3)
+			assertSearchers(t, l, "s2")
+		})
+	})
+}
+
+func TestOutage(t *testing.T) {
+	down := errors.New("down")
+	t.Run("an entry that lapsed has the time to come back", func(t *testing.T) {
+		withLocator(t, func(l *Locator) {
+			l.Searchers().Lost(down)
+			l.Searchers().Regained(time.Second)
+			l.Searchers().Apply(change(searcher("s1", "a"), true), 3)
+			assertSearchers(t, l, "s1 s2")
+			l.Searchers().Apply(change(searcher("s1", "a"), false), 4)
+			time.Sleep(time.Minute)
+			assertSearchers(t, l, "s1 s2")
+		})
+	})
+	t.Run("one that stays away is gone", func(t *testing.T) {
+		withLocator(t, func(l *Locator) {
+			l.Searchers().Lost(down)
+			l.Searchers().Regained(time.Second)
+			l.Searchers().Apply(change(searcher("s1", "a"), true), 3)
+			time.Sleep(reinstateTime + time.Millisecond)
+			assertSearchers(t, l, "s2")
+		})
+	})
+	t.Run("one that was draining is gone at once", func(t *testing.T) {
+		withLocator(t, func(l *Locator) {
+			leaving := searcher("s1", "a")
+			leaving.Value.Draining = true
+			l.Searchers().Apply(change(leaving, false), 3)
+			l.Searchers().Lost(down)
+			l.Searchers().Regained(time.Second)
+			l.Searchers().Apply(change(leaving, true), 4)
+			assertSearchers(t, l, "s2")
+		})
+	})
+}
+
+func TestClosures(t *testing.T) {
+	withLocator(t, func(l *Locator) {
+		zone := follower.Item[string]{Name: "a", Value: "a"}
+		l.Closures().Apply(change(zone, false), 3)
+		assertSearchers(t, l, "s2")
+		l.Closures().Apply(change(zone, true), 4)
+		assertSearchers(t, l, "s1 s2")
+		l.Closures().Replace([]follower.Item[string]{{Name: "b", Value: "b"}}, 5)
+		assertSearchers(t, l, "s1")
+	})
+}
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -35,6 +35,9 @@
 	// stallStart is how much longer than usual a running exchange takes before it
 	// counts against its searcher.
 	stallStart = 1.5
+	// chance is the share by which costs are blurred, so that searchers that are about
+	// equal get about as much, and one that recovered is met again.
+	chance = 0.2
 	// forgetAfter is how long a searcher that gets no request is remembered.
 	forgetAfter = time.Minute
 )
@@ -73,16 +76,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, bestCost := -1, 0.0
-	offset := 0
-	if len(searchers) > 0 {
-		offset = rand.IntN(len(searchers))
-	}
-	for n := range searchers {
-		i := (n + offset) % len(searchers)
+	for i := range searchers {
 		if slices.Contains(tried, i) {
 			continue
 		}
 		cost, ok := p.cost(&searchers[i], usual, now)
+		cost *= 1 + chance*rand.Float64()
 		if ok && (best < 0 || cost < bestCost) {
 			best, bestCost = i, cost
 		}
