--- /dev/null
+++ b/internal/upstream/connector/connector_test.go
@@ -0,0 +1,346 @@
+package connector
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// testCodec uses plain header names.
+type testCodec struct{}
+
+func (testCodec) Write(h http.Header, req *Request, left time.Duration) {
+	h.Set("Left-Ms", fmt.Sprint(left.Milliseconds()))
+	h.Set("Instance", req.Instance)
+}
+
+func (testCodec) Read(h http.Header) Meta {
+	return Meta{RequestID: h.Get("Id"), Stamp: h.Get("Stamp"), NotRun: h.Get("Not-Run") != ""}
+}
+
+// script answers the requests of one connection; it gets the request's number on
+// the connection.
+type script func(w net.Conn, r *http.Request, n int)
+
+// searcher is a server that follows a script.
+type searcher struct {
+	addr  netip.AddrPort
+	conns atomic.Int32
+}
+
+func newSearcher(t *testing.T, sc script) *searcher {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { lis.Close() })
+	s := &searcher{addr: lis.Addr().(*net.TCPAddr).AddrPort()}
+	go func() {
+		for {
+			nc, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			t.Cleanup(func() { nc.Close() })
+			go s.serve(nc, sc)
+		}
+	}()
+	return s
+}
+
+func (s *searcher) serve(nc net.Conn, sc script) {
+	br := bufio.NewReader(nc)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		sc(nc, r, n)
+	}
+}
+
+func answer(id, body string, headers ...string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\n%sContent-Length: %d\r\n\r\n%s",
+		id, strings.Join(headers, ""), len(body), body)
+}
+
+// say returns a script that reads the body and answers with a text.
+func say(text string) script {
+	return func(w net.Conn, r *http.Request, _ int) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+func newConnector(t *testing.T, edit func(cfg *Config)) *Connector {
+	t.Helper()
+	cfg := Default()
+	if edit != nil {
+		edit(&cfg)
+	}
+	c, closer := New(cfg, testCodec{})
+	t.Cleanup(closer)
+	return c
+}
+
+func request(id string) *Request {
+	return &Request{Method: http.MethodGet, Target: "/a?b=c", Host: "h", ID: id, Instance: "i", Deadline: time.Now().Add(time.Minute)}
+}
+
+func do(t *testing.T, c *Connector, s *searcher, id string) (*Reply, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	return c.Do(ctx, s.addr, request(id), false)
+}
+
+func assertBody(t *testing.T, rep *Reply, err error, want string) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, string(rep.Body)); diff != "" {
+		t.Errorf("body (-want +got):\n%s", diff)
+	}
+}
+
+func assertConns(t *testing.T, s *searcher, want int32) {
+	t.Helper()
+	if got := s.conns.Load(); got != want {
+		t.Errorf("%d connections, want %d", got, want)
+	}
+}
+
+func TestRequestLine(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	s := newSearcher(t, func(w net.Conn, r *http.Request, _ int) {
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		seen <- r
+		_, _ = io.WriteString(w, answer("1", ""))
+	})
+	c := newConnector(t, nil)
+	req := request("1")
+	req.Method, req.Body, req.HasBody = http.MethodPost, []byte("body"), true
+	req.Header = http.Header{"X-Own": {"v"}, "Content-Length": {"99"}}
+	if _, err := c.Do(t.Context(), s.addr, req, false); err != nil {
+		t.Fatal(err)
+	}
+	r := <-seen
+	body, _ := io.ReadAll(r.Body)
+	got := []string{r.Method, r.RequestURI, r.Host, r.Header.Get("X-Own"), r.Header.Get("Instance"), string(body)}
+	if diff := cmp.Diff([]string{"POST", "/a?b=c", "h", "v", "i", "body"}, got); diff != "" {
+		t.Errorf("request (-want +got):\n%s", diff)
+	}
+	if r.Header.Get("User-Agent") != "" {
+		t.Error("a header was added")
+	}
+}
+
+func TestKept(t *testing.T) {
+	tests := []struct {
+		name  string
+		text  string
+		conns int32
+	}{
+		{"kept", answer("", "x"), 1},
+		{"closing", answer("", "x", "Connection: close\r\n"), 2},
+		{"a second answer behind the first", answer("", "x") + answer("", "stray"), 2},
+		{"idle time over", answer("", "x", "Keep-Alive: timeout=1\r\n"), 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSearcher(t, say(tt.text))
+			c := newConnector(t, nil)
+			for i := range 2 {
+				rep, err := do(t, c, s, "1")
+				assertBody(t, rep, err, "x")
+				if strings.Contains(tt.text, "timeout=1") && i == 0 {
+					time.Sleep(800 * time.Millisecond)
+				}
+			}
+			assertConns(t, s, tt.conns)
+		})
+	}
+}
+
+// TestStray covers answers to earlier requests that come late, where the next
+// answer is due: they belong to no request.
+func TestStray(t *testing.T) {
+	t.Run("before the request", func(t *testing.T) {
+		s := newSearcher(t, func(w net.Conn, r *http.Request, _ int) {
+			_, _ = io.WriteString(w, answer(r.Header.Get("Instance"), "x"))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(w, answer("old", "stray"))
+		})
+		c := newConnector(t, nil)
+		for range 2 {
+			rep, err := do(t, c, s, "i")
+			assertBody(t, rep, err, "x")
+			time.Sleep(60 * time.Millisecond)
+		}
+		assertConns(t, s, 2)
+	})
+	t.Run("after the request", func(t *testing.T) {
+		s := newSearcher(t, say(answer("old", "stray")+answer("1", "x")))
+		rep, err := do(t, newConnector(t, nil), s, "1")
+		assertBody(t, rep, err, "x")
+	})
+	t.Run("only such", func(t *testing.T) {
+		s := newSearcher(t, say(strings.Repeat(answer("old", "stray"), 4)))
+		if _, err := do(t, newConnector(t, nil), s, "1"); !errors.Is(err, errStray) {
+			t.Errorf("error %v", err)
+		}
+	})
+}
+
+func TestBroken(t *testing.T) {
+	hangUp := func(text string) script {
+		return func(w net.Conn, _ *http.Request, _ int) {
+			_, _ = io.WriteString(w, text)
+			w.Close()
+		}
+	}
+	reset := func(text string) script {
+		return func(w net.Conn, _ *http.Request, _ int) {
+			_, _ = io.WriteString(w, text)
+			time.Sleep(20 * time.Millisecond)
+			_ = w.(*net.TCPConn).SetLinger(0)
+			w.Close()
+		}
+	}
+	unframed := "HTTP/1.1 200 OK\r\nStamp: s\r\n\r\nwhole"
+	tests := []struct {
+		name string
+		sc   script
+		ok   bool
+	}{
+		{"no answer", hangUp(""), false},
+		{"cut body", hangUp("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"), false},
+		{"no HTTP", hangUp("hello\r\n\r\n"), false},
+		{"cut chunks", hangUp("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"), false},
+		{"no length, ended", hangUp(unframed), true},
+		{"no length, reset", reset(unframed), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSearcher(t, tt.sc)
+			_, err := do(t, newConnector(t, nil), s, "1")
+			if tt.ok {
+				if err != nil {
+					t.Error(err)
+				}
+				return
+			}
+			var ce *Error
+			if !errors.As(err, &ce) || !ce.Sent || ce.Dial {
+				t.Errorf("error %#v, want one that tells of a request that may have run", err)
+			}
+		})
+	}
+}
+
+// TestStale covers connections that the searcher closed while they were idle: the
+// request goes out on another one, once.
+func TestStale(t *testing.T) {
+	served := atomic.Int32{}
+	s := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) {
+		served.Add(1)
+		_, _ = io.WriteString(w, answer("1", "x"))
+		w.Close()
+	})
+	c := newConnector(t, nil)
+	for range 3 {
+		rep, err := do(t, c, s, "1")
+		assertBody(t, rep, err, "x")
+		time.Sleep(30 * time.Millisecond)
+	}
+	if served.Load() != 3 {
+		t.Errorf("%d requests served, want 3", served.Load())
+	}
+}
+
+func TestFresh(t *testing.T) {
+	s := newSearcher(t, say(answer("1", "x")))
+	c := newConnector(t, func(cfg *Config) { cfg.FreshIdle = 10 * time.Millisecond })
+	for range 2 {
+		if _, err := c.Do(t.Context(), s.addr, request("1"), true); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	assertConns(t, s, 2)
+}
+
+func TestUnreachable(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := lis.Addr().(*net.TCPAddr).AddrPort()
+	lis.Close()
+	_, err = newConnector(t, nil).Do(t.Context(), addr, request("1"), false)
+	var ce *Error
+	if !errors.As(err, &ce) || !ce.Dial || ce.Sent {
+		t.Errorf("error %#v, want one that tells that nothing was sent", err)
+	}
+}
+
+func TestCancelled(t *testing.T) {
+	s := newSearcher(t, func(net.Conn, *http.Request, int) {})
+	c := newConnector(t, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	_, err := c.Do(ctx, s.addr, request("1"), false)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v, want the context's", err)
+	}
+	if n := c.Open(s.addr); n != 0 {
+		t.Errorf("%d connections open", n)
+	}
+}
+
+// TestEarlyAnswer covers a searcher that answers before it has read a long body:
+// the connection carries nothing else.
+func TestEarlyAnswer(t *testing.T) {
+	s := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) {
+		_, _ = io.WriteString(w, answer("1", "x"))
+		time.Sleep(time.Second)
+	})
+	c := newConnector(t, nil)
+	req := request("1")
+	req.Body = make([]byte, 16<<20)
+	rep, err := c.Do(t.Context(), s.addr, req, false)
+	assertBody(t, rep, err, "x")
+	if n := c.Open(s.addr); n != 0 {
+		t.Errorf("%d connections kept", n)
+	}
+}
+
+func TestSweep(t *testing.T) {
+	s := newSearcher(t, say(answer("1", "x")))
+	c := newConnector(t, nil)
+	rep, err := do(t, c, s, "1")
+	assertBody(t, rep, err, "x")
+	c.Sweep(time.Now())
+	if n := c.Open(s.addr); n != 1 {
+		t.Errorf("%d connections after an early sweep, want 1", n)
+	}
+	c.Sweep(time.Now().Add(c.cfg.IdleTimeout + time.Second))
+	if n := c.Open(s.addr); n != 0 {
+		t.Errorf("%d connections after a late sweep, want none", n)
+	}
+}
