--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -156,6 +156,7 @@
 	cfg := forwarder.Default()
 	cfg.ExtraPercent = int(math.Floor(set.Extra.Ratio * 100 * ratioShare))
 	cfg.ExtraSlack = set.Extra.Slack
+	cfg.ExtraWindow = set.Extra.Window
 	return cfg
 }
 
--- a/internal/route/forwarder/fake_test.go
+++ b/internal/route/forwarder/fake_test.go
@@ -113,8 +113,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		loc := locator.New(hclog.NewNullLogger())
 		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error)
-		go func() { done <- loc.Serve(ctx) }()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = loc.Serve(ctx)
+		}()
 		f := &fakes{byAddr: make(map[netip.AddrPort]string), behaves: make(map[string]behave), sent: make(map[string]int)}
 		loc.Routings().Replace([]follower.Item[*declarer.Routing]{{Name: "main", Value: routing(shards)}}, 1)
 		loc.Searchers().Replace(f.register(shards), 1)
--- a/internal/route/locator/locator_test.go
+++ b/internal/route/locator/locator_test.go
@@ -23,8 +23,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := New(hclog.NewNullLogger())
 		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error)
-		go func() { done <- l.Serve(ctx) }()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = l.Serve(ctx)
+		}()
 		l.Routings().Replace([]follower.Item[*declarer.Routing]{routing(3)}, 1)
 		l.Searchers().Replace([]follower.Item[declarer.Searcher]{searcher("s1", "a"), searcher("s2", "b")}, 2)
 		synctest.Wait()
--- a/internal/settings/reader/entry.go
+++ b/internal/settings/reader/entry.go
@@ -52,6 +52,8 @@
 	Ratio float64
 	// Slack is the number allowed beside, in one window.
 	Slack int
+	// Window is the time over which extra requests are counted.
+	Window time.Duration
 }
 
 // maxMemoryMB bounds the memory setting.
@@ -104,7 +106,8 @@
 		}},
 		{"extra", "hedges and retries, of all daemons together, for each service", []field{
 			{key: "ratio", preset: "0.2", help: "extra requests for one first request", parse: fraction(&s.Extra.Ratio)},
-			{key: "slack", preset: "50", help: "extra requests allowed beside, in 10 s", parse: integer(&s.Extra.Slack, 0, maxQueries)},
+			{key: "slack", preset: "50", help: "extra requests allowed beside, in one window", parse: integer(&s.Extra.Slack, 0, maxQueries)},
+			{key: "window", preset: "10s", help: "time over which extra requests are counted", parse: duration(&s.Extra.Window, time.Second)},
 		}},
 	}
 }
--- /dev/null
+++ b/internal/settings/reader/entry_test.go
@@ -0,0 +1,79 @@
+package reader
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const goodEntry = `
+[daemon]
+id = a-1
+zone = a
+region = r
+[caller]
+listen = 127.0.0.1:1001
+checks = 127.0.0.1:1002
+peers = 127.0.0.1:1003
+[store]
+address = 127.0.0.1:1000
+`
+
+func TestReadEntry(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want []string
+	}{
+		{"good", goodEntry, nil},
+		{"empty", "", []string{
+			"daemon/id", "daemon/zone", "daemon/region", "caller/listen", "caller/checks", "caller/peers", "store/address",
+		}},
+		{"one address twice", strings.Replace(goodEntry, "1002", "1001", 1), []string{"caller/checks"}},
+		{"unknown key", goodEntry + "[extra]\nbudget = 3\n", []string{"extra/budget"}},
+		{
+			"bad values", goodEntry + "[extra]\nratio = x\nslack = -1\nwindow = 0s\n[shutdown]\ngrace = 6\n[process]\nmemory = much\n",
+			[]string{"process/memory", "shutdown/grace", "extra/ratio", "extra/slack", "extra/window"},
+		},
+		{"section of another daemon", goodEntry + "[group]\nfence = 1s\n", []string{"group/"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := ReadEntry(writeFile(t, tt.text))
+			assertFaults(t, err, tt.want)
+		})
+	}
+}
+
+// TestEntryTemplate fills the placeholders of the template as the platform does.
+func TestEntryTemplate(t *testing.T) {
+	text, err := os.ReadFile("../../../deploy/entry.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	filled := strings.NewReplacer(
+		"{{node_name}}", "front-addis-a-1", "{{zone}}", "addis-a", "{{region}}", "et-central",
+		"{{listen.front_addr}}", "10.1.0.39:8226", "{{listen.ready_addr}}", "10.1.0.39:8227",
+		"{{ip}}:{{port_range.0}}", "10.1.0.39:7740", "{{platform.address}}", "10.200.1.7:8229",
+		"{{limits.memory_mb}}", "284", "{{bounds.grace_s}}", "6", "{{bounds.retry_budget_ratio}}", "0.2",
+		"{{bounds.retry_slack}}", "56", "{{bounds.budget_window_s}}", "10",
+	).Replace(string(text))
+	path := writeFile(t, filled)
+	set, err := ReadEntry(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !IsEntry(path) {
+		t.Error("not taken for the settings of an entry daemon")
+	}
+	want := Extra{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
+	if diff := cmp.Diff(want, set.Extra); diff != "" {
+		t.Errorf("budget (-want +got):\n%s", diff)
+	}
+	if set.Shutdown.Grace != 6*time.Second || set.Process.MemoryMB != 284 || !set.Log.JSON {
+		t.Errorf("settings %+v", set)
+	}
+}
--- a/internal/upstream/connector/connector_test.go
+++ b/internal/upstream/connector/connector_test.go
@@ -39,12 +39,18 @@
 	conns atomic.Int32
 }
 
-func newSearcher(t *testing.T, sc script) *searcher {
+func listen(t *testing.T) net.Listener {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	lis, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return lis
+}
+
+func newSearcher(t *testing.T, sc script) *searcher {
+	t.Helper()
+	lis := listen(t)
 	t.Cleanup(func() { lis.Close() })
 	s := &searcher{addr: lis.Addr().(*net.TCPAddr).AddrPort()}
 	go func() {
@@ -107,12 +113,12 @@
 	return c.Do(ctx, s.addr, request(id), false)
 }
 
-func assertBody(t *testing.T, rep *Reply, err error, want string) {
+func assertAnswered(t *testing.T, rep *Reply, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(want, string(rep.Body)); diff != "" {
+	if diff := cmp.Diff("x", string(rep.Body)); diff != "" {
 		t.Errorf("body (-want +got):\n%s", diff)
 	}
 }
@@ -167,7 +173,7 @@
 			c := newConnector(t, nil)
 			for i := range 2 {
 				rep, err := do(t, c, s, "1")
-				assertBody(t, rep, err, "x")
+				assertAnswered(t, rep, err)
 				if strings.Contains(tt.text, "timeout=1") && i == 0 {
 					time.Sleep(800 * time.Millisecond)
 				}
@@ -189,7 +195,7 @@
 		c := newConnector(t, nil)
 		for range 2 {
 			rep, err := do(t, c, s, "i")
-			assertBody(t, rep, err, "x")
+			assertAnswered(t, rep, err)
 			time.Sleep(60 * time.Millisecond)
 		}
 		assertConns(t, s, 2)
@@ -197,7 +203,7 @@
 	t.Run("after the request", func(t *testing.T) {
 		s := newSearcher(t, say(answer("old", "stray")+answer("1", "x")))
 		rep, err := do(t, newConnector(t, nil), s, "1")
-		assertBody(t, rep, err, "x")
+		assertAnswered(t, rep, err)
 	})
 	t.Run("only such", func(t *testing.T) {
 		s := newSearcher(t, say(strings.Repeat(answer("old", "stray"), 4)))
@@ -265,7 +271,7 @@
 	c := newConnector(t, nil)
 	for range 3 {
 		rep, err := do(t, c, s, "1")
-		assertBody(t, rep, err, "x")
+		assertAnswered(t, rep, err)
 		time.Sleep(30 * time.Millisecond)
 	}
 	if served.Load() != 3 {
@@ -286,13 +292,10 @@
 }
 
 func TestUnreachable(t *testing.T) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	lis := listen(t)
 	addr := lis.Addr().(*net.TCPAddr).AddrPort()
 	lis.Close()
-	_, err = newConnector(t, nil).Do(t.Context(), addr, request("1"), false)
+	_, err := newConnector(t, nil).Do(t.Context(), addr, request("1"), false)
 	var ce *Error
 	if !errors.As(err, &ce) || !ce.Dial || ce.Sent {
 		t.Errorf("error %#v, want one that tells that nothing was sent", err)
@@ -324,7 +327,7 @@
 	req := request("1")
 	req.Body = make([]byte, 16<<20)
 	rep, err := c.Do(t.Context(), s.addr, req, false)
-	assertBody(t, rep, err, "x")
+	assertAnswered(t, rep, err)
 	if n := c.Open(s.addr); n != 0 {
 		t.Errorf("%d connections kept", n)
 	}
@@ -334,7 +337,7 @@
 	s := newSearcher(t, say(answer("1", "x")))
 	c := newConnector(t, nil)
 	rep, err := do(t, c, s, "1")
-	assertBody(t, rep, err, "x")
+	assertAnswered(t, rep, err)
 	c.Sweep(time.Now())
 	if n := c.Open(s.addr); n != 1 {
 		t.Errorf("%d connections after an early sweep, want 1", n)
