--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -36,10 +36,10 @@
 func Default() Config {
 	return Config{
 		Wait:     1200 * time.Millisecond,
-		Slack:    600 * time.Millisecond,
-		Pause:    300 * time.Millisecond,
+		Slack:    450 * time.Millisecond,
+		Pause:    500 * time.Millisecond,
 		Retry:    100 * time.Millisecond,
-		MaxRetry: 800 * time.Millisecond,
+		MaxRetry: 2 * time.Second,
 		Rand:     rand.Float64,
 	}
 }
--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -46,7 +46,7 @@
 	return Config{
 		Wait:     300 * time.Millisecond,
 		Slack:    400 * time.Millisecond,
-		MaxAge:   2200 * time.Millisecond,
+		MaxAge:   2600 * time.Millisecond,
 		Pause:    50 * time.Millisecond,
 		Silence:  4 * time.Second,
 		Patience: 900 * time.Millisecond,
@@ -200,11 +200,12 @@
 			continue
 		}
 		sources := ranked(r.self, r.members())
-		r.setLeading(len(sources) == 0)
+		if len(sources) > 0 {
+			r.setLeading(false)
+		}
 		switch {
 		case len(sources) == 0:
-			r.setDirect(true, "first of its zone")
-			r.consult(ctx)
+			r.lead(ctx)
 			r.pause(ctx, r.cfg.Consult)
 		case r.ask(ctx, sources):
 			r.setDirect(false, "a peer relays the store")
@@ -212,13 +213,25 @@
 		case r.isStarting():
 			r.pause(ctx, r.cfg.Retry)
 		default:
-			r.setDirect(true, "no peer knows the store's state")
+			r.setDirect(ctx.Err() == nil, "no peer knows the store's state")
 			r.pause(ctx, r.cfg.Hold)
 		}
 	}
 	return ctx.Err()
 }
 
+// lead is a turn of the first daemon of a zone: it reads the store itself unless
+// the first of another zone, which ranks before it, knows the store's state.
+func (r *Relayer) lead(ctx context.Context) {
+	relayed := r.consult(ctx)
+	r.setLeading(!relayed)
+	if relayed {
+		r.setDirect(false, "the first of another zone relays the store")
+		return
+	}
+	r.setDirect(true, "first of all that answer")
+}
+
 // isStarting reports whether the daemon has just started, when its sources may
 // have, too.
 func (r *Relayer) isStarting() bool {
@@ -267,12 +280,18 @@
 	return true
 }
 
-// consult asks the first daemon of each other zone what was seen there.
-func (r *Relayer) consult(ctx context.Context) {
+// consult asks the first daemon of each other zone what was seen there. It reports
+// whether one that ranks before this one knows the store's state.
+func (r *Relayer) consult(ctx context.Context) bool {
 	r.share()
+	relayed := false
 	for _, m := range firsts(r.self.Zone, r.members(), r.isSilent) {
-		r.exchange(ctx, &m, r.poll(&m, 0))
+		answered := r.exchange(ctx, &m, r.poll(&m, 0))
+		if answered && rank(&m) < rank(&r.self) && r.isFresh() {
+			relayed = true
+		}
 	}
+	return relayed
 }
 
 // share puts what this daemon has seen up for its peers.
