--- a/internal/cli/builder/entry.go
+++ b/internal/cli/builder/entry.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"cornelwood.example/internal/daemon/router"
+	"cornelwood.example/internal/report/queuer"
 	"cornelwood.example/internal/settings/reader"
 )
 
@@ -33,7 +34,9 @@
 	if err != nil {
 		return err
 	}
-	log := newLogger(set.Log, cmd.Root().Writer)
+	out, flush := queuer.New(cmd.Root().Writer)
+	defer flush()
+	log := newLogger(set.Log, out)
 	d, closer, err := router.New(set, log)
 	if err != nil {
 		return eris.Wrap(err, "start")
--- /dev/null
+++ b/internal/report/queuer/queuer_test.go
@@ -0,0 +1,79 @@
+package queuer
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// slow is an output that takes an hour for a write until it is opened.
+type slow struct {
+	bytes.Buffer
+	delay  time.Duration
+	writes int
+}
+
+func (s *slow) Write(p []byte) (int, error) {
+	time.Sleep(s.delay)
+	s.writes++
+	return s.Buffer.Write(p)
+}
+
+func TestBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &slow{}
+		q, closer := New(out)
+		want := ""
+		for i := range 100 {
+			line := fmt.Sprintf("line %d\n", i)
+			want += line
+			fmt.Fprint(q, line)
+		}
+		time.Sleep(time.Second)
+		closer()
+		if diff := cmp.Diff(want, out.String()); diff != "" {
+			t.Errorf("output (-want +got):\n%s", diff)
+		}
+		if out.writes > 3 {
+			t.Errorf("%d writes for 100 lines", out.writes)
+		}
+	})
+}
+
+func TestNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &slow{delay: time.Hour}
+		q, closer := New(out)
+		started := time.Now()
+		for range 3 * maxWaiting {
+			fmt.Fprintln(q, "line")
+		}
+		if took := time.Since(started); took != 0 {
+			t.Errorf("writing took %s", took)
+		}
+		if n := q.Dropped(); n < maxWaiting {
+			t.Errorf("%d lines dropped, want %d or more", n, maxWaiting)
+		}
+		out.delay = 0
+		time.Sleep(2 * time.Hour)
+		closer()
+		if !strings.Contains(out.String(), `"log lines dropped"`) {
+			t.Error("the drops are not told")
+		}
+	})
+}
+
+func TestCloseFlushes(t *testing.T) {
+	out := &slow{}
+	q, closer := New(out)
+	fmt.Fprintln(q, "last")
+	closer()
+	if diff := cmp.Diff("last\n", out.String()); diff != "" {
+		t.Errorf("output (-want +got):\n%s", diff)
+	}
+}
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
 
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
@@ -83,11 +84,16 @@
 	stats     *stats
 	log       hclog.Logger
 	metrics   *Metrics
+	// lines bounds the log lines about requests.
+	lines *rate.Limiter
 }
 
 // New returns a Forwarder.
 func New(cfg Config, views Viewer, p *picker.Picker, ex Exchanger, log hclog.Logger, m *Metrics) *Forwarder {
-	return &Forwarder{cfg: cfg, views: views, picker: p, exchanger: ex, stats: newStats(cfg), log: log, metrics: m}
+	return &Forwarder{
+		cfg: cfg, views: views, picker: p, exchanger: ex, stats: newStats(cfg), log: log, metrics: m,
+		lines: rate.NewLimiter(linesPerSecond, lineBurst),
+	}
 }
 
 // SetExtraPercent changes the budget of extra requests.
--- a/internal/route/forwarder/query.go
+++ b/internal/route/forwarder/query.go
@@ -36,6 +36,7 @@
 		}
 	}
 	a := q.run(ctx)
+	a.Sends = len(q.cancels)
 	linger := f.cfg.Linger
 	if ctx.Err() != nil {
 		linger = 0
--- a/internal/route/forwarder/race.go
+++ b/internal/route/forwarder/race.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
@@ -118,14 +119,15 @@
 	r.results <- res
 }
 
-// outcome returns what a result tells about its searcher.
+// outcome returns what a result tells about its searcher. One that resets a new
+// connection is there, and has more connections than it accepts.
 func outcome(res *result) picker.Outcome {
 	e, isError := asConnectorError(res.err)
 	switch {
-	case isError && e.Dial:
-		return picker.Unreachable
 	case isError && (errors.Is(e.Err, context.Canceled) || errors.Is(e.Err, context.DeadlineExceeded)):
 		return picker.Abandoned
+	case isError && e.Dial && !errors.Is(e.Err, syscall.ECONNRESET):
+		return picker.Unreachable
 	case isError:
 		return picker.Failed
 	case res.verdict == notRun:
--- a/internal/route/forwarder/request.go
+++ b/internal/route/forwarder/request.go
@@ -39,6 +39,8 @@
 	Missing int
 	// RetryAfter is when a refused client may come back; 0 when nothing is known.
 	RetryAfter time.Duration
+	// Sends is the number of requests to searchers.
+	Sends int
 	// Reason says why the daemon answers by itself.
 	Reason string
 }
--- a/internal/route/forwarder/single.go
+++ b/internal/route/forwarder/single.go
@@ -17,6 +17,7 @@
 		return refuseUntil(f.cfg.RetryAfter, "no searcher can be reached")
 	}
 	a := r.runSingle(ctx)
+	a.Sends = len(r.cancels)
 	linger := f.cfg.Linger
 	if ctx.Err() != nil {
 		linger = 0
--- a/internal/route/forwarder/single_test.go
+++ b/internal/route/forwarder/single_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/route/picker"
 	"cornelwood.example/internal/upstream/connector"
 )
 
@@ -166,3 +168,22 @@
 		}
 	}
 }
+
+func TestOutcome(t *testing.T) {
+	tests := []struct {
+		name string
+		err  connector.Error
+		want picker.Outcome
+	}{
+		{"connection refused", connector.Error{Dial: true, Err: syscall.ECONNREFUSED}, picker.Unreachable},
+		{"too many connections", connector.Error{Dial: true, Err: syscall.ECONNRESET}, picker.Failed},
+		{"given up while connecting", connector.Error{Dial: true, Err: context.Canceled}, picker.Abandoned},
+		{"given up while it ran", connector.Error{Sent: true, Err: context.Canceled}, picker.Abandoned},
+		{"broken off", connector.Error{Sent: true, Err: syscall.ECONNRESET}, picker.Failed},
+	}
+	for _, tt := range tests {
+		if got := outcome(&result{err: &tt.err, verdict: judge(nil, &tt.err)}); got != tt.want {
+			t.Errorf("%s: got %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/upstream/connector/connector.go
+++ b/internal/upstream/connector/connector.go
@@ -124,6 +124,9 @@
 func (c *Connector) Do(ctx context.Context, addr netip.AddrPort, req *Request, fresh bool) (*Reply, error) {
 	cn, err := c.take(ctx, addr, fresh)
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
 		return nil, &Error{Addr: addr, Dial: true, Err: err}
 	}
 	stop := context.AfterFunc(ctx, cn.abort)
