--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -48,8 +48,6 @@
 	// ratioShare is the share of the budget's ratio that is spent: requests are counted
 	// where they arrive, some time after this daemon counts them.
 	ratioShare = 0.9
-	// probeInterval is the least time between two probes of a searcher.
-	probeInterval = 150 * time.Millisecond
 	// linkHeartbeat is the pace at which idle links to peers are looked after.
 	linkHeartbeat = time.Second
 	// sweepInterval is the time between two closings of idle connections to searchers.
@@ -205,7 +203,6 @@
 		Handler: platform.NewChecks(r.ready, metrics), ReadHeaderTimeout: headerTimeout,
 	}})
 	sup.Add(&sweeper{r.conns})
-	sup.Add(&prober{picker: r.picker, conns: r.conns})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/daemon/router/services.go
+++ b/internal/daemon/router/services.go
@@ -9,7 +9,6 @@
 
 	"github.com/thejerf/suture/v4"
 
-	"cornelwood.example/internal/route/picker"
 	"cornelwood.example/internal/time/sleeper"
 	"cornelwood.example/internal/upstream/connector"
 )
@@ -36,30 +35,6 @@
 	return err
 }
 
-// prober opens connections to searchers that could not be reached, so that no
-// request has to find out that they are back.
-type prober struct {
-	picker *picker.Picker
-	conns  *connector.Connector
-}
-
-// String names the service in the supervisor's events.
-func (p *prober) String() string {
-	return "prober"
-}
-
-// Serve probes what is due until ctx ends.
-func (p *prober) Serve(ctx context.Context) error {
-	for {
-		if err := sleeper.Sleep(ctx, probeInterval); err != nil {
-			return err
-		}
-		for _, t := range p.picker.Due() {
-			go func() { p.picker.Probed(t.ID, p.conns.Probe(ctx, t.Addr) == nil) }()
-		}
-	}
-}
-
 // sweeper closes idle connections to searchers.
 type sweeper struct {
 	conns *connector.Connector
--- a/internal/route/picker/health.go
+++ b/internal/route/picker/health.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"net/netip"
 	"time"
 )
 
@@ -19,8 +18,8 @@
 	failureGain = 0.2
 	// failureHalfLife is how fast a failure rate that no answer confirms is forgotten.
 	failureHalfLife = 3 * time.Second
-	// minBackoff and maxBackoff bound the time between two probes of a searcher that
-	// cannot be reached; it doubles with each failure in a row.
+	// minBackoff and maxBackoff bound the time for which a searcher that cannot be
+	// reached gets no request; it doubles with each failure in a row.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 2 * time.Second
 )
@@ -55,11 +54,8 @@
 	// streak counts unreachable attempts in a row; downUntil ends the backoff.
 	streak    int
 	downUntil time.Time
-	// probing is true while a probe of the searcher runs.
-	probing bool
-	addr    netip.AddrPort
-	// wantedAt is when a request last considered the searcher.
-	wantedAt time.Time
+	// trial is true while one request tries a searcher after its backoff.
+	trial bool
 }
 
 // settle takes the outcome of an exchange in.
@@ -81,14 +77,10 @@
 		}
 	case Unreachable:
 		h.fail(1, now)
-		h.down(now)
+		h.downUntil = now.Add(min(maxBackoff, minBackoff<<min(h.streak, 8)))
+		h.streak++
 	}
-}
-
-// down lets the searcher get no request until a probe has reached it.
-func (h *health) down(now time.Time) {
-	h.downUntil = now.Add(min(maxBackoff, minBackoff<<min(h.streak, 8)))
-	h.streak++
+	h.trial = false
 }
 
 func (h *health) sample(took, usual time.Duration, now time.Time) {
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -6,8 +6,8 @@
 // for seconds (new requests go elsewhere once an exchange takes longer than
 // usual, before it has ended); searchers that fail while they report good health
 // (their failure rate costs what a second attempt costs); searchers that cannot
-// be reached (left out until a probe connects, so that no request waits for them);
-// zones of uneven load (another zone's searcher wins when the own one has more to do).
+// be reached (left out for a growing time, then tried by one request); zones of
+// uneven load (another zone's searcher wins when the own one has more to do).
 package picker
 
 import (
@@ -111,8 +111,7 @@
 func (p *Picker) cost(s *locator.Searcher, usual time.Duration, now time.Time) (float64, bool) {
 	cost := 1.0
 	if h := p.known[s.ID]; h != nil {
-		h.addr, h.wantedAt = s.Addr, now
-		if h.streak > 0 {
+		if h.trial || now.Before(h.downUntil) {
 			return 0, false
 		}
 		cost = h.slownessAt(now)
@@ -133,6 +132,8 @@
 
 func (p *Picker) start(id string, usual time.Duration, now time.Time) *Ticket {
 	h := p.healthOf(id)
+	// After a backoff one request alone tries the searcher.
+	h.trial = h.streak > 0
 	t := &Ticket{picker: p, id: id, health: h, start: now, usual: usual}
 	h.running[t] = struct{}{}
 	p.sweep(now)
--- a/internal/route/picker/share.go
+++ b/internal/route/picker/share.go
@@ -71,7 +71,8 @@
 		h.failedAt = now
 	}
 	if ob.Dials > 0 && ob.Answers == 0 && h.streak == 0 {
-		h.down(now)
+		h.streak = 1
+		h.downUntil = now.Add(minBackoff)
 	}
 }
 
--- a/internal/upstream/connector/connector.go
+++ b/internal/upstream/connector/connector.go
@@ -146,17 +146,6 @@
 	return nil, &Error{Addr: addr, Sent: sent, Err: err}
 }
 
-// Probe opens a connection to see whether the searcher can be reached, and keeps
-// it for the next exchange.
-func (c *Connector) Probe(ctx context.Context, addr netip.AddrPort) error {
-	cn, err := c.dial(ctx, addr)
-	if err != nil {
-		return err
-	}
-	c.give(addr, cn)
-	return nil
-}
-
 // Open returns the number of connections to an address, busy and idle.
 func (c *Connector) Open(addr netip.AddrPort) int {
 	c.mu.Lock()
