--- a/internal/upstream/connector/connector.go
+++ b/internal/upstream/connector/connector.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -27,6 +28,9 @@
 	// FreshIdle is the longest idle time of a connection that may carry a request
 	// which must not be lost: a searcher may forget an idle connection unnoticed.
 	FreshIdle time.Duration
+	// TurnAwayTime is how soon a reset of a new connection counts as turned away: a
+	// round trip between zones, less than a searcher works on any request.
+	TurnAwayTime time.Duration
 	// Silence bounds how long sent bytes may stay unacknowledged.
 	Silence time.Duration
 	// Dial opens a connection; nil means TCP.
@@ -36,10 +40,11 @@
 // Default returns the bounds for upstreams within one region.
 func Default() Config {
 	return Config{
-		DialTimeout: 300 * time.Millisecond,
-		IdleTimeout: 1500 * time.Millisecond,
-		FreshIdle:   time.Second,
-		Silence:     2 * time.Second,
+		DialTimeout:  300 * time.Millisecond,
+		IdleTimeout:  1500 * time.Millisecond,
+		FreshIdle:    time.Second,
+		TurnAwayTime: 2500 * time.Microsecond,
+		Silence:      2 * time.Second,
 	}
 }
 
@@ -50,7 +55,10 @@
 	Sent bool
 	// Dial is true when no connection could be opened.
 	Dial bool
-	Err  error
+	// TurnedAway is true when a new connection was reset right after the request was
+	// sent: most likely the searcher accepts no more connections, and has not read it.
+	TurnedAway bool
+	Err        error
 }
 
 // Error returns the address, how far the exchange came and the cause.
@@ -129,6 +137,7 @@
 		}
 		return nil, &Error{Addr: addr, Dial: true, Err: err}
 	}
+	isNew, started := cn.idleSince.IsZero(), time.Now()
 	stop := context.AfterFunc(ctx, cn.abort)
 	sent, rep, err := cn.exchange(req, c.codec)
 	stopped := stop()
@@ -143,7 +152,8 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
-	return nil, &Error{Addr: addr, Sent: sent, Err: err}
+	turnedAway := isNew && errors.Is(err, syscall.ECONNRESET) && time.Since(started) < c.cfg.TurnAwayTime
+	return nil, &Error{Addr: addr, Sent: sent, TurnedAway: turnedAway, Err: err}
 }
 
 // Open returns the number of connections to an address, busy and idle.
--- a/internal/upstream/connector/connector_test.go
+++ b/internal/upstream/connector/connector_test.go
@@ -347,3 +347,48 @@
 		t.Errorf("%d connections after a late sweep, want none", n)
 	}
 }
+
+// TestTurnedAway covers a searcher that resets the connections that it does not
+// accept, and one that resets a connection on which it has answered before.
+func TestTurnedAway(t *testing.T) {
+	reset := func(w net.Conn) {
+		_ = w.(*net.TCPConn).SetLinger(0)
+		w.Close()
+	}
+	slowly := func(cfg *Config) { cfg.TurnAwayTime = time.Second }
+	t.Run("new connection", func(t *testing.T) {
+		s := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) { reset(w) })
+		_, err := do(t, newConnector(t, slowly), s, "1")
+		assertTurnedAway(t, err, true)
+	})
+	t.Run("used connection", func(t *testing.T) {
+		s := newSearcher(t, func(w net.Conn, _ *http.Request, n int) {
+			if n > 0 {
+				reset(w)
+				return
+			}
+			_, _ = io.WriteString(w, answer("1", "x"))
+		})
+		c := newConnector(t, slowly)
+		rep, err := do(t, c, s, "1")
+		assertAnswered(t, rep, err)
+		_, err = do(t, c, s, "1")
+		assertTurnedAway(t, err, false)
+	})
+	t.Run("after some work", func(t *testing.T) {
+		s := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) {
+			time.Sleep(20 * time.Millisecond)
+			reset(w)
+		})
+		_, err := do(t, newConnector(t, nil), s, "1")
+		assertTurnedAway(t, err, false)
+	})
+}
+
+func assertTurnedAway(t *testing.T, err error, want bool) {
+	t.Helper()
+	var ce *Error
+	if !errors.As(err, &ce) || !ce.Sent || ce.TurnedAway != want {
+		t.Errorf("error %#v, want one of a request that was sent, turned away: %v", err, want)
+	}
+}
