connector, forwarder: revert attempts that are not used up by a reset

Conclusion: what fails in the seconds after a restart lacks room at every searcher; another send finds none.

--- a/internal/route/forwarder/race.go
+++ b/internal/route/forwarder/race.go
@@ -145,28 +145,18 @@
 	l := &r.legs[res.leg]
 	l.running--
 	l.last = res
-	if res.verdict == notRun || r.isTurnedAway(res) {
+	if res.verdict == notRun {
 		l.attempts--
 		l.refusals++
+	} else {
+		r.ran = true
 	}
-	r.ran = r.ran || res.verdict != notRun
 	if l.done || l.running > 0 {
 		return true
 	}
 	return r.retry(res.leg)
 }
 
-// isTurnedAway reports whether a request most likely was not read. That is enough
-// to try one more searcher with a request that may be repeated, and no more: no
-// client is told that it has not run.
-//
-// Load pattern: a restart of all daemons, while connections of the dead ones
-// still fill the searchers.
-func (r *race) isTurnedAway(res *result) bool {
-	e, ok := asConnectorError(res.err)
-	return ok && e.TurnedAway && r.route.Idempotent
-}
-
 // retry sends a leg's request to another searcher after a failure.
 func (r *race) retry(i int) bool {
 	l := &r.legs[i]
--- a/internal/upstream/connector/connector.go
+++ b/internal/upstream/connector/connector.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -28,9 +27,6 @@
 	// FreshIdle is the longest idle time of a connection that may carry a request
 	// which must not be lost: a searcher may forget an idle connection unnoticed.
 	FreshIdle time.Duration
-	// TurnAwayTime is how soon a reset of a new connection counts as turned away: a
-	// round trip between zones, less than a searcher works on any request.
-	TurnAwayTime time.Duration
 	// Silence bounds how long sent bytes may stay unacknowledged.
 	Silence time.Duration
 	// Dial opens a connection; nil means TCP.
@@ -40,11 +36,10 @@
 // Default returns the bounds for upstreams within one region.
 func Default() Config {
 	return Config{
-		DialTimeout:  300 * time.Millisecond,
-		IdleTimeout:  1500 * time.Millisecond,
-		FreshIdle:    time.Second,
-		TurnAwayTime: 2500 * time.Microsecond,
-		Silence:      2 * time.Second,
+		DialTimeout: 300 * time.Millisecond,
+		IdleTimeout: 1500 * time.Millisecond,
+		FreshIdle:   time.Second,
+		Silence:     2 * time.Second,
 	}
 }
 
@@ -55,10 +50,7 @@
 	Sent bool
 	// Dial is true when no connection could be opened.
 	Dial bool
-	// TurnedAway is true when a new connection was reset right after the request was
-	// sent: most likely the searcher accepts no more connections, and has not read it.
-	TurnedAway bool
-	Err        error
+	Err  error
 }
 
 // Error returns the address, how far the exchange came and the cause.
@@ -137,7 +129,6 @@
 		}
 		return nil, &Error{Addr: addr, Dial: true, Err: err}
 	}
-	isNew, started := cn.idleSince.IsZero(), time.Now()
 	stop := context.AfterFunc(ctx, cn.abort)
 	sent, rep, err := cn.exchange(req, c.codec)
 	stopped := stop()
@@ -152,8 +143,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
-	turnedAway := isNew && errors.Is(err, syscall.ECONNRESET) && time.Since(started) < c.cfg.TurnAwayTime
-	return nil, &Error{Addr: addr, Sent: sent, TurnedAway: turnedAway, Err: err}
+	return nil, &Error{Addr: addr, Sent: sent, Err: err}
 }
 
 // Open returns the number of connections to an address, busy and idle.
