--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -36,6 +36,7 @@
 	"cornelwood.example/internal/settings/reader"
 	"cornelwood.example/internal/upstream/dispatcher"
 	"cornelwood.example/internal/upstream/prober"
+	"cornelwood.example/internal/web/server"
 )
 
 // keyBytes is the length of the key that signs tickets.
@@ -57,8 +58,8 @@
 	entry   *gatherer.Gatherer
 	tickets *ticketer.Ticketer
 
-	callers   *httpService
-	operators *httpService
+	callers   *server.Server
+	operators *server.Server
 	leaving   atomic.Bool
 	// joined is true once the daemon admits work, see admitting.
 	joined  atomic.Bool
@@ -213,13 +214,13 @@
 	d.onClose(closer)
 	metrics := promhttp.HandlerFor(d.reg, promhttp.HandlerOpts{})
 	callers := receiver.New(recorder.NewQuerier(d.entry, d.views, rec), d.tickets, checker{d}, metrics)
-	d.callers = newHTTPService("callers", d.lis.caller, callers)
+	d.callers = server.New("callers", d.lis.caller, receiver.Server(callers))
 	ops := commander.New(store, d.control, d.views, d.log.Named("operator"), commander.NewMetrics(d.reg))
 	operators := rec.Handler(d.self.ID, ops)
 	if d.set.Peer.Faults {
 		operators = d.block.Handler(operators)
 	}
-	d.operators = newHTTPService("operators", d.lis.operator, operators)
+	d.operators = server.New("operators", d.lis.operator, receiver.Server(operators))
 	return nil
 }
 
--- a/internal/daemon/assembler/services.go
+++ b/internal/daemon/assembler/services.go
@@ -2,52 +2,14 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"net/http"
 	"time"
 
-	"github.com/thejerf/suture/v4"
-
-	"cornelwood.example/internal/caller/receiver"
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/contract/exchanger"
 	"cornelwood.example/internal/control/viewer"
 	"cornelwood.example/internal/peer/assigner"
 )
 
-// httpService is an HTTP server under suture.
-type httpService struct {
-	name string
-	lis  net.Listener
-	srv  *http.Server
-}
-
-func newHTTPService(name string, lis net.Listener, h http.Handler) *httpService {
-	return &httpService{name: name, lis: lis, srv: receiver.Server(h)}
-}
-
-// String names the service in the supervisor's events.
-func (s *httpService) String() string {
-	return s.name
-}
-
-// Serve serves until ctx ends or Shutdown is called.
-func (s *httpService) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { s.srv.Close() })
-	defer stop()
-	err := s.srv.Serve(s.lis)
-	if errors.Is(err, http.ErrServerClosed) {
-		return suture.ErrDoNotRestart
-	}
-	return err
-}
-
-// Shutdown refuses new connections and waits for running calls.
-func (s *httpService) Shutdown(ctx context.Context) error {
-	return s.srv.Shutdown(ctx)
-}
-
 // worker runs peers' tasks on the daemon's own dispatcher, which is made after
 // the links.
 type worker struct {
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -31,6 +31,7 @@
 	"cornelwood.example/internal/route/picker"
 	"cornelwood.example/internal/settings/reader"
 	"cornelwood.example/internal/upstream/connector"
+	"cornelwood.example/internal/web/server"
 	"cornelwood.example/platform"
 )
 
@@ -123,6 +124,9 @@
 	r.buildControl(set)
 	r.conns, closer = connector.New(connector.Default(), platform.Codec{})
 	r.closers = append(r.closers, closer)
+	r.reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "cornelwood_searcher_connections_opened_total", Help: "Connections opened to searchers.",
+	}, func() float64 { return float64(r.conns.Opened()) }))
 	r.forwarder = forwarder.New(policy(set), r.locator, r.picker, r.conns, r.log.Named("route"), forwarder.NewMetrics(r.reg))
 	r.server = &http.Server{
 		Handler:           platform.NewFront(r.forwarder, r.leaving.Load),
@@ -197,11 +201,10 @@
 	for _, f := range r.followers {
 		sup.Add(f)
 	}
-	sup.Add(&httpService{name: "callers", lis: r.callers, srv: r.server})
+	sup.Add(server.New("callers", r.callers, r.server))
 	metrics := promhttp.HandlerFor(r.reg, promhttp.HandlerOpts{})
-	sup.Add(&httpService{name: "checks", lis: r.checks, srv: &http.Server{
-		Handler: platform.NewChecks(r.ready, metrics), ReadHeaderTimeout: headerTimeout,
-	}})
+	checks := &http.Server{Handler: platform.NewChecks(r.ready, metrics), ReadHeaderTimeout: headerTimeout}
+	sup.Add(server.New("checks", r.checks, checks))
 	sup.Add(&sweeper{r.conns})
 	done := make(chan struct{})
 	go func() {
--- a/internal/query/merger/merger.go
+++ b/internal/query/merger/merger.go
@@ -28,12 +28,10 @@
 // goroutine.
 type Merger struct {
 	version   uint64
-	limit     int
 	merged    []bool
 	count     int
 	documents uint64
-	// heap holds at most limit hits, the worst one first.
-	heap []answerer.Hit
+	best      best[answerer.Hit]
 }
 
 // New returns a Merger of the best limit hits of a number of shards, all of
@@ -41,9 +39,8 @@
 func New(version uint64, shards, limit int) *Merger {
 	return &Merger{
 		version: version,
-		limit:   limit,
 		merged:  make([]bool, shards),
-		heap:    make([]answerer.Hit, 0, limit),
+		best:    newBest(limit, compare),
 	}
 }
 
@@ -90,53 +87,17 @@
 // Hits returns the best hits, ordered by falling score, then shard, then ID. The
 // Merger must not be used afterwards.
 func (m *Merger) Hits() []answerer.Hit {
-	slices.SortFunc(m.heap, compareRefs)
-	return m.heap
+	slices.SortFunc(m.best.items, compareRefs)
+	return m.best.items
 }
 
-// addHits merges the hits of one shard, best first.
+// addHits merges the hits of one shard, best first, and marks them as the shard's.
 func (m *Merger) addHits(shard int, hits []answerer.Hit) {
 	for i := range hits {
-		h := hits[i]
-		h.Shard = shard
-		if len(m.heap) < m.limit {
-			m.push(h)
-			continue
-		}
-		if compare(&h, &m.heap[0]) >= 0 {
-			return
-		}
-		m.heap[0] = h
-		m.sink()
-	}
-}
-
-func (m *Merger) push(h answerer.Hit) {
-	m.heap = append(m.heap, h)
-	for i := len(m.heap) - 1; i > 0; {
-		parent := (i - 1) / 2
-		if compare(&m.heap[i], &m.heap[parent]) <= 0 {
-			return
-		}
-		m.heap[i], m.heap[parent] = m.heap[parent], m.heap[i]
-		i = parent
-	}
-}
-
-// sink moves the first hit of the heap to its place.
-func (m *Merger) sink() {
-	for i := 0; ; {
-		worst := i
-		for c := 2*i + 1; c <= 2*i+2 && c < len(m.heap); c++ {
-			if compare(&m.heap[c], &m.heap[worst]) > 0 {
-				worst = c
-			}
-		}
-		if worst == i {
+		hits[i].Shard = shard
+		if !m.best.add(&hits[i]) {
 			return
 		}
-		m.heap[i], m.heap[worst] = m.heap[worst], m.heap[i]
-		i = worst
 	}
 }
 
