relayer: a source counts as fresh by its own answer

Cause: after an answer of a peer that had lost the store, the own copies still looked fresh by this daemon's own reading, which then stopped for up to 2.6 s: ten changes missed in TestSourceCutOff, close to the bound of 3 s. Ruled out: a longer hold of the own reading (the same gap follows it). Now every timely kind of the answer itself must be confirmed and not lost.

--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -315,6 +315,10 @@
 	return nil
 }
 
+func (c *Cache[T]) isTimeless() bool {
+	return c.timeless
+}
+
 func (c *Cache[T]) name() string {
 	return c.kind
 }
--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -68,6 +69,7 @@
 	Revision() (uint64, bool)
 	newer(from uint64) bool
 	fresh(age time.Duration) bool
+	isTimeless() bool
 	since(from uint64) (update, error)
 	take(u *update) error
 }
@@ -260,24 +262,11 @@
 	return false
 }
 
-// pollOne polls one source, and reports whether the caches are fresh then.
+// pollOne polls one source, and reports whether its knowledge is fresh.
 func (r *Relayer) pollOne(ctx context.Context, m *declarer.Member) bool {
 	in := r.poll(m, r.cfg.Wait)
 	in.Seen = r.observer.Drain()
-	if !r.exchange(ctx, m, in) {
-		return false
-	}
-	return r.isFresh()
-}
-
-// isFresh reports whether every cache is.
-func (r *Relayer) isFresh() bool {
-	for _, k := range r.kinds {
-		if !k.fresh(r.cfg.MaxAge) {
-			return false
-		}
-	}
-	return true
+	return r.exchange(ctx, m, in)
 }
 
 // consult asks the first daemon of each other zone what was seen there. It reports
@@ -286,8 +275,7 @@
 	r.share()
 	relayed := false
 	for _, m := range firsts(r.self.Zone, r.members(), r.isSilent) {
-		answered := r.exchange(ctx, &m, r.poll(&m, 0))
-		if answered && rank(&m) < rank(&r.self) && r.isFresh() {
+		if r.exchange(ctx, &m, r.poll(&m, 0)) && rank(&m) < rank(&r.self) {
 			relayed = true
 		}
 	}
@@ -314,7 +302,8 @@
 	return in
 }
 
-// exchange asks a peer, and takes over what it tells.
+// exchange asks a peer, and takes over what it tells. It reports whether the
+// peer's own knowledge is fresh: this daemon's may be so by its own reading.
 func (r *Relayer) exchange(ctx context.Context, m *declarer.Member, in *poll) bool {
 	ctx, cancel := context.WithTimeout(ctx, in.Wait+r.cfg.Slack)
 	defer cancel()
@@ -334,6 +323,20 @@
 	r.numbers[m.ID] = out.Number
 	r.observer.Merge(out.Seen)
 	r.board.add(m.ID, m.Zone, out.Seen)
+	return r.isFresh(&out)
+}
+
+// isFresh reports whether a peer's answer shows knowledge that can be relied on.
+func (r *Relayer) isFresh(n *news) bool {
+	for _, k := range r.kinds {
+		if k.isTimeless() {
+			continue
+		}
+		i := slices.IndexFunc(n.Updates, func(u update) bool { return u.Kind == k.name() })
+		if i < 0 || n.Updates[i].Lost || n.Updates[i].Age > r.cfg.MaxAge {
+			return false
+		}
+	}
 	return true
 }
 
--- a/internal/control/relayer/relayer_test.go
+++ b/internal/control/relayer/relayer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"reflect"
@@ -50,11 +51,13 @@
 	caches  []*Cache[string]
 	seen    []*watcher
 	silent  map[netip.AddrPort]bool
-	calls   int
+	// cut holds the daemons that cannot reach the store.
+	cut   map[int]bool
+	calls int
 }
 
 func newFleet(t *testing.T, zones ...string) *fleet {
-	f := &fleet{t: t, daemons: make(map[netip.AddrPort]*Relayer), silent: make(map[netip.AddrPort]bool)}
+	f := &fleet{t: t, daemons: make(map[netip.AddrPort]*Relayer), silent: make(map[netip.AddrPort]bool), cut: make(map[int]bool)}
 	for i, zone := range zones {
 		m := declarer.Member{ID: fmt.Sprintf("d%d", i), Zone: zone, Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)}
 		w := &watcher{}
@@ -112,7 +115,11 @@
 		}()
 		go func() {
 			for ctx.Err() == nil {
-				if open, _ := r.Open(); open && *store > 0 {
+				open, _ := r.Open()
+				switch {
+				case open && f.cut[i]:
+					c.Lost(errors.New("cut off"))
+				case open && *store > 0:
 					c.Replace([]follower.Item[string]{item("a", *store, fmt.Sprint(*store))}, *store)
 				}
 				time.Sleep(100 * time.Millisecond)
@@ -182,6 +189,40 @@
 	})
 }
 
+// maxLag is how many changes, one each 250 ms, a daemon may be behind: 1 s, a third
+// of the bound on knowledge.
+const maxLag = 4
+
+// TestSourceCutOff covers a reader that the store does not answer: the others read
+// the store themselves all the while, also while their own copies are fresh.
+func TestSourceCutOff(t *testing.T) {
+	for name, zones := range map[string][]string{"one zone": {"a", "a", "a"}, "three zones": {"a", "b", "c"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, zones...)
+				store := uint64(5)
+				f.run(&store, func() {
+					time.Sleep(2 * time.Second)
+					for i := range f.members {
+						open, _ := f.daemons[f.members[i].Peer].Open()
+						f.cut[i] = open
+					}
+					time.Sleep(2 * time.Second)
+					for range 40 {
+						store++
+						time.Sleep(250 * time.Millisecond)
+						for i := range f.members {
+							if got, _ := f.caches[i].Revision(); !f.cut[i] && got+maxLag < store {
+								t.Errorf("daemon %d knows revision %d of %d", i, got, store)
+							}
+						}
+					}
+				})
+			})
+		})
+	}
+}
+
 func TestShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "a", "b")
