--- a/internal/report/queuer/queuer_test.go
+++ b/internal/report/queuer/queuer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,15 +12,16 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// slow is an output that takes an hour for a write until it is opened.
+// slow is an output that takes a time for each write.
 type slow struct {
 	bytes.Buffer
-	delay  time.Duration
+	// delay is the time in nanoseconds.
+	delay  atomic.Int64
 	writes int
 }
 
 func (s *slow) Write(p []byte) (int, error) {
-	time.Sleep(s.delay)
+	time.Sleep(time.Duration(s.delay.Load()))
 	s.writes++
 	return s.Buffer.Write(p)
 }
@@ -47,7 +49,8 @@
 
 func TestNeverBlocks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		out := &slow{delay: time.Hour}
+		out := &slow{}
+		out.delay.Store(int64(time.Hour))
 		q, closer := New(out)
 		started := time.Now()
 		for range 3 * maxWaiting {
@@ -59,7 +62,7 @@
 		if n := q.Dropped(); n < maxWaiting {
 			t.Errorf("%d lines dropped, want %d or more", n, maxWaiting)
 		}
-		out.delay = 0
+		out.delay.Store(0)
 		time.Sleep(2 * time.Hour)
 		closer()
 		if !strings.Contains(out.String(), `"log lines dropped"`) {
