--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 
 // fakeFeed is a store of names; a call may hang until its context ends.
 type fakeFeed struct {
+	mu       sync.Mutex
 	revision uint64
 	floor    uint64
 	hang     bool
@@ -22,33 +25,50 @@
 }
 
 func (f *fakeFeed) note(ctx context.Context, call string) error {
+	f.mu.Lock()
 	f.calls = append(f.calls, call)
 	f.at = append(f.at, time.Since(f.start))
-	if f.hang {
+	hang, err := f.hang, f.fail
+	f.mu.Unlock()
+	if hang {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	return f.fail
+	return err
+}
+
+// change changes the feed while it is read.
+func (f *fakeFeed) change(edit func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	edit()
+}
+
+func (f *fakeFeed) state() (revision, floor uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision, f.floor
 }
 
 func (f *fakeFeed) List(ctx context.Context) ([]Item[string], uint64, error) {
 	if err := f.note(ctx, "list"); err != nil {
 		return nil, 0, err
 	}
-	return []Item[string]{{Name: "a", Revision: f.revision}}, f.revision, nil
+	revision, _ := f.state()
+	return []Item[string]{{Name: "a", Revision: revision}}, revision, nil
 }
 
 func (f *fakeFeed) Watch(ctx context.Context, from uint64, wait time.Duration) ([]Change[string], uint64, error) {
 	if err := f.note(ctx, "watch"); err != nil {
 		return nil, 0, err
 	}
-	if from < f.floor {
+	revision, floor := f.state()
+	if from < floor {
 		return nil, 0, &HistoryError{From: from}
 	}
-	if from < f.revision {
-		return []Change[string]{{Item: Item[string]{Name: "a", Revision: f.revision}}}, f.revision, nil
+	if from < revision {
+		return []Change[string]{{Item: Item[string]{Name: "a", Revision: revision}}}, revision, nil
 	}
-	revision := f.revision
 	time.Sleep(wait)
 	return nil, revision, nil
 }
@@ -69,11 +89,11 @@
 
 // gate is a Gate that a test opens and closes.
 type gate struct {
-	open    bool
+	open    atomic.Bool
 	changed chan struct{}
 }
 
-func (g *gate) Open() (bool, <-chan struct{}) { return g.open, g.changed }
+func (g *gate) Open() (bool, <-chan struct{}) { return g.open.Load(), g.changed }
 
 func follow(t *testing.T, feed *fakeFeed, g *gate, during func(sink *fakeSink)) *fakeSink {
 	t.Helper()
@@ -96,7 +116,9 @@
 }
 
 func open() *gate {
-	return &gate{open: true}
+	g := &gate{}
+	g.open.Store(true)
+	return g
 }
 
 func assertCalls(t *testing.T, feed *fakeFeed, want ...string) {
@@ -119,7 +141,7 @@
 		feed := &fakeFeed{revision: 7}
 		follow(t, feed, open(), func(*fakeSink) {
 			time.Sleep(time.Second)
-			feed.revision, feed.floor = 20, 19
+			feed.change(func() { feed.revision, feed.floor = 20, 19 })
 			time.Sleep(4 * time.Second)
 		})
 		assertCalls(t, feed, "list", "watch", "watch", "list", "watch")
@@ -128,7 +150,7 @@
 		feed := &fakeFeed{revision: 7}
 		sink := follow(t, feed, open(), func(*fakeSink) {
 			time.Sleep(time.Second)
-			feed.hang = true
+			feed.change(func() { feed.hang = true })
 			time.Sleep(5 * time.Second)
 		})
 		cfg := Default()
@@ -146,10 +168,12 @@
 		g := &gate{}
 		follow(t, feed, g, func(*fakeSink) {
 			time.Sleep(3 * time.Second)
-			if len(feed.calls) != 0 {
-				t.Errorf("calls behind a closed gate: %v", feed.calls)
-			}
-			g.open = true
+			feed.change(func() {
+				if len(feed.calls) != 0 {
+					t.Errorf("calls behind a closed gate: %v", feed.calls)
+				}
+			})
+			g.open.Store(true)
 			close(g.changed)
 			time.Sleep(time.Second)
 		})
--- a/internal/control/relayer/relayer_test.go
+++ b/internal/control/relayer/relayer_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/netip"
 	"reflect"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,16 +34,29 @@
 
 // watcher is an Observer that keeps what it is told.
 type watcher struct {
+	mu        sync.Mutex
 	own, told []exchanger.Observation
 }
 
 func (w *watcher) Drain() []exchanger.Observation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	out := w.own
 	w.own = nil
 	return out
 }
 
-func (w *watcher) Merge(seen []exchanger.Observation) { w.told = append(w.told, seen...) }
+func (w *watcher) Merge(seen []exchanger.Observation) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.told = append(w.told, seen...)
+}
+
+func (w *watcher) see(seen ...exchanger.Observation) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.own = append(w.own, seen...)
+}
 
 // fleet is daemons that call each other without a network.
 type fleet struct {
@@ -50,10 +65,38 @@
 	members []declarer.Member
 	caches  []*Cache[string]
 	seen    []*watcher
-	silent  map[netip.AddrPort]bool
+	// store is the store's revision.
+	store atomic.Uint64
+	calls atomic.Int64
+
+	mu     sync.Mutex
+	silent map[netip.AddrPort]bool
 	// cut holds the daemons that cannot reach the store.
-	cut   map[int]bool
-	calls int
+	cut map[int]bool
+}
+
+func (f *fleet) setSilent(i int, silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent[f.members[i].Peer] = silent
+}
+
+func (f *fleet) isSilent(peer netip.AddrPort) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent[peer]
+}
+
+func (f *fleet) cutOff(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[i] = true
+}
+
+func (f *fleet) isCutOff(i int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[i]
 }
 
 func newFleet(t *testing.T, zones ...string) *fleet {
@@ -71,8 +114,8 @@
 }
 
 func (f *fleet) Call(ctx context.Context, peer netip.AddrPort, _ string, in, out any) error {
-	f.calls++
-	if f.silent[peer] {
+	f.calls.Add(1)
+	if f.isSilent(peer) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -104,7 +147,8 @@
 
 // run serves every daemon while during runs; a daemon that reads the store finds
 // the revision there.
-func (f *fleet) run(store *uint64, during func()) {
+func (f *fleet) run(during func()) {
+	f.store.Store(5)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	done := make(chan struct{}, len(f.members))
 	for i, m := range f.members {
@@ -117,10 +161,11 @@
 			for ctx.Err() == nil {
 				open, _ := r.Open()
 				switch {
-				case open && f.cut[i]:
+				case open && f.isCutOff(i):
 					c.Lost(errors.New("cut off"))
-				case open && *store > 0:
-					c.Replace([]follower.Item[string]{item("a", *store, fmt.Sprint(*store))}, *store)
+				case open:
+					revision := f.store.Load()
+					c.Replace([]follower.Item[string]{item("a", revision, fmt.Sprint(revision))}, revision)
 				}
 				time.Sleep(100 * time.Millisecond)
 			}
@@ -157,11 +202,10 @@
 func TestRelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "a", "a", "a")
-		store := uint64(5)
-		f.run(&store, func() {
+		f.run(func() {
 			time.Sleep(2 * time.Second)
 			f.assertDirect(1)
-			store = 6
+			f.store.Store(6)
 			time.Sleep(500 * time.Millisecond)
 			for i := range f.members {
 				f.assertRevision(i, 6)
@@ -173,16 +217,15 @@
 func TestFallback(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "a", "a", "a")
-		store := uint64(5)
 		first, other := f.first()
-		f.run(&store, func() {
+		f.run(func() {
 			time.Sleep(2 * time.Second)
-			f.silent[f.members[first].Peer] = true
-			store = 6
+			f.setSilent(first, true)
+			f.store.Store(6)
 			// The bound on knowledge is 3 s.
 			time.Sleep(2500 * time.Millisecond)
 			f.assertRevision(other, 6)
-			f.silent[f.members[first].Peer] = false
+			f.setSilent(first, false)
 			time.Sleep(8 * time.Second)
 			f.assertDirect(1)
 		})
@@ -200,20 +243,21 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, zones...)
-				store := uint64(5)
-				f.run(&store, func() {
+				f.run(func() {
 					time.Sleep(2 * time.Second)
 					for i := range f.members {
 						open, _ := f.daemons[f.members[i].Peer].Open()
-						f.cut[i] = open
+						if open {
+							f.cutOff(i)
+						}
 					}
 					time.Sleep(2 * time.Second)
 					for range 40 {
-						store++
+						f.store.Add(1)
 						time.Sleep(250 * time.Millisecond)
 						for i := range f.members {
-							if got, _ := f.caches[i].Revision(); !f.cut[i] && got+maxLag < store {
-								t.Errorf("daemon %d knows revision %d of %d", i, got, store)
+							if got, _ := f.caches[i].Revision(); !f.isCutOff(i) && got+maxLag < f.store.Load() {
+								t.Errorf("daemon %d knows revision %d of %d", i, got, f.store.Load())
 							}
 						}
 					}
@@ -226,10 +270,9 @@
 func TestShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "a", "b")
-		store := uint64(5)
-		f.run(&store, func() {
+		f.run(func() {
 			time.Sleep(2 * time.Second)
-			f.seen[0].own = []exchanger.Observation{{Searcher: "s", Answers: 2, Slowness: 1}, {Searcher: "bad", Failures: 1}}
+			f.seen[0].see(exchanger.Observation{Searcher: "s", Answers: 2, Slowness: 1}, exchanger.Observation{Searcher: "bad", Failures: 1})
 			time.Sleep(2 * time.Second)
 		})
 		whole := []exchanger.Observation{{Searcher: "s", Answers: 2, Slowness: 1}, {Searcher: "bad", Failures: 1}}
@@ -249,10 +292,9 @@
 func TestPace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "a", "a", "b")
-		store := uint64(5)
-		f.run(&store, func() { time.Sleep(10 * time.Second) })
-		if f.calls > 4*4*10 {
-			t.Errorf("%d calls in 10 s", f.calls)
+		f.run(func() { time.Sleep(10 * time.Second) })
+		if n := f.calls.Load(); n > 4*4*10 {
+			t.Errorf("%d calls in 10 s", n)
 		}
 	})
 }
