--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -41,8 +41,8 @@
 	// garbagePercent lets the heap grow to five times what is live: the live heap is a
 	// few MB, and collections cost processor time.
 	garbagePercent = 400
-	// headerTimeout, idleTimeout and maxHeader bound a client's connection; they lie above what desired
-	// states let clients do.
+	// headerTimeout, idleTimeout and maxHeader bound a client's connection; they lie
+	// above what desired states let clients do.
 	headerTimeout = 30 * time.Second
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10
--- a/internal/route/forwarder/race.go
+++ b/internal/route/forwarder/race.go
@@ -20,7 +20,6 @@
 	req      *Request
 	body     []byte
 	route    *declarer.Route
-	view     *locator.View
 	latency  *latency
 	deadline time.Time
 	legs     []leg
@@ -45,8 +44,6 @@
 	running  int
 	lastSent time.Time
 	done     bool
-	// last is the last exchange that failed.
-	last *result
 }
 
 // result is the outcome of one attempt.
@@ -65,7 +62,7 @@
 	lat := f.stats.route(rt)
 	now := time.Now()
 	r := &race{
-		f: f, req: req, body: body, route: rt, view: v, latency: lat, deadline: deadline,
+		f: f, req: req, body: body, route: rt, latency: lat, deadline: deadline,
 		legs:    make([]leg, len(services)),
 		results: make(chan result, len(services)*(rt.Attempts+maxRefusals+1)),
 		delay:   lat.hedgeDelay(now),
@@ -144,7 +141,6 @@
 func (r *race) settle(res *result) bool {
 	l := &r.legs[res.leg]
 	l.running--
-	l.last = res
 	if res.verdict == notRun {
 		l.attempts--
 		l.refusals++
--- a/internal/upstream/connector/conn.go
+++ b/internal/upstream/connector/conn.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -37,8 +36,6 @@
 	// keep is how long the searcher keeps the connection open when idle; 0 when it
 	// does not say.
 	keep time.Duration
-	// aborted is set when the exchange was cancelled.
-	aborted atomic.Bool
 }
 
 func newConn(nc net.Conn) *conn {
@@ -71,7 +68,6 @@
 
 // abort ends the running exchange.
 func (c *conn) abort() {
-	c.aborted.Store(true)
 	c.Close()
 }
 
--- a/internal/upstream/connector/connector.go
+++ b/internal/upstream/connector/connector.go
@@ -80,7 +80,7 @@
 	idle  map[netip.AddrPort][]*conn
 	open  map[netip.AddrPort]int
 	ended bool
-	// Opened counts the connections opened.
+	// opened counts the connections opened.
 	opened uint64
 }
 
