limiter: an upstream whose health page says that it drains gets no work

Cause of TestDrainedUpstream's failure at (work 4.3 s after the drain began): the limiter believed in a drain only once a request had been refused with it. In that run the owner a-1 never got work for its upstreams before (its log has no 'upstream changed', those of b-2 and c-3 do), so that the first try met the refusal 4.3 s after the drain, though the page, read each second, had said so for 3 s. Ruled out: a change of owner (no line of one), a page that lags (lag 0 in this test), a late refusal (one is counted when it arrives). Change: the page's word counts while it is fresh (10 s), as it did after a refusal before. Test: TestDrainingByPageAlone, failed before.

--- a/internal/upstream/limiter/limiter_test.go
+++ b/internal/upstream/limiter/limiter_test.go
@@ -176,6 +176,27 @@
 	}
 }
 
+// TestDrainingByPageAlone pins that an upstream whose health page says that it
+// drains gets no work, though no work has met its refusal yet.
+func TestDrainingByPageAlone(t *testing.T) {
+	l, now := warm(t, FromCapacity(declarer.Capacity{Slots: 3, Cold: 1}))
+	start := now
+	l.Hint(now, Hint{Cold: true, Draining: true})
+	l.Learn(now, Sample{Latency: 5 * time.Millisecond})
+	if n := l.Allowed(now, whole(start)); n != 0 {
+		t.Errorf("allowed %d, want 0 while the page says draining", n)
+	}
+	now = start.Add(hintLife + 1)
+	if n := l.Allowed(now, whole(start)); n != 1 {
+		t.Errorf("allowed %d, want 1 once the page is too old", n)
+	}
+	l.Hint(now, Hint{Cold: true, Draining: true})
+	l.Hint(now, Hint{})
+	if n := l.Allowed(now, whole(start)); n != 1 {
+		t.Errorf("allowed %d, want 1 once the page says otherwise", n)
+	}
+}
+
 // TestPoisonedEstimate pins that a service time learned in a bad hour does not
 // refuse everything for good.
 func TestPoisonedEstimate(t *testing.T) {
--- a/internal/upstream/limiter/pace.go
+++ b/internal/upstream/limiter/pace.go
@@ -181,11 +181,12 @@
 	}
 }
 
-// isDraining reports whether the upstream refused work because it drains, and
-// neither its health page nor a long silence of that page says otherwise since.
+// isDraining reports whether the upstream's health page says that it drains, or
+// it refused work because it drains and neither the page nor a long silence of
+// the page says otherwise since.
 func (p *pace) isDraining(now time.Time) bool {
 	if p.drainedAt.IsZero() {
-		return false
+		return p.hinted.Draining && now.Sub(p.hintedAt) <= hintLife
 	}
 	since := now.Sub(p.drainedAt)
 	switch {
