forwarder, hedger: budgets sized for fleets, hedges by what the answer needs

Cause: with 65 and 75 daemons a daemon's budget held one extra request for each shard, spent with the first failure of a bad moment, and half of the slack was left; hedges of parts that an answer can do without drew on it like all others; a searcher that had refused a request unrun was never asked again, though all three of a shard may refuse half of theirs. Ruled out: more of the slack with the time (grants of 0.4 were hardly used), a bigger burst without a smaller start. Change: 0.6 of the slack as what is held, 0.1 with the time, one extra at the start; a hedge that the answer does not need only from a nearly full budget; after refusals unrun, the same searcher once no other is left.

--- a/internal/query/hedger/budget.go
+++ b/internal/query/hedger/budget.go
@@ -14,13 +14,13 @@
 	units   atomic.Int64
 }
 
-// NewBudget returns a full Budget of percent extra sub-requests in 100, and at
-// most burst of them at once.
-func NewBudget(percent, burst int) *Budget {
+// NewBudget returns a Budget of percent extra sub-requests in 100, and at most
+// burst of them at once; start is what it holds at first.
+func NewBudget(percent int, burst, start float64) *Budget {
 	b := &Budget{}
-	b.limit.Store(int64(burst) * tokenUnits)
+	b.limit.Store(int64(burst * tokenUnits))
 	b.percent.Store(int64(percent))
-	b.units.Store(b.limit.Load())
+	b.units.Store(int64(min(start, burst) * tokenUnits))
 	return b
 }
 
@@ -31,8 +31,8 @@
 
 // SetBurst changes the number of extra sub-requests allowed at once. What the
 // budget holds beyond it is lost with the next deposit.
-func (b *Budget) SetBurst(burst int) {
-	b.limit.Store(int64(burst) * tokenUnits)
+func (b *Budget) SetBurst(burst float64) {
+	b.limit.Store(int64(burst * tokenUnits))
 }
 
 // Deposit counts first attempts.
@@ -58,9 +58,24 @@
 // Take takes the price of one extra sub-request; it returns false, and takes
 // nothing, when the budget does not hold it.
 func (b *Budget) Take() bool {
+	return b.take(tokenUnits)
+}
+
+// spareShare is the share of its burst that a budget holds before an extra
+// sub-request that is not needed may draw on it.
+const spareShare = 0.9
+
+// TakeSpare takes the price of one extra sub-request only while the budget is
+// nearly full.
+func (b *Budget) TakeSpare() bool {
+	return b.take(max(tokenUnits, int64(spareShare*float64(b.limit.Load()))))
+}
+
+// take takes the price of one when the budget holds at least least units.
+func (b *Budget) take(least int64) bool {
 	for {
 		was := b.units.Load()
-		if was < tokenUnits {
+		if was < least {
 			return false
 		}
 		if b.units.CompareAndSwap(was, was-tokenUnits) {
--- a/internal/query/hedger/hedger.go
+++ b/internal/query/hedger/hedger.go
@@ -34,7 +34,7 @@
 // New returns a Hedger whose clock starts at now.
 func New(cfg Config, now time.Time) *Hedger {
 	return &Hedger{
-		Budget:  NewBudget(cfg.Percent, cfg.Burst),
+		Budget:  NewBudget(cfg.Percent, float64(cfg.Burst), float64(cfg.Burst)),
 		latency: NewEstimator(cfg.Quantile, now),
 	}
 }
--- a/internal/query/hedger/hedger_test.go
+++ b/internal/query/hedger/hedger_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 )
 
@@ -17,7 +18,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		percent := rapid.IntRange(1, 20).Draw(t, "percent")
 		burst := rapid.IntRange(1, 20).Draw(t, "burst")
-		b := NewBudget(percent, burst)
+		b := NewBudget(percent, float64(burst), float64(burst))
 		first, taken := 0, 0
 		for range rapid.IntRange(0, 200).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "deposit") {
@@ -36,6 +37,19 @@
 	})
 }
 
+// TestTakeSpare keeps what is left of a budget for those that cannot do without.
+func TestTakeSpare(t *testing.T) {
+	b := NewBudget(10, 2.5, 2.4)
+	got := []bool{b.TakeSpare(), b.TakeSpare(), b.Take(), b.Take()}
+	if diff := cmp.Diff([]bool{true, false, true, false}, got); diff != "" {
+		t.Errorf("spare, spare, needed, needed (-want +got):\n%s", diff)
+	}
+	b.Deposit(100)
+	if got := []bool{b.Take(), b.Take(), b.Take()}; !cmp.Equal([]bool{true, true, false}, got) {
+		t.Errorf("took %v of a burst of 2.5", got)
+	}
+}
+
 func TestEstimator(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	for _, quantile := range []float64{0.5, 0.95, 0.99} {
--- a/internal/route/forwarder/policy.go
+++ b/internal/route/forwarder/policy.go
@@ -68,3 +68,13 @@
 func cutoff(goal time.Duration) time.Duration {
 	return goal - max(minCutoffMargin, time.Duration(float64(goal)*cutoffShare))
 }
+
+// hedgeNeeded reports whether a hedge of one of the open legs is needed for the
+// answer, when spare legs may be left out of it. One that is not needed adds a
+// part to the answer at best.
+//
+// Load pattern: searchers of many shards that fail or refuse at once, when the
+// budget does not bear a hedge for every slow leg.
+func hedgeNeeded(open, spare int) bool {
+	return open > spare
+}
--- a/internal/route/forwarder/query.go
+++ b/internal/route/forwarder/query.go
@@ -15,24 +15,20 @@
 	*race
 	records *merger.Records
 	stamps  []string
-	// missing counts the shards that will not answer.
-	missing int
-	least   int
 }
 
 // query answers a request whose route names shards.
 func (f *Forwarder) query(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
 	q := &query{
-		race:    f.newRace(req, body, rt, v, rt.Shards, deadline),
+		race:    f.newRace(req, body, rt, v, rt.Shards, rt.Least(), deadline),
 		records: merger.NewRecords(rt.Top),
-		least:   rt.Least(),
 	}
 	if a, ok := q.admit(); !ok {
 		return a
 	}
 	for i := range q.legs {
 		if !q.send(i) {
-			q.missing++
+			q.giveUp(i)
 		}
 	}
 	a := q.run(ctx)
@@ -102,8 +98,7 @@
 	l := &q.legs[res.leg]
 	if res.verdict != success {
 		if !q.settle(res) {
-			l.done = true
-			q.missing++
+			q.giveUp(res.leg)
 		}
 		return
 	}
--- a/internal/route/forwarder/query_test.go
+++ b/internal/route/forwarder/query_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"cornelwood.example/internal/upstream/connector"
 )
 
 func TestQueryWhole(t *testing.T) {
@@ -139,3 +141,53 @@
 		}
 	})
 }
+
+// TestQueryRefusedEverywhere replays a shard of which every replica refuses about
+// half of its requests unrun: one that refused is asked again.
+func TestQueryRefusedEverywhere(t *testing.T) {
+	withScene(t, 4, func(s *scene) {
+		b := s.stats.budget("3", time.Now())
+		b.SetBurst(4)
+		b.Grant(2)
+		refusals := 2
+		behaveOnce := func(id string) behave {
+			return func(ctx context.Context, req *connector.Request) (*connector.Reply, error) {
+				if refusals > 0 {
+					refusals--
+					return status(http.StatusServiceUnavailable, "", true)(ctx, req)
+				}
+				return part(id), nil
+			}
+		}
+		s.behaves["3a"], s.behaves["3b"] = behaveOnce("3a"), behaveOnce("3b")
+		a, _ := s.ask(s.t.Context(), "/q/x", "")
+		s.assertAnswer(a, http.StatusOK)
+		if n := s.sent["3a"] + s.sent["3b"]; a.Missing != 0 || n != 3 {
+			t.Errorf("%d missing after %d requests, want none after 3", a.Missing, n)
+		}
+	})
+}
+
+// TestQuerySparesBudget replays a slow shard that the answer can do without, with
+// little budget left: it is not hedged, and a second one is.
+func TestQuerySparesBudget(t *testing.T) {
+	for slow, want := range map[string]int{"2a": 4, "2a 3a": 5} {
+		t.Run(slow, func(t *testing.T) {
+			withScene(t, 4, func(s *scene) {
+				for _, service := range []string{"2", "3"} {
+					b := s.stats.budget(service, time.Now())
+					b.SetBurst(4)
+					b.Grant(1)
+				}
+				for _, id := range strings.Fields(slow) {
+					s.behaves[id] = after(300*time.Millisecond, part(id))
+				}
+				a, _ := s.ask(s.t.Context(), "/q/x", "")
+				s.assertAnswer(a, http.StatusOK)
+				if n := s.total(); n < want || want == 4 && n > want {
+					t.Errorf("%d requests to searchers, want %d", n, want)
+				}
+			})
+		})
+	}
+}
--- a/internal/route/forwarder/race.go
+++ b/internal/route/forwarder/race.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
@@ -24,6 +25,9 @@
 	deadline time.Time
 	legs     []leg
 	results  chan result
+	// least is the number of legs that the answer needs, missing the number of those
+	// that will not answer.
+	least, missing int
 	// delay is the time after which a running attempt is hedged.
 	delay time.Duration
 	// ran is true once a searcher may have run the request.
@@ -36,7 +40,9 @@
 	service   string
 	searchers []locator.Searcher
 	budget    *hedger.Budget
-	tried     []int
+	// ran holds the searchers that may have run the request or may still run it,
+	// refused those that surely did not.
+	ran, refused []int
 	// attempts counts the sends that may have run or may still run.
 	attempts int
 	// refusals counts the sends that surely did not run.
@@ -48,22 +54,22 @@
 
 // result is the outcome of one attempt.
 type result struct {
-	leg     int
-	reply   *connector.Reply
-	err     error
-	verdict verdict
+	leg, searcher int
+	reply         *connector.Reply
+	err           error
+	verdict       verdict
 }
 
-// maxRefusals bounds the searchers of one leg that refuse a request unrun before
-// it is given up.
-const maxRefusals = 2
+// maxRefusals bounds the refusals of one leg, unrun, before it is given up.
+const maxRefusals = 4
 
-func (f *Forwarder) newRace(req *Request, body []byte, rt *declarer.Route, v *locator.View, services []string, deadline time.Time) *race {
+func (f *Forwarder) newRace(req *Request, body []byte, rt *declarer.Route, v *locator.View, services []string, least int, deadline time.Time) *race {
 	lat := f.stats.route(rt)
 	now := time.Now()
 	r := &race{
 		f: f, req: req, body: body, route: rt, latency: lat, deadline: deadline,
 		legs:    make([]leg, len(services)),
+		least:   least,
 		results: make(chan result, len(services)*(rt.Attempts+maxRefusals+1)),
 		delay:   lat.hedgeDelay(now),
 	}
@@ -73,25 +79,32 @@
 	return r
 }
 
-// send starts an attempt at a leg. It returns false when no searcher may get one.
+// send starts an attempt at a leg, at a searcher that has not been asked or, if
+// there is none, at one that refused. It returns false when no searcher may get
+// one.
 func (r *race) send(i int) bool {
 	l := &r.legs[i]
-	n, ticket := r.f.picker.Pick(l.searchers, l.tried, time.Duration(r.latency.usual.Load()))
+	usual := time.Duration(r.latency.usual.Load())
+	n, ticket := r.f.picker.Pick(l.searchers, slices.Concat(l.ran, l.refused), usual)
+	if n < 0 && len(l.refused) > 0 {
+		n, ticket = r.f.picker.Pick(l.searchers, l.ran, usual)
+	}
 	if n < 0 {
 		return false
 	}
-	l.tried = append(l.tried, n)
+	l.refused = slices.DeleteFunc(l.refused, func(k int) bool { return k == n })
+	l.ran = append(l.ran, n)
 	l.attempts++
 	l.running++
 	l.lastSent = time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
 	r.cancels = append(r.cancels, cancel)
-	go r.attempt(ctx, cancel, i, &l.searchers[n], ticket)
+	go r.attempt(ctx, cancel, i, n, &l.searchers[n], ticket)
 	return true
 }
 
 // attempt carries out one exchange and notes what it tells about the searcher.
-func (r *race) attempt(ctx context.Context, cancel context.CancelFunc, i int, s *locator.Searcher, ticket *picker.Ticket) {
+func (r *race) attempt(ctx context.Context, cancel context.CancelFunc, i, n int, s *locator.Searcher, ticket *picker.Ticket) {
 	defer cancel()
 	start := time.Now()
 	rep, err := r.f.exchanger.Do(ctx, s.Addr, &connector.Request{
@@ -105,7 +118,7 @@
 		Instance: s.ID,
 		Deadline: r.deadline,
 	}, !r.route.Idempotent)
-	res := result{leg: i, reply: rep, err: err, verdict: judge(rep, err)}
+	res := result{leg: i, searcher: n, reply: rep, err: err, verdict: judge(rep, err)}
 	ticket.End(outcome(&res))
 	if res.verdict == success {
 		r.latency.record(time.Since(start))
@@ -144,6 +157,8 @@
 	if res.verdict == notRun {
 		l.attempts--
 		l.refusals++
+		l.ran = slices.DeleteFunc(l.ran, func(k int) bool { return k == res.searcher })
+		l.refused = append(l.refused, res.searcher)
 	} else {
 		r.ran = true
 	}
@@ -170,6 +185,7 @@
 		return 0
 	}
 	var next time.Duration
+	needed := hedgeNeeded(r.open(), len(r.legs)-r.least-r.missing)
 	for i := range r.legs {
 		l := &r.legs[i]
 		if l.done || l.running != 1 || l.attempts >= r.route.Attempts || l.attempts == 0 {
@@ -177,10 +193,8 @@
 		}
 		wait := r.delay - now.Sub(l.lastSent)
 		if wait <= 0 {
-			if l.budget.Take() {
-				r.send(i)
-			} else {
-				// The budget may fill again while the leg runs.
+			if !r.affords(l, needed) || !r.send(i) {
+				// The budget may fill again, or a searcher recover, while the leg runs.
 				l.lastSent = now
 			}
 			continue
@@ -192,6 +206,32 @@
 	return next
 }
 
+// affords draws on the budget for a hedge, with more restraint for one that the
+// answer does not need.
+func (r *race) affords(l *leg, needed bool) bool {
+	if needed {
+		return l.budget.Take()
+	}
+	return l.budget.TakeSpare()
+}
+
+// open returns the number of legs that may still answer.
+func (r *race) open() int {
+	n := 0
+	for i := range r.legs {
+		if !r.legs[i].done {
+			n++
+		}
+	}
+	return n
+}
+
+// giveUp ends a leg without an answer.
+func (r *race) giveUp(i int) {
+	r.legs[i].done = true
+	r.missing++
+}
+
 // stop ends the attempts that still run: at once when the client has left, after
 // a while otherwise, so that a searcher's work and the connection are not lost.
 func (r *race) stop(linger time.Duration) {
--- a/internal/route/forwarder/single.go
+++ b/internal/route/forwarder/single.go
@@ -12,7 +12,7 @@
 
 // single answers a request that one searcher runs.
 func (f *Forwarder) single(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
-	r := f.newRace(req, body, rt, v, []string{target(rt, rand.Float64())}, deadline)
+	r := f.newRace(req, body, rt, v, []string{target(rt, rand.Float64())}, 1, deadline)
 	if !r.send(0) {
 		return refuseUntil(f.cfg.RetryAfter, "no searcher can be reached")
 	}
--- a/internal/route/forwarder/stats.go
+++ b/internal/route/forwarder/stats.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// assumedMembers is the number of daemons taken for granted while none is known.
-	assumedMembers = 32
+	// assumedMembers is the number of daemons taken for granted while none is known:
+	// about that of the largest deployments so far.
+	assumedMembers = 64
 	// usualShift sets the weight of the newest latency in the usual one: 1 in 32.
 	usualShift = 5
 	// firstUsualPart is the part of the goal that is taken for the usual latency
@@ -19,10 +20,13 @@
 	firstUsualPart = 8
 	// slackShare is the share of the slack that is divided among the known daemons as
 	// what they may send at once, grantShare the one that they get with the time. The
-	// rest is for daemons that start again within the window, with a full budget.
-	slackShare = 0.35
-	grantShare = 0.4
-	// maxBurst bounds what one daemon may send at once.
+	// rest is for daemons that start again within the window.
+	slackShare = 0.6
+	grantShare = 0.1
+	// minBurst is one extra request: what a budget holds at its start, since what it
+	// held before may have been spent in the same window. maxBurst bounds what one
+	// daemon may send at once.
+	minBurst = 1
 	maxBurst = 8
 	// defaultGoal stands in for a goal that a route does not state.
 	defaultGoal = time.Second
@@ -103,7 +107,7 @@
 	s.mu.Lock()
 	a := s.budgets[service]
 	if a == nil {
-		a = &allowance{Budget: hedger.NewBudget(s.cfg.ExtraPercent, s.burst())}
+		a = &allowance{Budget: hedger.NewBudget(s.cfg.ExtraPercent, s.burst(), minBurst)}
 		a.grantedAt.Store(now.UnixNano())
 		s.budgets[service] = a
 	}
@@ -114,8 +118,7 @@
 
 // perSecond returns this daemon's part of the slack for each second.
 func (s *stats) perSecond() float64 {
-	n := max(1, int(s.members.Load()))
-	return float64(s.cfg.ExtraSlack) * grantShare / s.cfg.ExtraWindow.Seconds() / float64(n)
+	return float64(s.cfg.ExtraSlack) * grantShare / s.cfg.ExtraWindow.Seconds() / float64(s.members.Load())
 }
 
 // setPercent changes every budget.
@@ -128,8 +131,12 @@
 	}
 }
 
-// setMembers divides the slack of the budgets among the daemons of the fleet.
+// setMembers divides the slack of the budgets among the n daemons of the fleet; 0
+// means that they are not known yet.
 func (s *stats) setMembers(n int) {
+	if n == 0 {
+		n = assumedMembers
+	}
 	if int(s.members.Swap(int64(n))) == n {
 		return
 	}
@@ -141,9 +148,8 @@
 }
 
 // burst returns the extra requests that this daemon may send at once.
-func (s *stats) burst() int {
-	n := max(1, int(s.members.Load()))
-	return min(maxBurst, max(1, int(float64(s.cfg.ExtraSlack)*slackShare)/n))
+func (s *stats) burst() float64 {
+	return min(maxBurst, max(minBurst, float64(s.cfg.ExtraSlack)*slackShare/float64(s.members.Load())))
 }
 
 // record takes the latency of an answer in.
