connector, forwarder, locator: connections to searchers as the fleet's resource

A searcher counts the idle connections of the dead daemons until they time out; each new one beyond its 31 is reset, which costs an attempt, and the retries open more. Change: connections beyond the daemon's part of what a searcher accepts are kept for 0.3 s only; none is opened for 0.2 s to a searcher that reset a new one; a request that got to no searcher costs no budget, and a hedge paid for it is refunded. Tests: TestMaxIdle (connector, locator), TestIdleBound, TestFull, each failing without its part.

--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -51,8 +51,9 @@
 	ratioShare = 0.9
 	// linkHeartbeat is the pace at which idle links to peers are looked after.
 	linkHeartbeat = time.Second
-	// sweepInterval is the time between two closings of idle connections to searchers.
-	sweepInterval = 500 * time.Millisecond
+	// sweepInterval is the time between two closings of idle connections to searchers;
+	// it adds to the time that they are kept.
+	sweepInterval = 250 * time.Millisecond
 )
 
 // Router is one instance's entry daemon.
@@ -119,7 +120,7 @@
 		calls.WithLabelValues(call, result).Inc()
 	})
 	r.closers = append(r.closers, closer)
-	r.locator = locator.New(r.log.Named("control"))
+	r.locator = locator.New(set.Daemon.Zone, r.log.Named("control"))
 	r.picker = picker.New(set.Daemon.Zone, time.Now)
 	r.buildControl(set)
 	r.conns, closer = connector.New(connector.Default(), platform.Codec{})
--- a/internal/route/forwarder/notes.go
+++ b/internal/route/forwarder/notes.go
@@ -81,6 +81,8 @@
 		kind = "given up"
 	case res.verdict == failure:
 		kind = "failed"
+	case res.verdict == notSent:
+		kind = "not sent"
 	}
 	f.metrics.failures.WithLabelValues(s.Service, kind).Inc()
 	if kind == "given up" || !f.allowLine() {
--- a/internal/route/forwarder/policy.go
+++ b/internal/route/forwarder/policy.go
@@ -15,8 +15,10 @@
 	success verdict = iota
 	// final: the searcher's refusal of the request itself, to be passed on.
 	final
-	// notRun: the request surely did not run at this searcher.
+	// notRun: the searcher got the request and surely did not run it.
 	notRun
+	// notSent: the request did not get to the searcher.
+	notSent
 	// failure: the request may have run, and there is no answer to use.
 	failure
 )
@@ -25,7 +27,7 @@
 func judge(rep *connector.Reply, err error) verdict {
 	if err != nil {
 		if e, ok := asConnectorError(err); ok && !e.Sent {
-			return notRun
+			return notSent
 		}
 		return failure
 	}
--- a/internal/route/forwarder/race.go
+++ b/internal/route/forwarder/race.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,8 +46,11 @@
 	ran, refused []int
 	// attempts counts the sends that may have run or may still run.
 	attempts int
-	// refusals counts the sends that surely did not run.
-	refusals int
+	// refusals counts the sends that a searcher refused unrun, unsent those that did
+	// not get to one.
+	refusals, unsent int
+	// drawn counts the sends that the budget was charged for.
+	drawn    atomic.Int32
 	running  int
 	lastSent time.Time
 	done     bool
@@ -60,8 +64,13 @@
 	verdict       verdict
 }
 
-// maxRefusals bounds the refusals of one leg, unrun, before it is given up.
-const maxRefusals = 4
+const (
+	// maxRefusals bounds the refusals of one leg, unrun, before it is given up.
+	maxRefusals = 4
+	// maxUnsent bounds the sends of one leg that got to no searcher: each of its
+	// searchers and one more.
+	maxUnsent = 4
+)
 
 func (f *Forwarder) newRace(req *Request, body []byte, rt *declarer.Route, v *locator.View, services []string, least int, deadline time.Time) *race {
 	lat := f.stats.route(rt)
@@ -70,11 +79,12 @@
 		f: f, req: req, body: body, route: rt, latency: lat, deadline: deadline,
 		legs:    make([]leg, len(services)),
 		least:   least,
-		results: make(chan result, len(services)*(rt.Attempts+maxRefusals+1)),
+		results: make(chan result, len(services)*(rt.Attempts+maxRefusals+maxUnsent+2)),
 		delay:   lat.hedgeDelay(now),
 	}
 	for i, s := range services {
-		r.legs[i] = leg{service: s, searchers: v.Searchers(s), budget: f.stats.budget(s, now)}
+		l := &r.legs[i]
+		l.service, l.searchers, l.budget = s, v.Searchers(s), f.stats.budget(s, now)
 	}
 	return r
 }
@@ -117,13 +127,17 @@
 		ID:       r.req.ID,
 		Instance: s.ID,
 		Deadline: r.deadline,
+		MaxIdle:  s.MaxIdle,
 	}, !r.route.Idempotent)
 	res := result{leg: i, searcher: n, reply: rep, err: err, verdict: judge(rep, err)}
 	ticket.End(outcome(&res))
-	if res.verdict == success {
+	switch res.verdict {
+	case success:
 		r.latency.record(time.Since(start))
+	case notSent:
+		r.legs[i].refund()
 	}
-	if res.verdict == failure || res.verdict == notRun {
+	if res.verdict != success && res.verdict != final {
 		r.f.noteFailure(r.req, s, &res, time.Since(start))
 	}
 	r.results <- res
@@ -136,6 +150,8 @@
 	switch {
 	case isError && (errors.Is(e.Err, context.Canceled) || errors.Is(e.Err, context.DeadlineExceeded)):
 		return picker.Abandoned
+	case errors.Is(res.err, connector.ErrFull):
+		return picker.Full
 	case isError && e.Dial && !errors.Is(e.Err, syscall.ECONNRESET):
 		return picker.Unreachable
 	case isError:
@@ -154,12 +170,14 @@
 func (r *race) settle(res *result) bool {
 	l := &r.legs[res.leg]
 	l.running--
-	if res.verdict == notRun {
-		l.attempts--
+	switch res.verdict {
+	case notRun:
 		l.refusals++
-		l.ran = slices.DeleteFunc(l.ran, func(k int) bool { return k == res.searcher })
-		l.refused = append(l.refused, res.searcher)
-	} else {
+		l.release(res.searcher)
+	case notSent:
+		l.unsent++
+		l.release(res.searcher)
+	default:
 		r.ran = true
 	}
 	if l.done || l.running > 0 {
@@ -172,10 +190,61 @@
 func (r *race) retry(i int) bool {
 	l := &r.legs[i]
 	mayRun := l.attempts > 0
-	if mayRun && !r.route.Idempotent || l.attempts >= r.route.Attempts || l.refusals > maxRefusals {
+	if mayRun && !r.route.Idempotent || l.attempts >= r.route.Attempts || l.refusals > maxRefusals || l.unsent > maxUnsent {
+		return false
+	}
+	return r.sendMore(i, true)
+}
+
+// sendMore starts another attempt at a leg if the budget bears it and a searcher
+// may get one.
+func (r *race) sendMore(i int, needed bool) bool {
+	l := &r.legs[i]
+	if l.mayHaveArrived() && !l.pay(needed) {
+		return false
+	}
+	if r.send(i) {
+		return true
+	}
+	l.refund()
+	return false
+}
+
+// mayHaveArrived reports whether a searcher of the leg may have got the request:
+// the first one that does is free.
+func (l *leg) mayHaveArrived() bool {
+	return l.attempts+l.refusals > 0
+}
+
+// release takes back an attempt at a searcher that surely did not run it.
+func (l *leg) release(searcher int) {
+	l.attempts--
+	l.ran = slices.DeleteFunc(l.ran, func(k int) bool { return k == searcher })
+	l.refused = append(l.refused, searcher)
+}
+
+// pay charges the budget for another send, with more restraint for one that the
+// answer does not need.
+func (l *leg) pay(needed bool) bool {
+	take := l.budget.TakeSpare
+	if needed {
+		take = l.budget.Take
+	}
+	if !take() {
 		return false
 	}
-	return l.budget.Take() && r.send(i)
+	l.drawn.Add(1)
+	return true
+}
+
+// refund gives back the price of a send, if any was paid, since one got to no
+// searcher.
+func (l *leg) refund() {
+	if l.drawn.Add(-1) < 0 {
+		l.drawn.Add(1)
+		return
+	}
+	l.budget.Grant(1)
 }
 
 // hedge sends the requests of legs that take longer than usual to a second
@@ -193,7 +262,7 @@
 		}
 		wait := r.delay - now.Sub(l.lastSent)
 		if wait <= 0 {
-			if !r.affords(l, needed) || !r.send(i) {
+			if !r.sendMore(i, needed) {
 				// The budget may fill again, or a searcher recover, while the leg runs.
 				l.lastSent = now
 			}
@@ -206,15 +275,6 @@
 	return next
 }
 
-// affords draws on the budget for a hedge, with more restraint for one that the
-// answer does not need.
-func (r *race) affords(l *leg, needed bool) bool {
-	if needed {
-		return l.budget.Take()
-	}
-	return l.budget.TakeSpare()
-}
-
 // open returns the number of legs that may still answer.
 func (r *race) open() int {
 	n := 0
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -27,6 +27,7 @@
 
 // Locator is the control state of an entry daemon, and the service that owns it.
 type Locator struct {
+	zone    string
 	log     hclog.Logger
 	updates chan func()
 	view    atomic.Pointer[View]
@@ -51,9 +52,10 @@
 	goneAt time.Time
 }
 
-// New returns a Locator that knows nothing.
-func New(log hclog.Logger) *Locator {
+// New returns a Locator of a daemon in zone that knows nothing.
+func New(zone string, log hclog.Logger) *Locator {
 	l := &Locator{
+		zone:      zone,
 		log:       log,
 		updates:   make(chan func(), updateBacklog),
 		searchers: make(map[string]*entry),
@@ -129,18 +131,35 @@
 			bounds[s.Name] = s
 		}
 	}
+	own := l.neighbours()
 	for _, e := range l.searchers {
 		if e.Draining || l.closed[e.Zone] {
 			continue
 		}
 		b := bounds[e.Service]
+		daemons := len(l.members) - own
+		if e.Zone == l.zone {
+			daemons = own
+		}
 		v.services[e.Service] = append(v.services[e.Service], Searcher{
-			Searcher: e.Searcher, WarmAt: e.warmAt, Connections: b.Connections, ColdRate: b.ColdRate,
+			Searcher: e.Searcher, WarmAt: e.warmAt, ColdRate: b.ColdRate,
+			MaxIdle: idleBound(b.Connections, e.Zone == l.zone, daemons),
 		})
 	}
 	l.view.Store(v)
 }
 
+// neighbours returns the number of daemons of this daemon's zone, itself included.
+func (l *Locator) neighbours() int {
+	n := 0
+	for _, m := range l.members {
+		if m.Zone == l.zone {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
 // do runs an update on the control goroutine.
 func (l *Locator) do(update func()) {
 	l.updates <- update
--- a/internal/route/locator/locator_test.go
+++ b/internal/route/locator/locator_test.go
@@ -21,7 +21,7 @@
 func withLocator(t *testing.T, during func(l *Locator)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		l := New(hclog.NewNullLogger())
+		l := New("z", hclog.NewNullLogger())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -65,7 +65,7 @@
 }
 
 func TestReady(t *testing.T) {
-	l := New(hclog.NewNullLogger())
+	l := New("z", hclog.NewNullLogger())
 	if ok, reason := l.View().Ready(); ok || reason == "" {
 		t.Errorf("ready %v with reason %q before anything is known", ok, reason)
 	}
@@ -171,3 +171,45 @@
 		assertSearchers(t, l, "s1")
 	})
 }
+
+// TestIdleBound replays a loss of power: what a whole fleet keeps idle leaves more
+// than a third of a searcher's connections to the daemons that start after it.
+func TestIdleBound(t *testing.T) {
+	tests := []struct{ conns, own, other, wantOwn, wantOther int }{
+		{31, 3, 5, 3, 2},
+		{110, 3, 5, 11, 7},
+		{35, 2, 5, 5, 2},
+		{64, 22, 43, 1, 1},
+		{0, 3, 5, 0, 0},
+	}
+	for _, tt := range tests {
+		own, other := idleBound(tt.conns, true, tt.own), idleBound(tt.conns, false, tt.other)
+		if own != tt.wantOwn || other != tt.wantOther {
+			t.Errorf("%d connections: bounds %d and %d, want %d and %d", tt.conns, own, other, tt.wantOwn, tt.wantOther)
+		}
+	}
+}
+
+// TestMaxIdle follows the number of known daemons.
+func TestMaxIdle(t *testing.T) {
+	withLocator(t, func(l *Locator) {
+		r := routing(4)
+		r.Value.Services = []declarer.RouteService{{Name: "svc", Connections: 30}}
+		l.Routings().Replace([]follower.Item[*declarer.Routing]{r}, 3)
+		l.Searchers().Replace([]follower.Item[declarer.Searcher]{searcher("s1", "z"), searcher("s2", "b")}, 3)
+		var members []follower.Item[declarer.Member]
+		for i, zone := range []string{"z", "z", "z", "b", "b"} {
+			id := string(rune('a' + i))
+			members = append(members, follower.Item[declarer.Member]{Name: id, Value: declarer.Member{ID: id, Zone: zone}})
+		}
+		l.Members().Replace(members, 4)
+		synctest.Wait()
+		got := make(map[string]int)
+		for _, s := range l.View().Searchers("svc") {
+			got[s.ID] = s.MaxIdle
+		}
+		if diff := cmp.Diff(map[string]int{"s1": 3, "s2": 5}, got); diff != "" {
+			t.Errorf("idle connections at most (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -25,9 +25,11 @@
 	declarer.Searcher
 	// WarmAt is when it stops to be cold.
 	WarmAt time.Time
-	// Connections and ColdRate are its service's bounds, for all daemons together.
-	Connections int
-	ColdRate    float64
+	// ColdRate is its service's bound on requests a second, from all daemons together,
+	// while it is cold.
+	ColdRate float64
+	// MaxIdle is the number of idle connections to keep to it for long, 0 for no bound.
+	MaxIdle int
 }
 
 // Ready reports whether routes and searchers are known, and else what is missing.
--- a/internal/route/picker/health.go
+++ b/internal/route/picker/health.go
@@ -35,6 +35,8 @@
 	Failed
 	// Shed: the searcher refused and did not run the request.
 	Shed
+	// Full: no connection was tried, since the searcher accepts no more.
+	Full
 	// Unreachable: no connection.
 	Unreachable
 	// Abandoned: given up after a time without an answer.
@@ -68,7 +70,7 @@
 	case Failed:
 		h.fail(1, now)
 		h.streak, h.downUntil = 0, time.Time{}
-	case Shed:
+	case Shed, Full:
 		h.fail(1, now)
 	case Abandoned:
 		// It takes at least as long as it was waited for.
--- a/internal/route/picker/share.go
+++ b/internal/route/picker/share.go
@@ -27,6 +27,8 @@
 		ob.Add(&exchanger.Observation{Answers: 1, Slowness: slowness})
 	case Failed, Shed:
 		ob.Failures++
+	case Full:
+		// The reset before has been told.
 	case Unreachable:
 		ob.Failures++
 		ob.Dials++
--- a/internal/upstream/connector/conn.go
+++ b/internal/upstream/connector/conn.go
@@ -31,15 +31,19 @@
 type conn struct {
 	net.Conn
 	r *bufio.Reader
+	// isNew is true until the first exchange has ended.
+	isNew bool
 	// idleSince is when the last exchange ended.
 	idleSince time.Time
+	// maxIdle is the bound of the last request.
+	maxIdle int
 	// keep is how long the searcher keeps the connection open when idle; 0 when it
 	// does not say.
 	keep time.Duration
 }
 
 func newConn(nc net.Conn) *conn {
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferBytes)}
+	return &conn{Conn: nc, isNew: true, r: bufio.NewReaderSize(nc, readBufferBytes)}
 }
 
 // usable reports whether the connection is open and silent, so that the next
--- a/internal/upstream/connector/connector.go
+++ b/internal/upstream/connector/connector.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -24,11 +26,17 @@
 	// IdleTimeout is how long an unused connection is kept. Searchers count the
 	// connections of all daemons, those of dead ones too until they time out.
 	IdleTimeout time.Duration
+	// SurplusTimeout is how long an unused connection beyond Request.MaxIdle is kept:
+	// long enough for one use after the other at times of high load.
+	SurplusTimeout time.Duration
 	// FreshIdle is the longest idle time of a connection that may carry a request
 	// which must not be lost: a searcher may forget an idle connection unnoticed.
 	FreshIdle time.Duration
 	// Silence bounds how long sent bytes may stay unacknowledged.
 	Silence time.Duration
+	// FullTime is how long no connection is opened to a searcher that has reset a new
+	// one: it has as many as it accepts.
+	FullTime time.Duration
 	// Dial opens a connection; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 }
@@ -36,13 +44,19 @@
 // Default returns the bounds for upstreams within one region.
 func Default() Config {
 	return Config{
-		DialTimeout: 300 * time.Millisecond,
-		IdleTimeout: 1500 * time.Millisecond,
-		FreshIdle:   time.Second,
-		Silence:     2 * time.Second,
+		DialTimeout:    300 * time.Millisecond,
+		IdleTimeout:    1500 * time.Millisecond,
+		SurplusTimeout: 300 * time.Millisecond,
+		FreshIdle:      time.Second,
+		Silence:        2 * time.Second,
+		FullTime:       200 * time.Millisecond,
 	}
 }
 
+// ErrFull says that no connection is idle and that the searcher has just reset a
+// new one.
+var ErrFull = errors.New("the searcher accepts no more connections")
+
 // Error says that an exchange got no answer.
 type Error struct {
 	Addr netip.AddrPort
@@ -76,9 +90,11 @@
 	cfg   Config
 	codec Codec
 
-	mu    sync.Mutex
-	idle  map[netip.AddrPort][]*conn
-	open  map[netip.AddrPort]int
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*conn
+	open map[netip.AddrPort]int
+	// full holds the searchers to which no connection is opened, and until when.
+	full  map[netip.AddrPort]time.Time
 	ended bool
 	// opened counts the connections opened.
 	opened uint64
@@ -95,6 +111,7 @@
 		codec: codec,
 		idle:  make(map[netip.AddrPort][]*conn),
 		open:  make(map[netip.AddrPort]int),
+		full:  make(map[netip.AddrPort]time.Time),
 	}
 	return c, c.close
 }
@@ -132,10 +149,14 @@
 	stop := context.AfterFunc(ctx, cn.abort)
 	sent, rep, err := cn.exchange(req, c.codec)
 	stopped := stop()
+	if err != nil && cn.isNew && errors.Is(err, syscall.ECONNRESET) {
+		c.setFull(addr)
+	}
+	cn.isNew = false
 	if err != nil || !rep.reusable || !stopped {
 		c.drop(addr, cn)
 	} else {
-		c.give(addr, cn)
+		c.give(addr, cn, req.MaxIdle)
 	}
 	if err == nil {
 		return rep, nil
@@ -180,6 +201,13 @@
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
 	c.mu.Lock()
+	if until, known := c.full[addr]; known {
+		if time.Now().Before(until) {
+			c.mu.Unlock()
+			return nil, ErrFull
+		}
+		delete(c.full, addr)
+	}
 	c.open[addr]++
 	c.opened++
 	c.mu.Unlock()
@@ -191,6 +219,17 @@
 	return newConn(nc), nil
 }
 
+// setFull notes that the searcher resets new connections.
+//
+// Load pattern: a fleet that starts again after a loss of power, or many daemons
+// that turn to few searchers, when each new connection that is reset costs an
+// attempt.
+func (c *Connector) setFull(addr netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.full[addr] = time.Now().Add(c.cfg.FullTime)
+}
+
 // pop takes the connection that was used last.
 func (c *Connector) pop(addr netip.AddrPort) *conn {
 	c.mu.Lock()
@@ -205,8 +244,8 @@
 }
 
 // give keeps a connection for the next exchange.
-func (c *Connector) give(addr netip.AddrPort, cn *conn) {
-	cn.idleSince = time.Now()
+func (c *Connector) give(addr netip.AddrPort, cn *conn, maxIdle int) {
+	cn.idleSince, cn.maxIdle = time.Now(), maxIdle
 	c.mu.Lock()
 	ended := c.ended
 	if !ended {
@@ -237,14 +276,11 @@
 	var old []*conn
 	var addrs []netip.AddrPort
 	c.mu.Lock()
+	maps.DeleteFunc(c.full, func(_ netip.AddrPort, until time.Time) bool { return now.After(until) })
 	for addr, conns := range c.idle {
 		kept := conns[:0]
-		for _, cn := range conns {
-			limit := c.cfg.IdleTimeout
-			if cn.keep > 0 {
-				limit = min(limit, cn.keep*3/4)
-			}
-			if now.Sub(cn.idleSince) <= limit {
+		for i, cn := range conns {
+			if now.Sub(cn.idleSince) <= c.idleTime(cn, len(conns)-i) {
 				kept = append(kept, cn)
 				continue
 			}
@@ -262,6 +298,19 @@
 	}
 }
 
+// idleTime returns how long a connection may be idle that is the nth to be used
+// next.
+func (c *Connector) idleTime(cn *conn, nth int) time.Duration {
+	limit := c.cfg.IdleTimeout
+	if cn.maxIdle > 0 && nth > cn.maxIdle {
+		limit = c.cfg.SurplusTimeout
+	}
+	if cn.keep > 0 {
+		limit = min(limit, cn.keep*3/4)
+	}
+	return limit
+}
+
 func (c *Connector) close() {
 	c.mu.Lock()
 	c.ended = true
--- a/internal/upstream/connector/connector_test.go
+++ b/internal/upstream/connector/connector_test.go
@@ -10,7 +10,9 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -347,3 +349,77 @@
 		t.Errorf("%d connections after a late sweep, want none", n)
 	}
 }
+
+// TestMaxIdle keeps a daemon from holding for long what others need; it may use
+// surplus connections one request after the other.
+func TestMaxIdle(t *testing.T) {
+	const together = 4
+	var gate sync.WaitGroup
+	gate.Add(together)
+	s := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) {
+		gate.Done()
+		gate.Wait()
+		_, _ = io.WriteString(w, answer("1", "x"))
+	})
+	c := newConnector(t, nil)
+	done := make(chan error, together)
+	for range together {
+		go func() {
+			req := request("1")
+			req.MaxIdle = 2
+			_, err := c.Do(t.Context(), s.addr, req, false)
+			done <- err
+		}()
+	}
+	for range together {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	assertOpen := func(after time.Duration, want int) {
+		t.Helper()
+		c.Sweep(time.Now().Add(after))
+		if n := c.Open(s.addr); n != want {
+			t.Errorf("%d connections %s later, want %d", n, after, want)
+		}
+	}
+	assertOpen(0, together)
+	assertOpen(c.cfg.SurplusTimeout, 2)
+	assertOpen(c.cfg.IdleTimeout, 0)
+}
+
+// TestFull replays a searcher that has as many connections as it accepts: no new
+// one is opened for a while, and those that are there are used.
+func TestFull(t *testing.T) {
+	const full = 300 * time.Millisecond
+	isFull := atomic.Bool{}
+	s := newSearcher(t, func(w net.Conn, _ *http.Request, n int) {
+		if isFull.Load() && n == 0 {
+			_ = w.(*net.TCPConn).SetLinger(0)
+			w.Close()
+			return
+		}
+		_, _ = io.WriteString(w, answer("1", "x"))
+	})
+	c := newConnector(t, func(cfg *Config) { cfg.FullTime = full })
+	rep, err := do(t, c, s, "1")
+	assertAnswered(t, rep, err)
+	isFull.Store(true)
+	kept := c.pop(s.addr)
+	if _, err := do(t, c, s, "1"); !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("error %v, want a reset", err)
+	}
+	var ce *Error
+	if _, err := do(t, c, s, "1"); !errors.As(err, &ce) || !errors.Is(err, ErrFull) || ce.Sent {
+		t.Errorf("error %v, want %v", err, ErrFull)
+	}
+	assertConns(t, s, 2)
+	c.give(s.addr, kept, 0)
+	rep, err = do(t, c, s, "1")
+	assertAnswered(t, rep, err)
+	isFull.Store(false)
+	time.Sleep(full)
+	c.drop(s.addr, c.pop(s.addr))
+	rep, err = do(t, c, s, "1")
+	assertAnswered(t, rep, err)
+}
--- a/internal/upstream/connector/request.go
+++ b/internal/upstream/connector/request.go
@@ -27,6 +27,9 @@
 	Instance string
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// MaxIdle is the number of idle connections to keep to the searcher for long, 0 for
+	// no bound.
+	MaxIdle int
 }
 
 // Reply is a searcher's whole answer.
