--- a/cmd/cornelwood/entry_test.go
+++ b/cmd/cornelwood/entry_test.go
@@ -53,7 +53,7 @@
 		s.addSearcher(name)
 	}
 	s.declare(1, `"service":"a"`)
-	ports := freePorts(t, 3)
+	ports := freePorts(t, "127.0.0.1", 3)
 	s.callers, s.checks = "127.0.0.1:"+ports[0], "127.0.0.1:"+ports[1]
 	s.settings = filepath.Join(t.TempDir(), "entry.ini")
 	text := fmt.Sprintf("[daemon]\nid = d1\nzone = z\nregion = r\n[log]\njson = true\n[caller]\nlisten = %s\nchecks = %s\npeers = 127.0.0.1:%s\n"+
@@ -66,12 +66,12 @@
 	return s
 }
 
-// freePorts returns ports that were free a moment ago.
-func freePorts(t *testing.T, n int) []string {
+// freePorts returns ports of a loopback address that were free a moment ago.
+func freePorts(t *testing.T, host string, n int) []string {
 	t.Helper()
 	var ports []string
 	for range n {
-		lis, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		lis, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", host+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/standin/searcher/plain.go
+++ b/internal/standin/searcher/plain.go
@@ -19,6 +19,7 @@
 	delay    time.Duration
 	shedding bool
 	runs     map[string]int
+	lastRun  time.Time
 }
 
 // NewPlain returns a Plain searcher that takes delay for each request.
@@ -51,6 +52,13 @@
 	return out
 }
 
+// LastRun returns when a request last began to run; zero when none has.
+func (p *Plain) LastRun() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastRun
+}
+
 // Record returns the record that the searcher answers with.
 func (p *Plain) Record() []byte {
 	sum := sha256.Sum256([]byte(p.name))
@@ -66,6 +74,7 @@
 	other := asked.Instance != "" && asked.Instance != p.name
 	if !shedding && !other {
 		p.runs[asked.RequestID]++
+		p.lastRun = time.Now()
 	}
 	p.mu.Unlock()
 	switch {
