locator, picker, forwarder: cold searchers within their rate, refused clients come back spread

Change: each daemon sends a cold searcher its part of the rate, from none at first; of more daemons than it bears requests a second only the first in the searcher's order send any. The time to come back is spread by half. Tests: TestColdShare, TestColdLimited, TestComeBack. Open: a searcher that turns cold without a new entry says so on its health page only, which is not read.

--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -122,7 +122,7 @@
 		calls.WithLabelValues(call, result).Inc()
 	})
 	r.closers = append(r.closers, closer)
-	r.locator = locator.New(set.Daemon.Zone, r.log.Named("control"))
+	r.locator = locator.New(member(set), r.log.Named("control"))
 	r.picker = picker.New(set.Daemon.Zone, time.Now)
 	r.buildControl(set)
 	r.conns, closer = connector.New(connector.Default(), platform.Codec{})
@@ -141,7 +141,7 @@
 
 // buildControl makes what reads the store and spreads it among the daemons.
 func (r *Router) buildControl(set *reader.Entry) {
-	self := declarer.Member{ID: set.Daemon.ID, Zone: set.Daemon.Zone, Peer: set.Caller.Peers}
+	self := member(set)
 	var closer func()
 	r.link, closer = linker.New(linker.Config{Self: self.Peer, Heartbeat: linkHeartbeat}, nil, r.log.Named("peer"), r.reg)
 	r.closers = append(r.closers, closer)
@@ -158,6 +158,11 @@
 	}
 }
 
+// member returns the daemon as the others know it.
+func member(set *reader.Entry) declarer.Member {
+	return declarer.Member{ID: set.Daemon.ID, Zone: set.Daemon.Zone, Peer: set.Caller.Peers}
+}
+
 // policy returns the forwarder's policy with the settings' budget.
 func policy(set *reader.Entry) forwarder.Config {
 	cfg := forwarder.Default()
--- a/internal/route/forwarder/fake_test.go
+++ b/internal/route/forwarder/fake_test.go
@@ -111,7 +111,7 @@
 func withScene(t *testing.T, shards int, during func(s *scene)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		loc := locator.New("z", hclog.NewNullLogger())
+		loc := locator.New(declarer.Member{ID: "d", Zone: "z"}, hclog.NewNullLogger())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
@@ -106,6 +107,7 @@
 	v := f.views.View()
 	f.stats.setMembers(len(v.Members()))
 	name, a := f.answer(ctx, req, v)
+	a.RetryAfter = comeBack(a.RetryAfter, rand.Float64())
 	f.note(req, name, v, &a)
 	return a
 }
--- a/internal/route/forwarder/policy.go
+++ b/internal/route/forwarder/policy.go
@@ -80,3 +80,14 @@
 func hedgeNeeded(open, spare int) bool {
 	return open > spare
 }
+
+// returnSpread is the part by which the time to come back is shorter or longer.
+const returnSpread = 0.5
+
+// comeBack returns when a refused client may come back; random is from 0 up to 1.
+//
+// Load pattern: many clients refused at one moment, such as while a daemon has just
+// started, that would all return at one moment too.
+func comeBack(after time.Duration, random float64) time.Duration {
+	return time.Duration(float64(after) * (1 - returnSpread + 2*returnSpread*random))
+}
--- a/internal/route/forwarder/single_test.go
+++ b/internal/route/forwarder/single_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"syscall"
 	"testing"
@@ -187,3 +188,23 @@
 		}
 	}
 }
+
+// TestComeBack replays a hundred clients refused at one moment: in any twentieth of the
+// time to come back at most a fifth of them return.
+func TestComeBack(t *testing.T) {
+	const clients, slots = 100, 20
+	rnd := rand.New(rand.NewPCG(1, 2))
+	returns := make(map[int]int)
+	for range clients {
+		after := comeBack(time.Second, rnd.Float64())
+		if after < time.Second/2 || after > time.Second*3/2 {
+			t.Errorf("come back after %s", after)
+		}
+		returns[int(after*slots/time.Second)]++
+	}
+	for slot, n := range returns {
+		if n > clients/5 {
+			t.Errorf("%d of %d clients return in slot %d", n, clients, slot)
+		}
+	}
+}
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -27,7 +27,7 @@
 
 // Locator is the control state of an entry daemon, and the service that owns it.
 type Locator struct {
-	zone    string
+	self    declarer.Member
 	log     hclog.Logger
 	updates chan func()
 	view    atomic.Pointer[View]
@@ -52,10 +52,10 @@
 	goneAt time.Time
 }
 
-// New returns a Locator of a daemon in zone that knows nothing.
-func New(zone string, log hclog.Logger) *Locator {
+// New returns a Locator of the daemon self that knows nothing.
+func New(self declarer.Member, log hclog.Logger) *Locator {
 	l := &Locator{
-		zone:      zone,
+		self:      self,
 		log:       log,
 		updates:   make(chan func(), updateBacklog),
 		searchers: make(map[string]*entry),
@@ -138,13 +138,17 @@
 		}
 		b := bounds[e.Service]
 		daemons := len(l.members) - own
-		if e.Zone == l.zone {
+		if e.Zone == l.self.Zone {
 			daemons = own
 		}
-		v.services[e.Service] = append(v.services[e.Service], Searcher{
-			Searcher: e.Searcher, WarmAt: e.warmAt, ColdRate: b.ColdRate,
-			MaxIdle: idleBound(b.Connections, e.Zone == l.zone, daemons),
-		})
+		s := Searcher{
+			Searcher: e.Searcher, WarmAt: e.warmAt,
+			MaxIdle: idleBound(b.Connections, e.Zone == l.self.Zone, daemons),
+		}
+		if b.ColdRate > 0 {
+			s.ColdLimited, s.ColdRate = true, coldShare(b.ColdRate, e.ID, l.self.ID, l.members)
+		}
+		v.services[e.Service] = append(v.services[e.Service], s)
 	}
 	l.view.Store(v)
 }
@@ -153,7 +157,7 @@
 func (l *Locator) neighbours() int {
 	n := 0
 	for _, m := range l.members {
-		if m.Zone == l.zone {
+		if m.Zone == l.self.Zone {
 			n++
 		}
 	}
--- a/internal/route/locator/locator_test.go
+++ b/internal/route/locator/locator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -21,7 +22,7 @@
 func withLocator(t *testing.T, during func(l *Locator)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		l := New("z", hclog.NewNullLogger())
+		l := New(declarer.Member{ID: "a", Zone: "z"}, hclog.NewNullLogger())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
@@ -65,7 +66,7 @@
 }
 
 func TestReady(t *testing.T) {
-	l := New("z", hclog.NewNullLogger())
+	l := New(declarer.Member{ID: "a", Zone: "z"}, hclog.NewNullLogger())
 	if ok, reason := l.View().Ready(); ok || reason == "" {
 		t.Errorf("ready %v with reason %q before anything is known", ok, reason)
 	}
@@ -213,3 +214,27 @@
 		}
 	})
 }
+
+// TestColdShare replays a searcher that comes back cold: what all daemons may send
+// at one moment and in one second stays within what it bears.
+func TestColdShare(t *testing.T) {
+	for _, daemons := range []int{1, 8, 65} {
+		for _, rate := range []float64{1, 6, 40} {
+			members := make(map[string]declarer.Member)
+			for i := range daemons {
+				id := fmt.Sprint(i)
+				members[id] = declarer.Member{ID: id}
+			}
+			sum, senders := 0.0, 0
+			for id := range members {
+				if share := coldShare(rate, "s", id, members); share > 0 {
+					sum += share
+					senders++
+				}
+			}
+			if most := sum + float64(senders); sum < rate*0.99 || most > 1.5*rate+5.01 && daemons > 1 {
+				t.Errorf("%d daemons, %.0f a second: %d senders of %.1f in all", daemons, rate, senders, sum)
+			}
+		}
+	}
+}
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -25,9 +25,10 @@
 	declarer.Searcher
 	// WarmAt is when it stops to be cold.
 	WarmAt time.Time
-	// ColdRate is its service's bound on requests a second, from all daemons together,
-	// while it is cold.
-	ColdRate float64
+	// ColdLimited is true when its service bounds the requests to a cold searcher;
+	// ColdRate is then what this daemon may send it a second.
+	ColdLimited bool
+	ColdRate    float64
 	// MaxIdle is the number of idle connections to keep to it for long, 0 for no bound.
 	MaxIdle int
 }
--- a/internal/route/picker/health.go
+++ b/internal/route/picker/health.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"cornelwood.example/internal/route/locator"
 )
 
 const (
@@ -58,6 +60,24 @@
 	downUntil time.Time
 	// trial is true while one request tries a searcher after its backoff.
 	trial bool
+	// coldTokens is the number of requests that may go to the searcher while it is
+	// cold, as of coldSince; warmAt is the end of the cold time that it counts for.
+	coldTokens float64
+	coldSince  time.Time
+	warmAt     time.Time
+}
+
+// coldAt returns the number of requests that may go to a cold searcher now: none at
+// first, one at most at any moment.
+func (h *health) coldAt(s *locator.Searcher, now time.Time) float64 {
+	// A later entry moves the end a little.
+	if s.WarmAt.Sub(h.warmAt).Abs() > time.Second {
+		h.coldTokens, h.coldSince = 0, now
+	}
+	h.warmAt = s.WarmAt
+	h.coldTokens = min(1, h.coldTokens+s.ColdRate*now.Sub(h.coldSince).Seconds())
+	h.coldSince = now
+	return h.coldTokens
 }
 
 // settle takes the outcome of an exchange in.
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -89,6 +89,9 @@
 	if best < 0 {
 		return -1, nil
 	}
+	if s := &searchers[best]; s.ColdLimited && now.Before(s.WarmAt) {
+		p.healthOf(s.ID).coldTokens--
+	}
 	return best, p.start(searchers[best].ID, usual, now)
 }
 
@@ -126,6 +129,9 @@
 	}
 	if now.Before(s.WarmAt) {
 		cost += coldCost
+		if s.ColdLimited && p.healthOf(s.ID).coldAt(s, now) < 1 {
+			return 0, false
+		}
 	}
 	return cost, true
 }
--- a/internal/route/picker/picker_test.go
+++ b/internal/route/picker/picker_test.go
@@ -200,3 +200,24 @@
 	b.searchers[0].WarmAt = b.now.Add(time.Second)
 	b.assertPick(1)
 }
+
+// TestColdLimited bounds the requests to a cold searcher, though it is the only one.
+func TestColdLimited(t *testing.T) {
+	b := newBench(t, "own")
+	s := &b.searchers[0]
+	s.ColdLimited, s.ColdRate, s.WarmAt = true, 2, b.now.Add(3*time.Second)
+	sent := 0
+	for b.now.Before(s.WarmAt) {
+		if i, ticket := b.Pick(b.searchers, nil, usual); i >= 0 {
+			ticket.End(Answered)
+			sent++
+		}
+		b.now = b.now.Add(5 * time.Millisecond)
+	}
+	if sent < 4 || sent > 6 {
+		t.Errorf("%d requests in 3 cold seconds at 2 a second", sent)
+	}
+	if counts := b.exchange(10, good); counts[0] != 10 {
+		t.Errorf("%d of 10 requests once it is warm", counts[0])
+	}
+}
