reconciler: a pause of the process does not stop views for tens of seconds

It pauses between two views for ten times what the first took to build; a process that was stopped meanwhile (SIGSTOP, or a machine with ten runs beside each other) for 2 s built its next view 20 s later. Change: the pause is half a second at most. Test: TestPauseAfterStop.

--- a/internal/control/reconciler/config.go
+++ b/internal/control/reconciler/config.go
@@ -59,6 +59,10 @@
 	// publishPause is the pause between two views, in times that the first took to
 	// build: it bounds what views cost while many records arrive.
 	publishPause = 10
+	// maxPublishPause bounds that pause, since a process that was stopped while it built
+	// a view has not measured its cost. It is a sixth of the 3 s in which a change is to
+	// be in force.
+	maxPublishPause = 500 * time.Millisecond
 	// expireInterval is the interval between looks for records to drop.
 	expireInterval = 10 * time.Second
 	// postTimeout bounds the wait of a peer's call for the loop.
--- a/internal/control/reconciler/reconciler.go
+++ b/internal/control/reconciler/reconciler.go
@@ -205,7 +205,7 @@
 	if r.dirty && !now.Before(r.publishAt) {
 		r.dirty = false
 		r.publish()
-		r.publishAt = now.Add(publishPause * time.Since(now))
+		r.publishAt = now.Add(pauseAfter(time.Since(now)))
 		r.decideRole(now)
 	}
 	if r.news.Len() > 0 {
@@ -214,6 +214,11 @@
 	r.turned.Store(now.UnixNano())
 }
 
+// pauseAfter returns the pause after a view that took as long to build.
+func pauseAfter(took time.Duration) time.Duration {
+	return min(publishPause*took, maxPublishPause)
+}
+
 // publish replaces the view. Objects stay hidden until the whole configuration
 // is known, since a part of it could name another owner.
 func (r *Reconciler) publish() {
--- a/internal/control/reconciler/reconciler_test.go
+++ b/internal/control/reconciler/reconciler_test.go
@@ -25,6 +25,19 @@
 	})
 }
 
+// TestPauseAfterStop covers a process that is stopped for 4 s while it builds a view:
+// it showed none for 40 s after (TestSoak beside load).
+func TestPauseAfterStop(t *testing.T) {
+	for took, want := range map[time.Duration]time.Duration{
+		20 * time.Millisecond: 200 * time.Millisecond,
+		4 * time.Second:       maxPublishPause,
+	} {
+		if got := pauseAfter(took); got != want {
+			t.Errorf("pause of %s after a view that took %s, want %s", got, took, want)
+		}
+	}
+}
+
 func TestChangeIsInForceInSpiteOfLosses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := startedFleet(t, 4, "a", "b", "c", "d")
