--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -120,7 +120,6 @@
 	v := &View{
 		Matcher:  l.matcher,
 		services: make(map[string][]Searcher),
-		closed:   l.closed,
 		listed:   l.listed,
 		revision: l.revision,
 		members:  slices.Collect(maps.Values(l.members)),
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -15,7 +15,6 @@
 	services map[string][]Searcher
 	// revision is the store's revision of the last change of the searchers.
 	revision uint64
-	closed   map[string]bool
 	listed   bool
 	members  []declarer.Member
 }
--- a/internal/standin/keeper/access.go
+++ b/internal/standin/keeper/access.go
@@ -57,14 +57,14 @@
 	defer end.Stop()
 	late := false
 	for {
-		l := a.k.shelf.read(kind)
-		out, next, visible, faults := a.events(&l, from)
-		if from < l.floor || len(out) > 0 || late {
-			return out, visible, from >= l.floor
+		j := a.k.shelf.read(kind)
+		out, next, visible, faults := a.events(&j, from)
+		if from < j.floor || len(out) > 0 || late {
+			return out, visible, from >= j.floor
 		}
 		from = next
 		select {
-		case <-l.changed:
+		case <-j.changed:
 		case <-faults:
 			if a.k.Faults().Outage != Up {
 				panic(http.ErrAbortHandler)
@@ -82,16 +82,16 @@
 // events returns the events above from that are shown, the revision up to which
 // others were skipped, the one that is shown, and a channel that tells of other
 // faults.
-func (a *access) events(l *log, from uint64) (out []platform.ObjectChange, next, visible uint64, faults <-chan struct{}) {
+func (a *access) events(j *journal, from uint64) (out []platform.ObjectChange, next, visible uint64, faults <-chan struct{}) {
 	k := a.k
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	visible = l.revision
+	visible = j.revision
 	if old := k.faults.OldReads; old > 0 {
 		visible = min(old, visible)
 	}
 	old := 0
-	for _, ch := range l.changes {
+	for _, ch := range j.changes {
 		switch {
 		case ch.Revision <= min(from, visible):
 			old++
@@ -105,7 +105,7 @@
 	}
 	if k.faults.Repeat > 0 && old > 0 {
 		k.faults.Repeat--
-		out = append(l.changes[max(0, old-repeatedEvents):old:old], out...)
+		out = append(j.changes[max(0, old-repeatedEvents):old:old], out...)
 	}
 	return out, from, visible, k.changed
 }
--- a/internal/standin/keeper/shelf.go
+++ b/internal/standin/keeper/shelf.go
@@ -133,8 +133,8 @@
 	return ob, ok
 }
 
-// log is the history of a kind at one moment.
-type log struct {
+// journal is the history of a kind at one moment.
+type journal struct {
 	changes  []platform.ObjectChange
 	revision uint64
 	// floor is the revision up to which the history is gone.
@@ -144,10 +144,10 @@
 }
 
 // read returns the history of a kind, with the revision that it goes up to.
-func (s *Shelf) read(kind string) log {
+func (s *Shelf) read(kind string) journal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return log{changes: slices.Clone(s.history[kind]), revision: s.revision, floor: s.floor, changed: s.changed}
+	return journal{changes: slices.Clone(s.history[kind]), revision: s.revision, floor: s.floor, changed: s.changed}
 }
 
 // Watch waits for changes of a kind after a revision.
@@ -155,15 +155,15 @@
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
-		l := s.read(kind)
-		out := slices.DeleteFunc(l.changes, func(ch platform.ObjectChange) bool { return ch.Revision <= from })
-		if from < l.floor || len(out) > 0 {
-			return out, l.revision, from >= l.floor
+		j := s.read(kind)
+		out := slices.DeleteFunc(j.changes, func(ch platform.ObjectChange) bool { return ch.Revision <= from })
+		if from < j.floor || len(out) > 0 {
+			return out, j.revision, from >= j.floor
 		}
 		select {
-		case <-l.changed:
+		case <-j.changed:
 		case <-end.C:
-			return nil, l.revision, true
+			return nil, j.revision, true
 		case <-ctx.Done():
 			return nil, from, true
 		}
