--- a/cmd/cornelwood/faults_test.go
+++ b/cmd/cornelwood/faults_test.go
@@ -209,7 +209,7 @@
 	forEachCounts(t, s, func(u declarer.Upstream, c searcher.Counts) {
 		got := map[string]int{"overlaps": c.Overlaps, "cold overloads": c.ColdOverloads}
 		if diff := cmp.Diff(map[string]int{"overlaps": 0, "cold overloads": 0}, got); diff != "" {
-			t.Errorf("searcher %s (-want +got):\n%s", u.Name, diff)
+			t.Errorf("searcher %s, last cold overload %+v (-want +got):\n%s", u.Name, c.LastColdOverload, diff)
 		}
 	})
 }
--- a/internal/control/reconciler/event.go
+++ b/internal/control/reconciler/event.go
@@ -67,6 +67,8 @@
 	err            error
 	// round is the number of the call in its exchange, from 1; 0 means a push.
 	round int
+	// isRetry is true for the calls of an exchange that replaces a failed one.
+	isRetry bool
 }
 
 func (e *replyEvent) apply(ctx context.Context, r *Reconciler, now time.Time) {
--- a/internal/control/reconciler/peers.go
+++ b/internal/control/reconciler/peers.go
@@ -32,6 +32,8 @@
 	byAddr map[netip.AddrPort][]declarer.Instance
 	// pausedUntil is the time until which a peer that did not answer is not chosen.
 	pausedUntil map[netip.AddrPort]time.Time
+	// unanswered is the number of calls in a row that a peer has not answered.
+	unanswered map[netip.AddrPort]int
 }
 
 type peer struct {
@@ -41,7 +43,7 @@
 }
 
 func newPeers(self declarer.Instance, seeds []netip.AddrPort, rnd *rand.Rand) *peers {
-	p := &peers{self: self, rnd: rnd, pausedUntil: make(map[netip.AddrPort]time.Time)}
+	p := &peers{self: self, rnd: rnd, pausedUntil: make(map[netip.AddrPort]time.Time), unanswered: make(map[netip.AddrPort]int)}
 	for _, s := range seeds {
 		if s != self.Peer {
 			p.seeds = append(p.seeds, s)
@@ -167,21 +169,37 @@
 	return chosen
 }
 
-// pause excludes a peer for a random time around peerBackoff.
-func (p *peers) pause(now time.Time, addr netip.AddrPort) {
+// unansweredBeforePause is the number of calls in a row without an answer after which a peer
+// is paused. A single one may be a lost message: a peer paused for it misses the pushes of that
+// time.
+const unansweredBeforePause = 3
+
+// countUnanswered records a call that a peer has not answered, and excludes the peer for a
+// random time around peerBackoff after several in a row or a refused connection.
+func (p *peers) countUnanswered(now time.Time, addr netip.AddrPort, refused bool) {
+	p.unanswered[addr]++
+	if !refused && p.unanswered[addr] < unansweredBeforePause {
+		return
+	}
 	p.pausedUntil[addr] = now.Add(peerBackoff/2 + time.Duration(p.rnd.Int64N(int64(peerBackoff))))
 }
 
-// resume ends the pause of a peer.
-func (p *peers) resume(addr netip.AddrPort) {
+// countAnswered records that a peer has answered, and ends its pause.
+func (p *peers) countAnswered(addr netip.AddrPort) {
 	delete(p.pausedUntil, addr)
+	delete(p.unanswered, addr)
 }
 
-// expire drops pauses that have ended.
+// expire drops pauses that have ended, and the counts of peers that are no longer known.
 func (p *peers) expire(now time.Time) {
 	for addr, until := range p.pausedUntil {
 		if !now.Before(until) {
 			delete(p.pausedUntil, addr)
 		}
 	}
+	for addr := range p.unanswered {
+		if _, known := p.byAddr[addr]; !known {
+			delete(p.unanswered, addr)
+		}
+	}
 }
--- a/internal/control/reconciler/reconciler_test.go
+++ b/internal/control/reconciler/reconciler_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"cornelwood.example/internal/contract/declarer"
 )
 
@@ -40,16 +43,53 @@
 	}
 }
 
+// TestChangeIsInForceInSpiteOfLosses loses a fifth of the messages, in several patterns.
 func TestChangeIsInForceInSpiteOfLosses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := startedFleet(t, 4, "a", "b", "c", "d")
-		defer f.stop()
-		rnd := newRand(3)
-		f.network.cut(func(_, _ netip.AddrPort) bool { return rnd.IntN(100) < 20 })
-		for i := range 10 {
-			f.await("change while a fifth of the messages is lost", inForce, hasVersion(f.platform.put(zoneObject(i%2 == 0))))
-		}
-	})
+	for _, seed := range []uint64{3, 1011, 1034, 1057, 1260, 1533} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startedFleet(t, 4, "a", "b", "c", "d")
+				defer f.stop()
+				rnd := newRand(seed)
+				f.network.cut(func(_, _ netip.AddrPort) bool { return rnd.IntN(100) < 20 })
+				for i := range 10 {
+					f.await("change while a fifth of the messages is lost", inForce, hasVersion(f.platform.put(zoneObject(i%2 == 0))))
+				}
+			})
+		})
+	}
+}
+
+// TestLostMessagePausesNoPeer checks that a peer gets the next push after a single call that it did not answer, and
+// that one which does not answer at all, or refuses the connection, is passed over.
+func TestLostMessagePausesNoPeer(t *testing.T) {
+	self, other := instance("a", 1), instance("a", 2)
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name       string
+		unanswered int
+		refused    bool
+		want       []netip.AddrPort
+	}{
+		{"one call lost", 1, false, []netip.AddrPort{other.Peer}},
+		{"three calls lost", 3, false, nil},
+		{"connection refused", 1, true, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPeers(self, nil, newRand(1))
+			p.setInstances([]declarer.Instance{other})
+			for range tt.unanswered {
+				p.countUnanswered(now, other.Peer, tt.refused)
+			}
+			if diff := cmp.Diff(tt.want, p.pickForPush(now, ""), cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); diff != "" {
+				t.Errorf("peers for a push (-want +got):\n%s", diff)
+			}
+			p.countAnswered(other.Peer)
+			if got := p.pickForPush(now, ""); len(got) != 1 {
+				t.Errorf("after an answer the peers for a push are %v, want one", got)
+			}
+		})
+	}
 }
 
 func TestStartWithoutPlatform(t *testing.T) {
--- a/internal/control/reconciler/spread.go
+++ b/internal/control/reconciler/spread.go
@@ -16,19 +16,20 @@
 	if !r.synced {
 		n = maxExchanges
 	}
-	for _, peer := range r.peers.pick(now, n) {
-		r.openExchange(ctx, now, peer)
-	}
+	r.openExchanges(ctx, now, n, false)
 }
 
-// openExchange opens an exchange with a peer unless maxExchanges are under way.
-func (r *Reconciler) openExchange(ctx context.Context, now time.Time, peer netip.AddrPort) {
-	if r.exchanges >= maxExchanges {
-		return
+// openExchanges opens exchanges with up to n random peers while fewer than maxExchanges are
+// under way.
+func (r *Reconciler) openExchanges(ctx context.Context, now time.Time, n int, isRetry bool) {
+	for _, peer := range r.peers.pick(now, n) {
+		if r.exchanges >= maxExchanges {
+			return
+		}
+		r.exchanges++
+		m := r.state.OpenExchange()
+		r.send(ctx, now, &replyEvent{peer: peer, sent: &m, round: 1, isRetry: isRetry})
 	}
-	r.exchanges++
-	m := r.state.OpenExchange()
-	r.send(ctx, now, peer, m, 1)
 }
 
 // push sends the records that have not been pushed yet to a few peers, or opens
@@ -37,9 +38,7 @@
 	records, from := r.unpushed, r.unpushedFrom
 	r.unpushed, r.unpushedFrom = spreader.Delta{}, ""
 	if records.Len() > maxPushedRecords {
-		for _, peer := range r.peers.pick(now, 2) {
-			r.openExchange(ctx, now, peer)
-		}
+		r.openExchanges(ctx, now, 2, false)
 		return
 	}
 	for _, peer := range r.peers.pickForPush(now, from) {
@@ -47,21 +46,21 @@
 			return
 		}
 		r.pushes++
-		r.send(ctx, now, peer, r.state.Push(records), 0)
+		m := r.state.Push(records)
+		r.send(ctx, now, &replyEvent{peer: peer, sent: &m})
 	}
 }
 
-// send calls a peer in a goroutine of its own, which posts the reply. round is 0 for
-// pushes, and the number of the call in its exchange, from 1, otherwise.
-func (r *Reconciler) send(ctx context.Context, now time.Time, peer netip.AddrPort, m spreader.Message, round int) {
-	r.addSenderState(now, &m)
-	r.metrics.sent(&m)
-	knownInstances := r.instancesAt(peer)
+// send calls the peer of e with the message sent, in a goroutine of its own that posts e with
+// the reply.
+func (r *Reconciler) send(ctx context.Context, now time.Time, e *replyEvent) {
+	r.addSenderState(now, e.sent)
+	r.metrics.sent(e.sent)
+	e.knownInstances = r.instancesAt(e.peer)
 	r.calls.Go(func() {
-		e := &replyEvent{peer: peer, knownInstances: knownInstances, sent: &m, round: round}
 		callCtx, cancel := context.WithTimeout(ctx, spreadTimeout)
 		defer cancel()
-		e.err = r.link.Call(callCtx, peer, CallSpread, &m, &e.reply)
+		e.err = r.link.Call(callCtx, e.peer, CallSpread, e.sent, &e.reply)
 		_ = r.post(ctx, e) // fails only when the loop ends
 	})
 }
@@ -88,7 +87,7 @@
 func (r *Reconciler) handleReply(ctx context.Context, now time.Time, e *replyEvent) {
 	next, ok := r.mergeReply(now, e)
 	if ok && e.round < maxRounds {
-		r.send(ctx, now, e.peer, next, max(e.round, 1)+1)
+		r.send(ctx, now, &replyEvent{peer: e.peer, sent: &next, round: max(e.round, 1) + 1, isRetry: e.isRetry})
 		if e.round == 0 {
 			r.pushes--
 			r.exchanges++
@@ -100,6 +99,11 @@
 		return
 	}
 	r.exchanges--
+	if e.err != nil && !e.isRetry {
+		// A lost message must not cost a whole spreadInterval. One retry bounds the calls of a
+		// daemon that is cut off.
+		r.openExchanges(ctx, now, 1, true)
+	}
 }
 
 // mergeReply merges a reply. It returns the next message of the exchange and true, or
@@ -107,7 +111,7 @@
 func (r *Reconciler) mergeReply(now time.Time, e *replyEvent) (spreader.Message, bool) {
 	if e.err != nil {
 		r.metrics.failures.Inc()
-		r.peers.pause(now, e.peer)
+		r.peers.countUnanswered(now, e.peer, isRefused(e.err))
 		if isRefused(e.err) {
 			for _, in := range e.knownInstances {
 				r.confirmGone(now, in)
@@ -115,7 +119,7 @@
 		}
 		return spreader.Message{}, false
 	}
-	r.peers.resume(e.peer)
+	r.peers.countAnswered(e.peer)
 	r.contacts.Merge(now, e.reply.Contacts)
 	e.reply.Instances = r.filterSelf(now, e.reply.Instances)
 	next, ok, d := r.state.HandleReply(now, &e.reply)
--- a/internal/standin/searcher/conns.go
+++ b/internal/standin/searcher/conns.go
@@ -58,6 +58,14 @@
 	delete(c.open, n)
 }
 
+// isOpen reports whether a connection is open and was neither reset nor silenced.
+func (c *connTracker) isOpen(n *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.open[n]
+	return ok
+}
+
 // removeAllExcept stops tracking all open connections except the given one, which may be nil, and returns them.
 func (c *connTracker) removeAllExcept(except *conn) []*conn {
 	c.mu.Lock()
--- a/internal/standin/searcher/counts.go
+++ b/internal/standin/searcher/counts.go
@@ -32,6 +32,8 @@
 	// ColdOverloads counts how often the searcher was overloaded because more than Config.ColdSlots requests were in
 	// flight while it was cold.
 	ColdOverloads int `json:"coldoverloads"`
+	// LastColdOverload describes the last of them.
+	LastColdOverload ColdOverload `json:"lastcoldoverload"`
 	// MaxInFlightCold is the largest number of requests in flight at an arrival while cold.
 	MaxInFlightCold int `json:"mostcold"`
 	// AfterDrain counts requests that arrived during a drain; LastAfterDrain is the time from the start of the drain
@@ -53,6 +55,19 @@
 	Wasted    time.Duration `json:"wasted"`
 }
 
+// ColdOverload describes one overload of a cold searcher.
+type ColdOverload struct {
+	// Cold is the time from when the searcher turned cold to the overload.
+	Cold time.Duration `json:"cold"`
+	// InFlight is the number of requests in flight with the one that overloaded it, and Successes the number of answers
+	// since it turned cold.
+	InFlight  int `json:"inflight"`
+	Successes int `json:"successes"`
+	// Reset is true when the request arrived on a connection that had been reset: its caller could not know yet that the
+	// searcher had turned cold.
+	Reset bool `json:"reset"`
+}
+
 func newCounts() Counts {
 	return Counts{Runs: make(map[string]int), Searches: make(map[string]int)}
 }
--- a/internal/standin/searcher/faults_test.go
+++ b/internal/standin/searcher/faults_test.go
@@ -60,6 +60,9 @@
 		fx.assertStatus("second", <-second, 0)
 		fx.assertStatus("while shedding", fx.search("r3"), http.StatusServiceUnavailable)
 		fx.assertCounts(func(c Counts) []int { return []int{c.ColdOverloads, c.MaxInFlightCold, c.Sheds} }, 1, 2, 1)
+		if diff := cmp.Diff(ColdOverload{InFlight: 2}, fx.searcher.Counts().LastColdOverload); diff != "" {
+			fx.t.Errorf("last cold overload (-want +got):\n%s", diff)
+		}
 		time.Sleep(time.Second)
 		fx.assertStatus("after shedding", <-fx.start(fx.t.Context(), "r4", "1"), http.StatusGatewayTimeout)
 	})
--- a/internal/standin/searcher/search.go
+++ b/internal/standin/searcher/search.go
@@ -80,7 +80,8 @@
 		return
 	}
 	defer cancel()
-	status, reason := s.admit()
+	on, _ := r.Context().Value(connKey{}).(*conn)
+	status, reason := s.admit(on)
 	if status != 0 {
 		responder.Write(w, status, refusal{Reason: reason, Run: notRun})
 		return
--- a/internal/standin/searcher/work.go
+++ b/internal/standin/searcher/work.go
@@ -41,15 +41,16 @@
 	return ctx, cancel, nil
 }
 
-// admit admits one request. It returns status 0, or the status and reason of the refusal. Each admitted request must
-// be ended with finish.
-func (s *Searcher) admit() (status int, reason string) {
+// admit admits one request that arrived on a connection. It returns status 0, or the status and reason of the refusal.
+// Each admitted request must be ended with finish.
+func (s *Searcher) admit(on *conn) (status int, reason string) {
 	now := time.Now()
+	isReset := on != nil && !s.conns.isOpen(on)
 	s.mu.Lock()
 	status, reason = s.admitLocked(now)
 	overloaded := false
 	if status == 0 {
-		overloaded = s.recordAdmittedLocked(now)
+		overloaded = s.recordAdmittedLocked(now, isReset)
 	}
 	s.mu.Unlock()
 	if overloaded {
@@ -79,7 +80,7 @@
 
 // recordAdmittedLocked counts an admitted request and reports whether it overloads a cold searcher, which then sheds
 // and starts cold again; s.mu is held.
-func (s *Searcher) recordAdmittedLocked(now time.Time) bool {
+func (s *Searcher) recordAdmittedLocked(now time.Time, isReset bool) bool {
 	c, st := &s.counts, &s.state
 	st.inFlight++
 	c.MaxInFlight = max(c.MaxInFlight, st.inFlight)
@@ -94,6 +95,7 @@
 		return false
 	}
 	c.ColdOverloads++
+	c.LastColdOverload = ColdOverload{Cold: now.Sub(st.coldSince), InFlight: st.inFlight, Successes: st.successes, Reset: isReset}
 	st.shedUntil = now.Add(s.cfg.ShedFor)
 	st.turnCold(now)
 	return true
