--- a/internal/report/queuer/queuer.go
+++ b/internal/report/queuer/queuer.go
@@ -31,8 +31,8 @@
 	done    chan struct{}
 }
 
-// New returns a Queuer that writes to out, and a function that writes at least one more
-// batch of queued lines and stops the Queuer. Lines queued later are not written.
+// New returns a Queuer that writes to out, and a function that writes the queued lines and
+// stops the Queuer. Lines queued later are not written.
 func New(out io.Writer) (*Queuer, func()) {
 	q := &Queuer{
 		out:   out,
@@ -75,7 +75,9 @@
 			}
 			q.write(line)
 		case <-q.stop:
-			q.write(nil)
+			for len(q.lines) > 0 {
+				q.write(nil)
+			}
 			return
 		}
 		if n := q.Dropped(); n > reported {
--- a/internal/report/queuer/queuer_test.go
+++ b/internal/report/queuer/queuer_test.go
@@ -72,11 +72,21 @@
 }
 
 func TestCloseWritesQueuedLines(t *testing.T) {
-	out := &slowWriter{}
-	q, closer := New(out)
-	fmt.Fprintln(q, "last")
-	closer()
-	if diff := cmp.Diff("last\n", out.String()); diff != "" {
-		t.Errorf("output (-want +got):\n%s", diff)
+	for _, tt := range []struct {
+		name  string
+		lines int
+	}{{"one line", 1}, {"several batches", maxQueuedLines}} {
+		t.Run(tt.name, func(t *testing.T) {
+			out := &slowWriter{}
+			q, closer := New(out)
+			line := strings.Repeat("x", 300) + "\n"
+			for range tt.lines {
+				fmt.Fprint(q, line)
+			}
+			closer()
+			if got := strings.Count(out.String(), line) + int(q.Dropped()); got != tt.lines {
+				t.Errorf("%d lines written or counted as dropped, want %d", got, tt.lines)
+			}
+		})
 	}
 }
--- a/internal/settings/reader/entry.go
+++ b/internal/settings/reader/entry.go
@@ -103,7 +103,7 @@
 			{key: "grace", defaultValue: "6s", help: "time from SIGTERM until the process is killed", parse: duration(&s.Shutdown.Grace, 0)},
 		}},
 		{"extra", "retry budget: limits the hedges and retries of all daemons together, for each service", []field{
-			{key: "ratio", defaultValue: "0.2", help: "extra requests allowed for each first request", parse: number(&s.Extra.Ratio)},
+			{key: "ratio", defaultValue: "0.2", help: "extra requests allowed for each first request", parse: fraction(&s.Extra.Ratio)},
 			{key: "slack", defaultValue: "50", help: "extra requests allowed in each window in addition to the ratio", parse: integer(&s.Extra.Slack, 0, maxQueries)},
 			{key: "window", defaultValue: "10s", help: "time over which extra requests are counted", parse: duration(&s.Extra.Window, time.Second)},
 		}},
--- a/internal/settings/reader/entry_test.go
+++ b/internal/settings/reader/entry_test.go
@@ -38,6 +38,9 @@
 			"bad values", goodEntry + "[extra]\nratio = x\nslack = -1\nwindow = 0s\n[shutdown]\ngrace = 6\n[process]\nmemory = much\n",
 			[]string{"process/memory", "shutdown/grace", "extra/ratio", "extra/slack", "extra/window"},
 		},
+		{"ratio that is no number", goodEntry + "[extra]\nratio = NaN\n", []string{"extra/ratio"}},
+		{"ratio below 0", goodEntry + "[extra]\nratio = -1\n", []string{"extra/ratio"}},
+		{"ratio above 1", goodEntry + "[extra]\nratio = 1.1\n", []string{"extra/ratio"}},
 		{"section of another daemon", goodEntry + "[group]\nfence = 1s\n", []string{"group/"}},
 	}
 	for _, tt := range tests {
--- a/internal/settings/reader/field.go
+++ b/internal/settings/reader/field.go
@@ -97,12 +97,12 @@
 	}
 }
 
-// number returns a parser of floating-point numbers.
-func number(dst *float64) func(string) error {
+// fraction returns a parser of floating-point numbers from 0 to 1.
+func fraction(dst *float64) func(string) error {
 	return func(s string) error {
 		v, err := strconv.ParseFloat(s, 64)
-		if err != nil {
-			return fmt.Errorf("want a number, got %q", s)
+		if err != nil || !(v >= 0 && v <= 1) {
+			return fmt.Errorf("want a number from 0 to 1, got %q", s)
 		}
 		*dst = v
 		return nil
--- a/internal/upstream/dialer/pool.go
+++ b/internal/upstream/dialer/pool.go
@@ -127,6 +127,9 @@
 		best.busy++
 		return best, nil, nil
 	}
+	if best != nil {
+		best.http.Release()
+	}
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/upstream/dialer/silence_test.go
+++ b/internal/upstream/dialer/silence_test.go
@@ -21,6 +21,36 @@
 	return got
 }
 
+// TestWaitForDialReservesNothing checks that requests which wait for a second connection because the first is silent
+// leave nothing reserved on it.
+func TestWaitForDialReservesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeUpstream(t, echo(nil))
+		c := f.client(t, func(cfg *Config) { cfg.PingAfter = 0 })
+		c.Do(t.Context(), search(1), admitFor(time.Second))
+		f.setSilent(true)
+		f.dialTime = 50 * time.Millisecond
+		first := begin(t.Context(), c, 2, time.Second)
+		time.Sleep(50 * time.Millisecond)
+		var waiting []<-chan Outcome
+		for id := uint64(3); id < 13; id++ {
+			waiting = append(waiting, begin(t.Context(), c, id, 10*time.Millisecond))
+		}
+		for _, w := range waiting {
+			<-w
+		}
+		<-first
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		for _, cn := range c.pool.conns {
+			// The request that was sent counts until the upstream acknowledges its end.
+			if n := cn.http.InFlight(); n > 1 {
+				t.Errorf("a connection has %d requests in flight after all have ended, want 1 at most", n)
+			}
+		}
+	})
+}
+
 // TestSilentConnection checks that new requests avoid a connection that has become silent for
 // good, and that it is closed when it answers no ping.
 func TestSilentConnection(t *testing.T) {
