route: gather a query at daemons near its searchers

A daemon now hands a query to one of the few daemons of a zone with searchers (delegator, selector, locator/gatherers); the same query code runs there. The permit for a second attempt a shard follows after the acceptance, so that a lost acceptance never makes a request run at more searchers than the route allows. The budget is divided among the daemons that gather and those that ask, and loses no small grants; the idle connections count the daemons that send.

--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -25,9 +25,11 @@
 	"cornelwood.example/internal/control/registrar"
 	"cornelwood.example/internal/control/relayer"
 	"cornelwood.example/internal/peer/linker"
+	"cornelwood.example/internal/route/delegator"
 	"cornelwood.example/internal/route/forwarder"
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
+	"cornelwood.example/internal/route/selector"
 	"cornelwood.example/internal/settings/reader"
 	"cornelwood.example/internal/upstream/connector"
 	"cornelwood.example/internal/web/server"
@@ -67,6 +69,7 @@
 	locator                *locator.Locator
 	conns                  *connector.Connector
 	picker                 *picker.Picker
+	selector               *selector.Selector
 	forwarder              *forwarder.Forwarder
 	linker                 *linker.Linker
 	relayer                *relayer.Relayer
@@ -130,7 +133,7 @@
 	r.reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "cornelwood_searcher_connections_opened_total", Help: "Connections opened to searchers.",
 	}, func() float64 { return float64(r.conns.Opened()) }))
-	r.forwarder = forwarder.New(forwarderConfig(settings), r.locator, r.picker, r.conns, r.log.Named("route"), forwarder.NewMetrics(r.reg))
+	r.buildForwarder(settings)
 	r.server = &http.Server{
 		Handler:           r.countInFlight(platform.NewFrontend(r.forwarder, r.leaving.Load)),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -139,6 +142,23 @@
 	}
 }
 
+// buildForwarder creates the forwarder, and what it needs to leave queries to other daemons.
+func (r *Router) buildForwarder(settings *reader.EntrySettings) {
+	self := selfMember(settings)
+	peers := &peers{r.linker}
+	r.selector = selector.New(self.Zone, peers, r.log.Named("route"), time.Now)
+	d := delegator.New(delegator.Default(), peers, r.selector, peers)
+	r.forwarder = forwarder.New(forwarderConfig(settings), self, r.locator, r.picker, r.conns, d, r.log.Named("route"), forwarder.NewMetrics(r.reg))
+	srv := delegator.NewServer(r.forwarder)
+	r.linker.HandleStream(gatherStream, func(ctx context.Context, s *linker.Stream) error { return srv.Serve(ctx, s) })
+	r.linker.Handle(probeCall, func(context.Context, netip.AddrPort, []byte) (any, error) {
+		if ok, reason := r.ready(); !ok {
+			return nil, &linker.RemoteError{Code: codeNotReady, Reason: reason}
+		}
+		return nil, nil
+	})
+}
+
 // buildControl creates the followers of the store, the registrar, and the relayer that shares the state read from
 // the store among the daemons.
 func (r *Router) buildControl(settings *reader.EntrySettings) {
@@ -161,7 +181,7 @@
 
 // selfMember returns the daemon's own member record.
 func selfMember(settings *reader.EntrySettings) declarer.Member {
-	return declarer.Member{ID: settings.Daemon.ID, Zone: settings.Daemon.Zone, Peer: settings.Caller.Peers}
+	return declarer.Member{ID: settings.Daemon.ID, Zone: settings.Daemon.Zone, Peer: settings.Caller.Peers, Share: settings.Process.Share}
 }
 
 // forwarderConfig returns the forwarder's configuration with the budget of extra requests from the settings.
@@ -206,6 +226,7 @@
 	sup.Add(r.linker.Server(r.peers))
 	sup.Add(r.registrar)
 	sup.Add(r.relayer)
+	sup.Add(r.selector)
 	for _, f := range r.followers {
 		sup.Add(f)
 	}
--- a/internal/daemon/router/shutdown.go
+++ b/internal/daemon/router/shutdown.go
@@ -29,15 +29,22 @@
 	grace := settings.Shutdown.Grace
 	startedAt := time.Now()
 	r.leaving.Store(true)
+	r.forwarder.SetLeaving()
 	r.log.Info("leaving", "instance", settings.Daemon.ID, "grace", grace)
 	r.registrar.Deregister()
 	time.Sleep(time.Duration(float64(grace) * acceptFraction))
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(time.Duration(float64(grace)*finishFraction)))
 	defer cancel()
-	go r.awaitIdle(ctx, cancel)
+	idle := make(chan struct{})
+	go func() {
+		defer close(idle)
+		r.awaitIdle(ctx, cancel)
+	}()
 	if err := r.server.Shutdown(ctx); err != nil && r.inFlight.Load() > 0 {
 		r.log.Warn("requests still in flight at the end of the grace period", "running", r.inFlight.Load(), "error", err)
 	}
+	// Clients may be gone before the queries that this daemon gathers for others have ended.
+	<-idle
 }
 
 // awaitIdle calls end once no request has been in flight for idleBeforeExit. It returns early when ctx ends.
@@ -48,7 +55,7 @@
 			return
 		}
 		idle += idlePollInterval
-		if r.inFlight.Load() > 0 {
+		if r.inFlight.Load()+int64(r.forwarder.Gathers()) > 0 {
 			idle = 0
 		}
 	}
--- a/internal/peer/linker/linker.go
+++ b/internal/peer/linker/linker.go
@@ -52,6 +52,8 @@
 	links    map[netip.AddrPort]*link
 	pools    map[netip.AddrPort]*pool
 	handlers map[string]Handler
+	// streamHandlers holds the handlers of streams by name.
+	streamHandlers map[string]StreamHandler
 }
 
 // New returns a Linker that passes the tasks of peers to worker. The clean-up function closes all
@@ -70,6 +72,8 @@
 		links:    make(map[netip.AddrPort]*link),
 		pools:    make(map[netip.AddrPort]*pool),
 		handlers: make(map[string]Handler),
+
+		streamHandlers: make(map[string]StreamHandler),
 	}
 	l.block.Store(&cfg.Block)
 	l.wg.Go(l.runTicks)
--- a/internal/peer/linker/metrics.go
+++ b/internal/peer/linker/metrics.go
@@ -14,11 +14,12 @@
 	purposeGroup
 	purposeSpread
 	purposeForward
+	purposeGather
 	purposeOther
 	purposeCount
 )
 
-var purposeNames = [purposeCount]string{"exchange", "group", "spread", "forward", "other"}
+var purposeNames = [purposeCount]string{"exchange", "group", "spread", "forward", "gather", "other"}
 
 // purposeOf returns the purpose of the unary call name.
 func purposeOf(name string) purpose {
--- a/internal/peer/linker/server.go
+++ b/internal/peer/linker/server.go
@@ -44,6 +44,12 @@
 	if name == exchangeName {
 		return newSession(s.l, stream, w).serve()
 	}
+	s.l.mu.RLock()
+	fn, ok := s.l.streamHandlers[name]
+	s.l.mu.RUnlock()
+	if ok {
+		return s.l.serveStream(stream, w, name, fn)
+	}
 	return s.l.serveCall(stream, w, name)
 }
 
--- a/internal/query/hedger/budget.go
+++ b/internal/query/hedger/budget.go
@@ -41,9 +41,12 @@
 	b.add(int64(attempts) * b.percent.Load())
 }
 
-// AddTokens adds tokens that are not earned by first attempts. Fractions of a unit are dropped.
-func (b *Budget) AddTokens(extra float64) {
-	b.add(int64(extra * unitsPerToken))
+// AddTokens adds tokens that are not earned by first attempts. It returns the number added, since
+// fractions of a unit are not.
+func (b *Budget) AddTokens(extra float64) float64 {
+	units := int64(extra * unitsPerToken)
+	b.add(units)
+	return float64(units) / unitsPerToken
 }
 
 func (b *Budget) add(units int64) {
@@ -61,14 +64,14 @@
 	return b.take(unitsPerToken)
 }
 
-// nearlyFullShare is the share of its capacity that a budget must hold before TakeIfNearlyFull takes a
-// token.
-const nearlyFullShare = 0.9
+// filledShare is the share of its capacity that a budget must hold before TakeIfFilled takes a
+// token: the rest stays for sub-requests that are needed.
+const filledShare = 0.35
 
-// TakeIfNearlyFull takes one token only while the budget is nearly full. It is for extra sub-requests
+// TakeIfFilled takes one token only while the budget holds filledShare of its capacity. It is for extra sub-requests
 // that can be left out, so that the rest of the budget stays for those that are needed.
-func (b *Budget) TakeIfNearlyFull() bool {
-	return b.take(max(unitsPerToken, int64(nearlyFullShare*float64(b.limit.Load()))))
+func (b *Budget) TakeIfFilled() bool {
+	return b.take(max(unitsPerToken, int64(filledShare*float64(b.limit.Load()))))
 }
 
 // take takes one token when the budget holds at least minUnits.
--- a/internal/route/forwarder/fanout.go
+++ b/internal/route/forwarder/fanout.go
@@ -30,6 +30,12 @@
 	// minAnswers is the number of calls that must be answered, missing the number of those that ended without an
 	// answer.
 	minAnswers, missing int
+	// attempts is the largest number of searchers that may run a call, and permitted the number of them that may be
+	// asked now: fewer while the daemon that gathers has no permit for the others.
+	attempts  int
+	permitted atomic.Int32
+	// permit is signalled when permitted was raised.
+	permit chan struct{}
 	// hedgeDelay is the time after which an attempt in flight is hedged.
 	hedgeDelay time.Duration
 	// mayHaveRun is true once an attempt that may have run the request has ended.
@@ -55,7 +61,10 @@
 	charged    atomic.Int32
 	inFlight   int
 	lastSentAt time.Time
-	done       bool
+	// done is true when the call needs no more attempts, failed when it has ended without an answer.
+	done, failed bool
+	// awaitsPermit is true when the call failed and has attempts left that are not permitted yet.
+	awaitsPermit bool
 }
 
 // result is the result of one attempt; call and searcher are indexes.
@@ -74,23 +83,46 @@
 	maxUnsent = 4
 )
 
-func (f *Forwarder) newFanout(req *Request, body []byte, rt *declarer.Route, v *locator.View, services []string, minAnswers int, deadline time.Time) *fanout {
+// budgetFunc returns the retry budget for the requests to a service.
+type budgetFunc func(service string) *hedger.Budget
+
+// budgets counts a first request to each service that it is called with, and returns its budget in a role.
+func (f *Forwarder) budgets(r role) budgetFunc {
+	return func(service string) *hedger.Budget {
+		return f.stats.budget(service, r, time.Now())
+	}
+}
+
+// newFanout returns a fanout to services that has not sent anything yet.
+func (f *Forwarder) newFanout(req *Request, body []byte, rt *declarer.Route, v *locator.View, budgets budgetFunc, services []string, minAnswers int, deadline time.Time) *fanout {
 	lat := f.stats.route(rt)
 	now := time.Now()
 	fo := &fanout{
 		fwd: f, req: req, body: body, route: rt, latency: lat, deadline: deadline,
 		calls:      make([]serviceCall, len(services)),
 		minAnswers: minAnswers,
+		attempts:   rt.Attempts,
+		permit:     make(chan struct{}, 1),
 		results:    make(chan result, len(services)*(rt.Attempts+maxRefusals+maxUnsent+2)),
 		hedgeDelay: lat.hedgeDelay(now),
 	}
+	fo.permitted.Store(int32(rt.Attempts))
 	for i, s := range services {
 		c := &fo.calls[i]
-		c.service, c.searchers, c.budget = s, v.Searchers(s), f.stats.budget(s, now)
+		c.service, c.searchers, c.budget = s, v.Searchers(s), budgets(s)
 	}
 	return fo
 }
 
+// allow permits n attempts for each call. Any goroutine may call it.
+func (f *fanout) allow(n int) {
+	f.permitted.Store(int32(n))
+	select {
+	case f.permit <- struct{}{}:
+	default:
+	}
+}
+
 // send starts an attempt of call i at a searcher that has not been tried, or else at one that did not run an earlier
 // attempt. It returns false when no searcher is available.
 func (f *fanout) send(i int) bool {
@@ -191,12 +223,38 @@
 func (f *fanout) retry(i int) bool {
 	c := &f.calls[i]
 	mayHaveRun := c.attempts > 0
-	if mayHaveRun && !f.route.Idempotent || c.attempts >= f.route.Attempts || c.refusals > maxRefusals || c.unsent > maxUnsent {
+	if mayHaveRun && !f.route.Idempotent || c.attempts >= f.attempts || c.refusals > maxRefusals || c.unsent > maxUnsent {
 		return false
 	}
+	if c.attempts >= int(f.permitted.Load()) {
+		c.awaitsPermit = true
+		return true
+	}
 	return f.sendExtra(i, true)
 }
 
+// retryPermitted retries the calls that failed before their next attempt was permitted.
+func (f *fanout) retryPermitted() {
+	for i := range f.calls {
+		c := &f.calls[i]
+		if !c.awaitsPermit || c.done {
+			continue
+		}
+		c.awaitsPermit = false
+		if !f.retry(i) {
+			f.giveUp(i)
+		}
+	}
+}
+
+// start starts the first attempt of call i by this daemon.
+func (f *fanout) start(i int) bool {
+	if f.calls[i].mayHaveArrived() {
+		return f.sendExtra(i, true)
+	}
+	return f.send(i)
+}
+
 // sendExtra starts another attempt of call i if the budget allows it and a searcher is available.
 func (f *fanout) sendExtra(i int, needed bool) bool {
 	c := &f.calls[i]
@@ -224,9 +282,9 @@
 }
 
 // charge takes one attempt from the budget and returns false when the budget does not allow it. An attempt that the
-// answer does not need is allowed only while the budget is nearly full.
+// answer does not need is allowed only while the budget is filled well enough.
 func (c *serviceCall) charge(needed bool) bool {
-	take := c.budget.TakeIfNearlyFull
+	take := c.budget.TakeIfFilled
 	if needed {
 		take = c.budget.Take
 	}
@@ -254,10 +312,11 @@
 		return 0
 	}
 	var next time.Duration
+	permitted := int(f.permitted.Load())
 	needed := hedgeNeeded(f.pending(), len(f.calls)-f.minAnswers-f.missing)
 	for i := range f.calls {
 		c := &f.calls[i]
-		if c.done || c.inFlight != 1 || c.attempts >= f.route.Attempts || c.attempts == 0 {
+		if c.done || c.inFlight != 1 || c.attempts >= permitted || c.attempts == 0 {
 			continue
 		}
 		wait := f.hedgeDelay - now.Sub(c.lastSentAt)
@@ -289,7 +348,7 @@
 
 // giveUp ends call i without an answer.
 func (f *fanout) giveUp(i int) {
-	f.calls[i].done = true
+	f.calls[i].done, f.calls[i].failed = true, true
 	f.missing++
 }
 
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -12,11 +12,13 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/time/rate"
 
+	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
 	"cornelwood.example/internal/upstream/connector"
@@ -75,7 +77,9 @@
 // Forwarder answers requests. It is safe for concurrent use.
 type Forwarder struct {
 	cfg       Config
+	self      declarer.Member
 	views     Viewer
+	delegator Delegator
 	picker    *picker.Picker
 	exchanger Exchanger
 	stats     *stats
@@ -83,12 +87,15 @@
 	metrics   *Metrics
 	// logLimiter bounds the rate of log lines about requests.
 	logLimiter *rate.Limiter
+	// gathers counts the queries that this daemon gathers for others now; leaving is true when it accepts no more.
+	gathers atomic.Int64
+	leaving atomic.Bool
 }
 
-// New returns a Forwarder.
-func New(cfg Config, views Viewer, p *picker.Picker, ex Exchanger, log hclog.Logger, m *Metrics) *Forwarder {
+// New returns the Forwarder of the daemon self.
+func New(cfg Config, self declarer.Member, views Viewer, p *picker.Picker, ex Exchanger, d Delegator, log hclog.Logger, m *Metrics) *Forwarder {
 	return &Forwarder{
-		cfg: cfg, views: views, picker: p, exchanger: ex, stats: newStats(cfg), log: log, metrics: m,
+		cfg: cfg, self: self, views: views, picker: p, exchanger: ex, delegator: d, stats: newStats(cfg), log: log, metrics: m,
 		logLimiter: rate.NewLimiter(logLinesPerSecond, logBurst),
 	}
 }
@@ -101,7 +108,7 @@
 // Handle returns the final answer to a request.
 func (f *Forwarder) Handle(ctx context.Context, req *Request) Answer {
 	v := f.views.View()
-	f.stats.setMembers(len(v.Members()))
+	f.stats.setFleet(len(v.Members()), v.GathererCount())
 	name, a := f.answer(ctx, req, v)
 	a.RetryAfter = jitterRetryAfter(a.RetryAfter, rand.Float64())
 	f.recordAnswer(req, name, v, &a)
@@ -135,7 +142,7 @@
 	}
 	deadline := req.Arrived.Add(timeout)
 	if len(rt.Shards) > 0 {
-		return rt.Name, f.query(ctx, req, body, rt, v, deadline)
+		return rt.Name, f.answerQuery(ctx, req, body, rt, v, deadline)
 	}
 	return rt.Name, f.single(ctx, req, body, rt, v, deadline)
 }
--- a/internal/route/forwarder/metrics.go
+++ b/internal/route/forwarder/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cornelwood.example/internal/route/delegator"
 	"cornelwood.example/internal/route/locator"
 )
 
@@ -16,6 +17,7 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	failures *prometheus.CounterVec
+	gathers  *prometheus.CounterVec
 	unlogged prometheus.Counter
 }
 
@@ -33,10 +35,13 @@
 			Name: "cornelwood_exchange_failures_total", Help: "Exchanges with searchers that gave no answer to use.",
 		}, []string{"service", "kind"}),
 	}
+	m.gathers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cornelwood_gathers_total", Help: "Queries gathered for other daemons, by route and whether enough shards answered.",
+	}, []string{"route", "covered"})
 	m.unlogged = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cornelwood_log_lines_withheld_total", Help: "Lines about requests beyond the bound on their rate.",
 	})
-	reg.MustRegister(m.requests, m.latency, m.failures, m.unlogged)
+	reg.MustRegister(m.requests, m.latency, m.failures, m.gathers, m.unlogged)
 	return m
 }
 
@@ -60,7 +65,27 @@
 		return
 	}
 	f.log.Info("request answered", "request", req.ID, "route", route, "status", a.Status, "reason", a.Reason,
-		"missing", a.Missing, "sends", a.SubRequests, "took", took, "patience", req.ClientTimeout, "version", v.Version(), "revision", v.Revision())
+		"missing", a.Missing, "sends", a.SubRequests, "gatherer", a.Gatherer, "took", took, "patience", req.ClientTimeout, "version", v.Version(), "revision", v.Revision())
+}
+
+// recordGather counts a query that this daemon gathered for another one, and logs an incomplete one.
+func (f *Forwarder) recordGather(j *gatherJob, end queryEnd) {
+	f.metrics.gathers.WithLabelValues(j.route.Name, strconv.FormatBool(end == covered)).Inc()
+	missing := len(j.calls) - len(j.parts)
+	if missing == 0 || !f.allowLogLine() {
+		return
+	}
+	f.log.Info("query gathered for another daemon", "request", j.req.ID, "route", j.route.Name, "missing", missing,
+		"covered", end == covered, "sends", len(j.cancels), "took", time.Since(j.req.Arrived), "goal", j.in.Goal, "version", j.in.Version)
+}
+
+// recordUndelegated logs that no other daemon gathered a query.
+func (f *Forwarder) recordUndelegated(req *Request, res *delegator.Result, took time.Duration) {
+	if !f.allowLogLine() {
+		return
+	}
+	f.log.Info("query not gathered by another daemon", "request", req.ID, "daemon", res.Daemon, "error", res.Err,
+		"attempts", res.Attempts, "mayhaverun", res.MayHaveRun, "took", took)
 }
 
 // allowLogLine reports whether a line may be logged now, and counts it as withheld if not.
--- a/internal/route/forwarder/query.go
+++ b/internal/route/forwarder/query.go
@@ -10,81 +10,135 @@
 	"cornelwood.example/internal/route/locator"
 )
 
-// query is a fanout to the shards of a route that merges their answers.
+// query is a fanout to shards of a route that merges their answers. The same code gathers for clients and for other
+// daemons.
 type query struct {
 	*fanout
 	records *merger.Records
-	stamps  []string
+	// parts holds the index of each merged call and stamps the signatures of their answers, in the same order.
+	parts  []int
+	stamps []string
+	// isJob is true for a query that is gathered for another daemon, which may ask for the missing shards itself.
+	isJob bool
+	// cutoffAt is the time from which the answer goes out without the missing shards once it covers enough of them.
+	cutoffAt time.Time
 }
 
-// query answers a request whose route names shards.
-func (f *Forwarder) query(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
-	q := &query{
-		fanout:  f.newFanout(req, body, rt, v, rt.Shards, rt.RequiredShards(), deadline),
-		records: merger.NewRecords(rt.TopK),
-	}
-	if a, ok := q.admit(); !ok {
-		return a
+// queryEnd is how a query ended.
+type queryEnd int
+
+const (
+	// covered: enough shards answered.
+	covered queryEnd = iota
+	// uncovered: too few shards can still answer.
+	uncovered
+	// expired: too few shards answered before the deadline.
+	expired
+	// disconnected: nobody waits for the answer any more.
+	disconnected
+)
+
+// answerQuery answers a request whose route names shards: daemons near the searchers gather it, or this daemon does.
+func (f *Forwarder) answerQuery(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
+	candidates := v.Gatherers(rt)
+	switch {
+	case len(candidates) == 0:
+		return f.gatherAll(ctx, req, body, rt, v, sender, deadline)
+	case v.IsGatherer(&f.self):
+		return f.gatherAll(ctx, req, body, rt, v, gatherer, deadline)
+	default:
+		d := f.newDelegation(req, body, rt, v, deadline)
+		return d.run(ctx, candidates)
 	}
-	for i := range q.calls {
-		if !q.send(i) {
-			q.giveUp(i)
-		}
+}
+
+// gatherAll sends a query to every shard of its route.
+func (f *Forwarder) gatherAll(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, r role, deadline time.Time) Answer {
+	q := f.newQuery(req, body, rt, v, f.budgets(r), rt.Shards, rt.RequiredShards(), clientCutoff(req, rt, deadline), deadline)
+	if q.available() < q.minAnswers {
+		return refuseNotRun(f.cfg.RetryAfter, reasonUnavailable)
 	}
-	a := q.run(ctx)
+	a := q.answer(q.gather(ctx), len(rt.Shards))
 	a.SubRequests = len(q.cancels)
-	cancelDelay := f.cfg.CancelDelay
-	if ctx.Err() != nil {
-		cancelDelay = 0
-	}
-	q.cancelAfter(cancelDelay)
 	return a
 }
 
-// admit refuses a query before any searcher receives it when too few shards have an available searcher.
-func (q *query) admit() (Answer, bool) {
-	available := 0
+// reasonUnavailable is the reason of an answer to a query that was not sent to any searcher.
+const reasonUnavailable = "too few shards have an available searcher"
+
+// clientCutoff returns the cutoff of a client's query: the deadline when its route has no latency goal.
+func clientCutoff(req *Request, rt *declarer.Route, deadline time.Time) time.Time {
+	if goal := rt.LatencyGoal.Duration; goal > 0 {
+		return req.Arrived.Add(cutoff(goal))
+	}
+	return deadline
+}
+
+// newQuery returns a query to shards of a route that has not sent anything yet. It needs the answers of minAnswers of
+// them.
+func (f *Forwarder) newQuery(req *Request, body []byte, rt *declarer.Route, v *locator.View, budgets budgetFunc, shards []string, minAnswers int, cutoffAt, deadline time.Time) *query {
+	return &query{
+		fanout:   f.newFanout(req, body, rt, v, budgets, shards, minAnswers, deadline),
+		records:  merger.NewRecords(rt.TopK),
+		cutoffAt: cutoffAt,
+	}
+}
+
+// available returns the number of shards with an available searcher.
+func (q *query) available() int {
+	n := 0
 	for i := range q.calls {
 		if q.fwd.picker.Usable(q.calls[i].searchers) > 0 {
-			available++
+			n++
 		}
 	}
-	if available >= q.minAnswers {
-		return Answer{}, true
-	}
-	return refuseNotRun(q.fwd.cfg.RetryAfter, "too few shards have an available searcher"), false
+	return n
 }
 
-// run collects shard answers until all have arrived, or enough of them by cutoffAt or later, or too few can still
-// arrive.
-func (q *query) run(ctx context.Context) Answer {
-	cutoffAt := q.deadline
-	if goal := q.route.LatencyGoal.Duration; goal > 0 {
-		cutoffAt = q.req.Arrived.Add(cutoff(goal))
+// gather sends the query to the shards and collects their answers until all have arrived, or enough of them by cutoffAt
+// or later, or too few can still arrive.
+func (q *query) gather(ctx context.Context) queryEnd {
+	for i := range q.calls {
+		if !q.start(i) {
+			q.giveUp(i)
+		}
+	}
+	end := q.collect(ctx)
+	cancelDelay := q.fwd.cfg.CancelDelay
+	if end == disconnected {
+		cancelDelay = 0
 	}
-	timer := time.NewTimer(q.hedgeAndWait(cutoffAt))
+	q.cancelAfter(cancelDelay)
+	return end
+}
+
+func (q *query) collect(ctx context.Context) queryEnd {
+	timer := time.NewTimer(q.hedgeAndWait())
 	defer timer.Stop()
 	for {
-		if a, ok := q.finalAnswer(time.Now(), cutoffAt); ok {
-			return a
+		if end, ok := q.end(time.Now()); ok {
+			return end
 		}
 		select {
 		case res := <-q.results:
 			q.handleResult(&res)
+		case <-q.permit:
+			q.retryPermitted()
+			timer.Reset(q.hedgeAndWait())
 		case <-timer.C:
-			timer.Reset(q.hedgeAndWait(cutoffAt))
+			timer.Reset(q.hedgeAndWait())
 		case <-ctx.Done():
-			return refuse(statusClientClosed, "client disconnected")
+			return disconnected
 		}
 	}
 }
 
 // hedgeAndWait hedges the calls that are due and returns the time until the next hedge, cutoffAt or the deadline,
 // whichever is first.
-func (q *query) hedgeAndWait(cutoffAt time.Time) time.Duration {
+func (q *query) hedgeAndWait() time.Duration {
 	now := time.Now()
 	wait := q.deadline.Sub(now)
-	if left := cutoffAt.Sub(now); left > 0 {
+	if left := q.cutoffAt.Sub(now); left > 0 {
 		wait = min(wait, left)
 	}
 	if hedge := q.hedge(now); hedge > 0 {
@@ -109,37 +163,68 @@
 	}
 	c.done = true
 	q.records.Add(res.reply.Body)
+	q.parts = append(q.parts, res.call)
 	q.stamps = append(q.stamps, res.reply.Meta.Stamp)
 }
 
-// finalAnswer returns the final answer, and false while there is none.
-func (q *query) finalAnswer(now, cutoffAt time.Time) (Answer, bool) {
-	answered := len(q.stamps)
+// end returns how the query ended, and false while it has not.
+func (q *query) end(now time.Time) (queryEnd, bool) {
+	answered := len(q.parts)
 	pending := len(q.calls) - answered - q.missing
 	switch {
-	case answered >= q.minAnswers && (pending == 0 || !now.Before(cutoffAt)):
-		return q.mergedAnswer(), true
-	case answered+pending < q.minAnswers:
-		return q.failedAnswer(), true
+	case answered >= q.minAnswers && (pending == 0 || !now.Before(q.cutoffAt)):
+		return covered, true
+	case answered+pending < q.minAnswers && !q.waitsForRest(answered, pending, now):
+		return uncovered, true
 	case !now.Before(q.deadline):
-		return refuse(http.StatusGatewayTimeout, "too few shards answered in time"), true
+		return expired, true
 	default:
-		return Answer{}, false
+		return 0, false
+	}
+}
+
+// waitsForRest reports whether a query that too few shards can answer here waits for the pending ones: the other daemon
+// needs them if it can complete the answer.
+func (q *query) waitsForRest(answered, pending int, now time.Time) bool {
+	if !q.isJob || pending == 0 || !now.Before(q.cutoffAt) {
+		return false
+	}
+	return answered+pending+len(q.untriedCalls()) >= q.minAnswers
+}
+
+// untriedCalls returns the calls that have ended without an answer although they have attempts left.
+func (q *query) untriedCalls() []int {
+	var out []int
+	for i := range q.calls {
+		if c := &q.calls[i]; c.failed && c.attempts < int(q.permitted.Load()) {
+			out = append(out, i)
+		}
 	}
+	return out
 }
 
-func (q *query) mergedAnswer() Answer {
-	return Answer{
-		Status:  http.StatusOK,
-		Body:    q.records.Bytes(),
-		Stamps:  q.stamps,
-		Missing: len(q.calls) - len(q.stamps),
+// answer returns the final answer to a client; shards is the number of the route's shards.
+func (q *query) answer(end queryEnd, shards int) Answer {
+	switch end {
+	case covered:
+		return mergedAnswer(q.records, q.stamps, shards)
+	case uncovered:
+		return uncoveredAnswer(q.fwd.cfg.RetryAfter, q.mayHaveRun || q.anyInFlight())
+	case expired:
+		return refuse(http.StatusGatewayTimeout, "too few shards answered in time")
+	default:
+		return refuse(statusClientClosed, "client disconnected")
 	}
 }
 
-func (q *query) failedAnswer() Answer {
-	if !q.mayHaveRun && !q.anyInFlight() {
-		return refuseNotRun(q.fwd.cfg.RetryAfter, "too few shards accepted the query")
+func mergedAnswer(records *merger.Records, stamps []string, shards int) Answer {
+	return Answer{Status: http.StatusOK, Body: records.Bytes(), Stamps: stamps, Missing: shards - len(stamps)}
+}
+
+// uncoveredAnswer returns the answer to a query of which too few shards can answer.
+func uncoveredAnswer(retryAfter time.Duration, mayHaveRun bool) Answer {
+	if !mayHaveRun {
+		return refuseNotRun(retryAfter, "too few shards accepted the query")
 	}
 	return refuse(http.StatusBadGateway, "too few shards answered")
 }
--- a/internal/route/forwarder/single.go
+++ b/internal/route/forwarder/single.go
@@ -12,7 +12,7 @@
 
 // single answers a request that one searcher runs.
 func (f *Forwarder) single(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
-	fo := f.newFanout(req, body, rt, v, []string{targetService(rt, rand.Float64())}, 1, deadline)
+	fo := f.newFanout(req, body, rt, v, f.budgets(sender), []string{targetService(rt, rand.Float64())}, 1, deadline)
 	if !fo.send(0) {
 		return refuseNotRun(f.cfg.RetryAfter, "no searcher is available")
 	}
--- a/internal/route/forwarder/stats.go
+++ b/internal/route/forwarder/stats.go
@@ -12,7 +12,7 @@
 const (
 	// assumedMembers is the number of daemons assumed until the members are known: about that of the largest
 	// deployments.
-	assumedMembers = 64
+	assumedMembers = 300
 	// averageShift sets the weight of the newest latency in the moving average: 1 in 32.
 	averageShift = 5
 	// initialAverageDivisor sets the average latency before the first sample: the goal divided by it.
@@ -22,14 +22,65 @@
 	// within a window: budgets that have just been spent must not refill in it.
 	burstShare  = 0.95
 	refillShare = 0.1
-	// minBurst, one extra request, is also what a budget starts with: the budget before a restart may have been
-	// spent in the same window. maxBurst bounds what one daemon may send at once.
+	// minBurst, one extra request, is also the most that a budget starts with: the budget before a restart may have
+	// been spent in the same window. maxBurst bounds what one daemon may send at once.
 	minBurst = 1
-	maxBurst = 8
+	maxBurst = 10
+	// startShare is the share of its slack that a daemon which leaves its queries to others may spend right after its
+	// start: hundreds of them would otherwise spend a whole extra request each.
+	startShare = 0.5
+	// gathererStartShare is the share of its slack that a daemon which gathers may spend right after its start, at most
+	// maxGathererStart.
+	gathererStartShare = 0.1
+	maxGathererStart   = 4
+	// gathererPart is the part of the budget that belongs to the daemons that gather queries for others. The rest is
+	// for those that ask them: for asking a second one, and for sending to searchers themselves when none can gather.
+	gathererPart = 0.6
 	// defaultGoal is the latency goal of a route that sets none.
 	defaultGoal = time.Second
 )
 
+// role is what a daemon does with the queries to a service, and with it the part of the budget that it may spend.
+type role int
+
+const (
+	// sender: every daemon sends its clients' requests to the searchers itself.
+	sender role = iota
+	// asker: other daemons gather this one's queries.
+	asker
+	// gatherer: this daemon gathers the queries of others.
+	gatherer
+)
+
+// allowance is the part of a service's budget that one daemon may spend.
+type allowance struct {
+	// start is the number of extra requests that it may send right after its start.
+	start float64
+	// percent is the number of extra requests for 100 first requests.
+	percent int
+	// slack is the daemon's part of the fleet's slack, in extra requests.
+	slack float64
+}
+
+// allowance returns the part of the budget that a daemon may spend in a role.
+func (s *stats) allowance(r role) allowance {
+	percent := float64(s.percent.Load())
+	slack := float64(s.cfg.ExtraSlack)
+	members := float64(s.members.Load())
+	switch r {
+	case gatherer:
+		a := allowance{percent: int(percent * gathererPart), slack: slack * gathererPart / max(1, float64(s.gatherers.Load()))}
+		a.start = min(maxGathererStart, max(minBurst, a.slack*gathererStartShare))
+		return a
+	case asker:
+		a := allowance{percent: int(percent * (1 - gathererPart)), slack: slack * (1 - gathererPart) / members}
+		a.start = min(minBurst, a.slack*startShare)
+		return a
+	default:
+		return allowance{start: minBurst, percent: int(percent), slack: slack / members}
+	}
+}
+
 // stats holds the latencies of each route and the budget of each service.
 type stats struct {
 	cfg Config
@@ -37,8 +88,10 @@
 	mu      sync.Mutex
 	routes  map[string]*routeLatency
 	budgets map[string]*serviceBudget
-	// members is the number of daemons that share the slack.
-	members atomic.Int64
+	// percent is the number of extra requests of all daemons for 100 first requests.
+	percent atomic.Int64
+	// members is the number of daemons that share the slack, gatherers that of the daemons that gather queries.
+	members, gatherers atomic.Int64
 }
 
 // routeLatency tracks the latencies of one route's sub-requests; average is a moving average in nanoseconds.
@@ -51,14 +104,19 @@
 func newStats(cfg Config) *stats {
 	s := &stats{cfg: cfg, routes: make(map[string]*routeLatency), budgets: make(map[string]*serviceBudget)}
 	s.members.Store(assumedMembers)
+	s.percent.Store(int64(cfg.ExtraPercent))
 	return s
 }
 
-// route returns the latencies of a route.
+// route returns the latencies of a route's requests to searchers.
 func (s *stats) route(rt *declarer.Route) *routeLatency {
+	return s.latencyOf(rt.Name, rt)
+}
+
+func (s *stats) latencyOf(name string, rt *declarer.Route) *routeLatency {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.routes[rt.Name]
+	l := s.routes[name]
 	if l == nil {
 		goal := rt.LatencyGoal.Duration
 		if goal <= 0 {
@@ -66,87 +124,81 @@
 		}
 		l = &routeLatency{quantile: hedger.NewEstimator(s.cfg.HedgeQuantile, time.Now()), goal: goal}
 		l.average.Store(int64(goal / initialAverageDivisor))
-		s.routes[rt.Name] = l
+		s.routes[name] = l
 	}
 	return l
 }
 
+// gathers returns the latencies of a route's queries that other daemons gather.
+func (s *stats) gathers(rt *declarer.Route) *routeLatency {
+	return s.latencyOf("gather/"+rt.Name, rt)
+}
+
 // serviceBudget is the budget of extra requests to one service: a percentage of the first requests, and this
-// daemon's share of the slack, which refills over time.
+// daemon's part of the slack, which refills over time.
 //
 // Load pattern: searchers that refuse or fail for many seconds, when the percentage of the first requests alone
 // leaves most of the slack unused.
 type serviceBudget struct {
 	*hedger.Budget
-	// grantedAt is the time of the last grant in Unix nanoseconds.
+	// grantedAt is the time in Unix nanoseconds up to which the slack has been granted.
 	grantedAt atomic.Int64
 }
 
-// minGrantInterval is the minimum time between two grants, because a grant of less than one unit of the budget is lost.
-const minGrantInterval = 200 * time.Millisecond
-
 // countFirst counts a first request to the service and grants the budget perSecond extra requests for each second
 // since the last grant.
 func (b *serviceBudget) countFirst(now time.Time, perSecond float64) {
 	b.Deposit(1)
 	at := b.grantedAt.Load()
-	since := time.Duration(now.UnixNano() - at)
-	if since < minGrantInterval || !b.grantedAt.CompareAndSwap(at, now.UnixNano()) {
+	since := min(time.Duration(now.UnixNano()-at), maxGrantInterval)
+	if since <= 0 || !b.grantedAt.CompareAndSwap(at, now.UnixNano()) {
 		return
 	}
-	b.AddTokens(min(since, maxGrantInterval).Seconds() * perSecond)
+	// What is too little for the budget's unit is granted later: at hundreds of daemons, each grant is.
+	owed := since.Seconds() * perSecond
+	if rest := owed - b.AddTokens(owed); rest > 0 {
+		b.grantedAt.Add(-int64(rest / perSecond * float64(time.Second)))
+	}
 }
 
 // maxGrantInterval bounds the time that one grant covers.
 const maxGrantInterval = 5 * time.Second
 
-// budget counts a first request to a service and returns the service's budget of extra requests.
-func (s *stats) budget(service string, now time.Time) *hedger.Budget {
+// budget counts a first request to a service and returns the service's budget of extra requests, as far as the daemon
+// may spend it in a role.
+func (s *stats) budget(service string, r role, now time.Time) *hedger.Budget {
+	part := s.allowance(r)
 	s.mu.Lock()
 	b := s.budgets[service]
 	if b == nil {
-		b = &serviceBudget{Budget: hedger.NewBudget(s.cfg.ExtraPercent, s.burst(), minBurst)}
+		b = &serviceBudget{Budget: hedger.NewBudget(part.percent, part.burst(), part.start)}
 		b.grantedAt.Store(now.UnixNano())
 		s.budgets[service] = b
 	}
 	s.mu.Unlock()
-	b.countFirst(now, s.refillRate())
+	b.SetPercent(part.percent)
+	b.SetBurst(part.burst())
+	b.countFirst(now, part.slack*refillShare/s.cfg.ExtraWindow.Seconds())
 	return b.Budget
 }
 
-// refillRate returns this daemon's share of the slack in extra requests per second.
-func (s *stats) refillRate() float64 {
-	return float64(s.cfg.ExtraSlack) * refillShare / s.cfg.ExtraWindow.Seconds() / float64(s.members.Load())
-}
-
 // setPercent sets the percentage of every budget.
 func (s *stats) setPercent(percent int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cfg.ExtraPercent = percent
-	for _, b := range s.budgets {
-		b.SetPercent(percent)
-	}
+	s.percent.Store(int64(percent))
 }
 
-// setMembers divides the slack of the budgets among n daemons; 0 means that their number is not known yet.
-func (s *stats) setMembers(n int) {
-	if n == 0 {
-		n = assumedMembers
-	}
-	if int(s.members.Swap(int64(n))) == n {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, b := range s.budgets {
-		b.SetBurst(s.burst())
+// setFleet divides the slack of the budgets among the daemons; 0 members means that their number is not known yet.
+func (s *stats) setFleet(members, gatherers int) {
+	if members == 0 {
+		members = assumedMembers
 	}
+	s.members.Store(int64(members))
+	s.gatherers.Store(int64(gatherers))
 }
 
-// burst returns the number of extra requests that this daemon may send at once.
-func (s *stats) burst() float64 {
-	return min(maxBurst, max(minBurst, float64(s.cfg.ExtraSlack)*burstShare/float64(s.members.Load())))
+// burst returns the number of extra requests that the daemon may send at once.
+func (a allowance) burst() float64 {
+	return min(maxBurst, max(minBurst, a.slack*burstShare))
 }
 
 // record adds the latency of an answer.
--- a/internal/route/locator/idle.go
+++ b/internal/route/locator/idle.go
@@ -12,7 +12,8 @@
 
 // maxIdleConns returns the maximum number of idle connections that a daemon keeps to a searcher that accepts conns
 // connections from all daemons together, 0 for no bound. sameZone says whether the daemon is in the searcher's zone.
-// daemons is the number of daemons in the daemon's own zone if sameZone is set, otherwise in all zones but its own.
+// daemons is the number of daemons that send to the searcher: those in its zone if sameZone is set, otherwise those in
+// all other zones.
 //
 // Load pattern: all daemons lose power at once and restart, while searchers still count the old idle connections as
 // open and reset new ones.
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -131,13 +131,19 @@
 			limits[s.Name] = s
 		}
 	}
-	sameZone := l.membersOfZone()
+	v.gatherers = chooseGatherers(l.members)
+	v.gathered = l.gatheredServices(limits)
+	memberCounts := l.membersByZone()
 	for _, e := range l.searchers {
 		if e.Draining || l.closedZones[e.Zone] {
 			continue
 		}
 		limit := limits[e.Service]
-		daemons := len(l.members) - sameZone
+		sameZone, all := max(1, memberCounts[e.Zone]), len(l.members)
+		if v.gathered[e.Service] {
+			sameZone, all = max(1, len(v.gatherers[e.Zone])), v.GathererCount()
+		}
+		daemons := all - sameZone
 		if e.Zone == l.self.Zone {
 			daemons = sameZone
 		}
@@ -146,22 +152,51 @@
 			MaxIdleConns: maxIdleConns(limit.Connections, e.Zone == l.self.Zone, daemons),
 		}
 		if limit.ColdRate > 0 {
-			s.ColdLimited, s.ColdRate = true, coldShare(limit.ColdRate, e.ID, l.self.ID, l.members)
+			senders := l.members
+			if v.gathered[e.Service] {
+				senders = byID(v.gatherers)
+			}
+			s.ColdLimited, s.ColdRate = true, coldShare(limit.ColdRate, e.ID, l.self.ID, senders)
 		}
 		v.services[e.Service] = append(v.services[e.Service], s)
 	}
 	l.view.Store(v)
 }
 
-// membersOfZone returns the number of daemons in this daemon's zone, at least 1 for itself.
-func (l *Locator) membersOfZone() int {
-	n := 0
+// byID returns the daemons of all zones by their ID.
+func byID(zones map[string][]declarer.Member) map[string]declarer.Member {
+	out := make(map[string]declarer.Member)
+	for _, ms := range zones {
+		for _, m := range ms {
+			out[m.ID] = m
+		}
+	}
+	return out
+}
+
+// membersByZone returns the number of daemons in each zone.
+func (l *Locator) membersByZone() map[string]int {
+	counts := make(map[string]int)
 	for _, m := range l.members {
-		if m.Zone == l.self.Zone {
-			n++
+		counts[m.Zone]++
+	}
+	return counts
+}
+
+// gatheredServices returns the services that are shards of a route and whose queries few daemons gather.
+func (l *Locator) gatheredServices(limits map[string]declarer.ServiceLimits) map[string]bool {
+	gathered := make(map[string]bool)
+	if l.matcher == nil {
+		return gathered
+	}
+	for i := range l.matcher.Routing().Routes {
+		for _, s := range l.matcher.Routing().Routes[i].Shards {
+			if isGathered(limits[s].Connections, len(l.members)) {
+				gathered[s] = true
+			}
 		}
 	}
-	return max(1, n)
+	return gathered
 }
 
 // enqueue passes an update to the goroutine that owns the state.
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -18,6 +18,9 @@
 	// listed is true once a list of the searchers has been received.
 	listed  bool
 	members []declarer.Member
+	// gatherers holds the daemons that gather queries, by zone; gathered the services whose queries they gather.
+	gatherers map[string][]declarer.Member
+	gathered  map[string]bool
 }
 
 // Searcher is a searcher that may get new requests.
--- a/internal/settings/reader/entry.go
+++ b/internal/settings/reader/entry.go
@@ -37,6 +37,8 @@
 type Process struct {
 	// MemoryMB is the memory use in MB at which the process is killed; 0 means no limit.
 	MemoryMB int
+	// Share is the part of a processor core that the process gets; 0 means unspecified.
+	Share float64
 }
 
 // EntryShutdown holds the settings of a graceful shutdown.
@@ -58,6 +60,9 @@
 // maxMemoryMB is the highest value of the memory setting, in MB.
 const maxMemoryMB = 1 << 20
 
+// maxShare is the highest value of the processor share, in cores.
+const maxShare = 1024
+
 // ReadEntrySettings reads and validates the settings file of an entry daemon. The error joins a FileError for each error
 // in the file.
 func ReadEntrySettings(path string) (*EntrySettings, error) {
@@ -98,6 +103,7 @@
 		}},
 		{"process", "process limits", []field{
 			{key: "memory", defaultValue: "0", help: "memory use in MB at which the process is killed; 0 for no limit", parse: integer(&s.Process.MemoryMB, 0, maxMemoryMB)},
+			{key: "share", defaultValue: "0", help: "part of a processor core that the process gets, by which daemons are chosen to gather queries; 0 if not known", parse: number(&s.Process.Share, 0, maxShare)},
 		}},
 		{"shutdown", "graceful shutdown", []field{
 			{key: "grace", defaultValue: "6s", help: "time from SIGTERM until the process is killed", parse: duration(&s.Shutdown.Grace, 0)},
