--- a/internal/contract/exchanger/gather.go
+++ b/internal/contract/exchanger/gather.go
@@ -19,8 +19,9 @@
 	Shards []int `json:"shards,omitempty"`
 	// Attempts is the number of attempts a shard that a Permit may allow, at least 1.
 	Attempts int `json:"attempts"`
-	// Needed is the number of shards that make the answer useful, and Goal the time left
-	// after which the missing ones are not waited for once that number is reached.
+	// Needed is the number of shards without which the answer is of no use: further attempts
+	// for the others are left out first. Goal is the time left until the parts that are there
+	// are sent; those that arrive later follow one by one.
 	Needed int           `json:"needed"`
 	Goal   time.Duration `json:"goal"`
 	// Remaining is the time left until the client's deadline.
@@ -71,30 +72,33 @@
 	return nil
 }
 
-// Permit is the message with which the daemon that asked lets the one that gathers use all attempts of
-// the route. Until then the latter makes one attempt a shard: the former, if it has not heard that its
-// request was accepted, asks another daemon, which uses the other attempts.
+// Permit is a message of the daemon that asked, after the first. It lets the one that gathers use all
+// attempts of the route: until then the latter makes one attempt a shard, since the former asks another
+// daemon, which uses the other attempts, when it does not learn that its request was accepted.
 type Permit struct {
-	Attempts int `json:"attempts"`
+	Attempts int `json:"attempts,omitempty"`
+	// Stop is true when the answer so far is enough: the daemon that gathers ends with it.
+	Stop bool `json:"stop,omitempty"`
 }
 
 // Gathered is a message of a daemon that gathers: first that it accepts or refuses the request, then
-// the answer.
+// one or more parts of the answer, which are merged by adding them up.
 type Gathered struct {
 	// Accepted is true in the first message. Refused is the reason for a refusal: nothing was run.
 	Accepted bool       `json:"accepted,omitempty"`
 	Refused  GatherCode `json:"refused,omitempty"`
 
-	// Parts are the shards whose answers are merged into Records: their indexes in the
-	// route and the searchers' signatures.
+	// Parts are the shards whose answers are merged into Records, none of them in an earlier
+	// message: their indexes in the route and the searchers' signatures.
 	Parts   []Part `json:"parts,omitempty"`
 	Records []byte `json:"records,omitempty"`
-	// Left holds the other shards that may still be asked, with the number of attempts that
-	// are left for each.
-	Left []Left `json:"left,omitempty"`
+	// Missing holds the shards that will be in no message.
+	Missing []Missing `json:"missing,omitempty"`
+	// Final is true in the last message.
+	Final bool `json:"final,omitempty"`
 	// MayHaveRun is true when a searcher may have run the request.
 	MayHaveRun bool `json:"run,omitempty"`
-	// Sends is the number of requests sent to searchers.
+	// Sends is the number of requests sent to searchers, in the last message.
 	Sends int `json:"sends,omitempty"`
 }
 
@@ -111,8 +115,6 @@
 	Leaving GatherCode = "leaving"
 	// Busy: the daemon gathers too many queries already.
 	Busy GatherCode = "busy"
-	// Uncovered: too few of the shards have a searcher that the daemon can use.
-	Uncovered GatherCode = "uncovered"
 )
 
 // Part is one shard's part of a merged answer.
@@ -121,26 +123,26 @@
 	Stamp string `json:"t"`
 }
 
-// Left is a shard without a part, and the attempts that are left for it.
-type Left struct {
+// Missing is a shard without a part, and the number of attempts that are left for it.
+type Missing struct {
 	Shard    int `json:"s"`
-	Attempts int `json:"n"`
+	Attempts int `json:"n,omitempty"`
 }
 
 // Check validates the message. It returns the first error, or nil.
 func (g *Gathered) Check() error {
-	seen := make(map[int]bool, len(g.Parts)+len(g.Left))
+	seen := make(map[int]bool, len(g.Parts)+len(g.Missing))
 	for _, p := range g.Parts {
 		if p.Shard < 0 || seen[p.Shard] || p.Stamp == "" {
 			return &declarer.FieldError{Field: "parts", Reason: "want different shards, each with a signature"}
 		}
 		seen[p.Shard] = true
 	}
-	for _, l := range g.Left {
-		if l.Shard < 0 || seen[l.Shard] || l.Attempts < 1 {
-			return &declarer.FieldError{Field: "left", Reason: "want different shards without a part, each with an attempt left"}
+	for _, m := range g.Missing {
+		if m.Shard < 0 || seen[m.Shard] || m.Attempts < 0 {
+			return &declarer.FieldError{Field: "missing", Reason: "want different shards without a part, each with 0 or more attempts left"}
 		}
-		seen[l.Shard] = true
+		seen[m.Shard] = true
 	}
 	return nil
 }
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -78,8 +78,7 @@
 	server                 *http.Server
 	// leaving is true from the start of the shutdown on.
 	leaving atomic.Bool
-	// inFlight counts the client requests in flight.
-	inFlight atomic.Int64
+	active  *activeConns
 	// closers holds the functions that release resources, in order of acquisition.
 	closers []func()
 }
@@ -87,7 +86,7 @@
 // New opens the listeners and assembles the daemon. The returned function releases its resources; call it
 // after Serve has returned.
 func New(settings *reader.EntrySettings, log hclog.Logger) (*Router, func(), error) {
-	r := &Router{log: log, reg: prometheus.NewRegistry()}
+	r := &Router{log: log, reg: prometheus.NewRegistry(), active: newActiveConns()}
 	r.settings.Store(settings)
 	if settings.Process.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Process.MemoryMB) * softLimitFraction * (1 << 20)))
@@ -135,7 +134,8 @@
 	}, func() float64 { return float64(r.conns.Opened()) }))
 	r.buildForwarder(settings)
 	r.server = &http.Server{
-		Handler:           r.countInFlight(platform.NewFrontend(r.forwarder, r.leaving.Load)),
+		Handler:           platform.NewFrontend(r.forwarder, r.leaving.Load),
+		ConnState:         r.active.track,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/daemon/router/shutdown.go
+++ b/internal/daemon/router/shutdown.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"cornelwood.example/internal/time/sleeper"
@@ -40,8 +39,8 @@
 		defer close(idle)
 		r.awaitIdle(ctx, cancel)
 	}()
-	if err := r.server.Shutdown(ctx); err != nil && r.inFlight.Load() > 0 {
-		r.log.Warn("requests still in flight at the end of the grace period", "running", r.inFlight.Load(), "error", err)
+	if err := r.server.Shutdown(ctx); err != nil && r.active.count() > 0 {
+		r.log.Warn("requests still in flight at the end of the grace period", "running", r.active.count(), "error", err)
 	}
 	// Clients may be gone before the queries that this daemon gathers for others have ended.
 	<-idle
@@ -55,18 +54,9 @@
 			return
 		}
 		idle += idlePollInterval
-		if r.inFlight.Load()+int64(r.forwarder.Gathers()) > 0 {
+		if r.active.count()+r.forwarder.Gathers() > 0 {
 			idle = 0
 		}
 	}
 	end()
 }
-
-// countInFlight returns h with its requests counted in r.inFlight.
-func (r *Router) countInFlight(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		r.inFlight.Add(1)
-		defer r.inFlight.Add(-1)
-		h.ServeHTTP(w, req)
-	})
-}
--- a/internal/route/delegator/delegator.go
+++ b/internal/route/delegator/delegator.go
@@ -50,6 +50,8 @@
 // Selector chooses among daemons.
 type Selector interface {
 	Pick(candidates []declarer.Member, tried []string, average time.Duration) (*declarer.Member, *selector.Call)
+	// Reachable reports whether one of the candidates may be chosen.
+	Reachable(candidates []declarer.Member) bool
 }
 
 // Delegator asks other daemons to gather queries. It is safe for concurrent use.
@@ -65,6 +67,11 @@
 	return &Delegator{cfg: cfg, opener: opener, selector: sel, prober: prober}
 }
 
+// Reachable reports whether at least one of the daemons is not known to be out of reach.
+func (d *Delegator) Reachable(candidates []declarer.Member) bool {
+	return d.selector.Reachable(candidates)
+}
+
 // Query is a query to be gathered.
 type Query struct {
 	// Gather is the message to send, but for its times, its Attempts and its Definition.
@@ -75,6 +82,10 @@
 	CutoffAt, Deadline time.Time
 	// Average is the average latency of the route's queries.
 	Average time.Duration
+	// OnMessage receives the messages with parts, in order.
+	OnMessage func(g *exchanger.Gathered)
+	// Done is closed when the answer is enough.
+	Done <-chan struct{}
 	// MayRepeat reports whether the retry budget allows to ask another daemon when the first may have sent the query to
 	// searchers, and takes what that costs.
 	MayRepeat func() bool
@@ -82,15 +93,15 @@
 
 // Result is what came of a query.
 type Result struct {
-	// Answer is the answer of the daemon that gathered; nil when there is none.
-	Answer *exchanger.Gathered
+	// Final is true when the daemon that gathered has sent its last message.
+	Final bool
 	// Daemon is the ID of the daemon that was asked last.
 	Daemon string
 	// Attempts is the number of attempts a shard that are left to this daemon.
 	Attempts int
-	// MayHaveRun is true when a daemon without an answer may have sent the query to searchers.
+	// MayHaveRun is true when a daemon that did not send its last message may have sent the query to searchers.
 	MayHaveRun bool
-	// Err says why the last daemon gave no answer.
+	// Err says why there is no last message.
 	Err error
 }
 
@@ -121,7 +132,10 @@
 	var tried []string
 	for len(tried) < d.cfg.MaxAsked {
 		m, call := d.selector.Pick(candidates, tried, q.Average)
-		if m == nil {
+		if m == nil || isClosed(q.Done) {
+			if call != nil {
+				call.End(selector.Abandoned)
+			}
 			return res
 		}
 		if res.MayHaveRun && !q.MayRepeat() {
@@ -133,9 +147,9 @@
 		res.Daemon = m.ID
 		a := d.ask(ctx, m, q, res.Attempts)
 		call.End(a.outcome())
-		res.Answer, res.Err = a.answer, a.err
+		res.Final, res.Err = a.final, a.err
 		switch {
-		case a.answer != nil:
+		case a.final:
 			return res
 		case a.accepted || ctx.Err() != nil:
 			// What the daemon has run is not known: no attempt is left.
@@ -155,8 +169,9 @@
 type asking struct {
 	// sent is true when the daemon may have received the query, accepted when it said so.
 	sent, accepted bool
-	answer         *exchanger.Gathered
-	err            error
+	// final is true when its last message has arrived.
+	final bool
+	err   error
 	// abandoned is true when the query ended for another reason than the daemon.
 	abandoned bool
 }
@@ -165,7 +180,7 @@
 func (a *asking) outcome() selector.Outcome {
 	var refused *RefusedError
 	switch {
-	case a.answer != nil:
+	case a.final:
 		return selector.Answered
 	case a.abandoned:
 		return selector.Abandoned
@@ -201,7 +216,7 @@
 		accept = time.AfterFunc(check, func() { d.check(askCtx, m, cancel) })
 	})
 	if a.err != nil {
-		a.abandoned = ctx.Err() != nil
+		a.abandoned = ctx.Err() != nil || isClosed(q.Done)
 		if cause := context.Cause(askCtx); cause != nil {
 			a.err = cause
 		}
@@ -209,6 +224,15 @@
 	return a
 }
 
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
 // converse exchanges the messages of one query and sets the fields of a. It calls onAccepted after the acceptance.
 func (d *Delegator) converse(ctx context.Context, a *asking, m *declarer.Member, q *Query, in *exchanger.Gather, attempts int, onAccepted func()) error {
 	s, end, err := d.opener.Open(ctx, m.Peer)
@@ -237,14 +261,40 @@
 			return err
 		}
 	}
-	var answer exchanger.Gathered
-	if err := s.Recv(&answer); err != nil {
-		return err
+	defer d.stopWhenDone(ctx, s, q)()
+	for !a.final {
+		var g exchanger.Gathered
+		if err := s.Recv(&g); err != nil {
+			return err
+		}
+		q.OnMessage(&g)
+		a.final = g.Final
 	}
-	a.answer, complete = &answer, true
+	complete = true
 	return nil
 }
 
+// stopWhenDone asks the daemon to stop as soon as the answer is enough. Its last message follows, so that the connection
+// can be used again. The returned function ends the wait.
+func (d *Delegator) stopWhenDone(ctx context.Context, s Stream, q *Query) func() {
+	ended := make(chan struct{})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		select {
+		case <-q.Done:
+			// When it fails, so does the next Recv.
+			_ = s.Send(&exchanger.Permit{Stop: true})
+		case <-ended:
+		case <-ctx.Done():
+		}
+	}()
+	return func() {
+		close(ended)
+		<-stopped
+	}
+}
+
 // check ends a query whose daemon does not answer a probe any more.
 func (d *Delegator) check(ctx context.Context, m *declarer.Member, cancel context.CancelCauseFunc) {
 	ctx, stop := context.WithTimeout(ctx, d.cfg.CheckTimeout)
--- a/internal/route/delegator/delegator_test.go
+++ b/internal/route/delegator/delegator_test.go
@@ -71,6 +71,9 @@
 	got       []exchanger.Gather
 	permitted int
 	cancelled int
+	// stop ends the job; stops counts the calls of Stop.
+	stop  chan struct{}
+	stops int
 }
 
 // Admit returns the job of a query.
@@ -79,6 +82,7 @@
 	defer f.mu.Unlock()
 	f.got = append(f.got, *in)
 	f.permitted = 1
+	f.stop = make(chan struct{})
 	if f.refuse == "" && in.Definition == nil && in.Version != f.version {
 		return nil, exchanger.WrongVersion
 	}
@@ -91,16 +95,31 @@
 	f.permitted = n
 }
 
-// Run gathers for the time that the daemon takes.
-func (f *fakeDaemon) Run(ctx context.Context) *exchanger.Gathered {
-	select {
-	case <-time.After(f.takes):
-	case <-ctx.Done():
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.cancelled++
+func (f *fakeDaemon) Stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops++
+	close(f.stop)
+}
+
+// Run sends a part at half of the time that the daemon takes, and another one at its end.
+func (f *fakeDaemon) Run(ctx context.Context, send func(*exchanger.Gathered) error) error {
+	for i := range 2 {
+		select {
+		case <-time.After(f.takes / 2):
+		case <-f.stop:
+			return send(&exchanger.Gathered{Final: true})
+		case <-ctx.Done():
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.cancelled++
+			return ctx.Err()
+		}
+		if err := send(&exchanger.Gathered{Parts: []exchanger.Part{{Shard: i, Stamp: "s"}}, Final: i == 1}); err != nil {
+			return err
+		}
 	}
-	return &exchanger.Gathered{Parts: []exchanger.Part{{Shard: 0, Stamp: "s"}}}
+	return nil
 }
 
 // network holds the daemons by address; it is their Opener and Prober.
@@ -162,7 +181,9 @@
 	sel := selector.New("z", n, hclog.NewNullLogger(), time.Now)
 	d := New(Default(), n, sel, n)
 	started := time.Now()
+	parts := 0
 	res := d.Delegate(t.Context(), members, &Query{
+		OnMessage:  func(g *exchanger.Gathered) { parts += len(g.Parts) },
 		Gather:     exchanger.Gather{Version: version, Route: "q", Method: "GET", Target: "/"},
 		Definition: &declarer.Route{Name: "q", Host: "h", Prefix: "/", Idempotent: true, Attempts: attempts, TopK: 1, Shards: []string{"s"}},
 		CutoffAt:   started.Add(goal), Deadline: started.Add(deadline),
@@ -171,11 +192,11 @@
 	took := time.Since(started)
 	synctest.Wait()
 	out := outcome{Attempts: res.Attempts, MayHaveRun: res.MayHaveRun, Permitted: [2]int{first.permitted, second.permitted}}
-	if res.Answer != nil {
+	if res.Final {
 		out.Daemon = res.Daemon
 	}
-	if (res.Err == nil) != (res.Answer != nil) {
-		t.Errorf("answer %v with error %v, want one of them", res.Answer, res.Err)
+	if (res.Err == nil) != res.Final || res.Final != (parts == 2) {
+		t.Errorf("final %t with error %v and %d parts, want an error or 2 parts", res.Final, res.Err, parts)
 	}
 	return out, took
 }
@@ -251,8 +272,29 @@
 			CutoffAt: started.Add(goal), Deadline: started.Add(deadline), MayRepeat: func() bool { return true },
 		})
 		synctest.Wait()
-		if res.Answer != nil || time.Since(started) > 51*time.Millisecond || d.cancelled != 1 {
-			t.Errorf("answer %v after %s, %d jobs cancelled, want none at once and 1", res.Answer, time.Since(started), d.cancelled)
+		if res.Final || time.Since(started) > 51*time.Millisecond || d.cancelled != 1 {
+			t.Errorf("final %t after %s, %d jobs cancelled, want no last message at once and 1", res.Final, time.Since(started), d.cancelled)
+		}
+	})
+}
+
+// TestStop checks that a daemon ends its work when the answer is enough, and that its connection stays in use.
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := declarer.Member{ID: "first", Zone: "z", Peer: netip.MustParseAddrPort("10.0.0.1:1")}
+		d := &fakeDaemon{version: version, takes: time.Second}
+		n := &network{daemons: map[netip.AddrPort]*fakeDaemon{m.Peer: d}}
+		done := make(chan struct{})
+		time.AfterFunc(goal, func() { close(done) })
+		started := time.Now()
+		res := New(Default(), n, selector.New("z", n, hclog.NewNullLogger(), time.Now), n).Delegate(t.Context(), []declarer.Member{m}, &Query{
+			Gather: exchanger.Gather{Version: version, Route: "q", Method: "GET", Target: "/"}, Definition: &declarer.Route{Attempts: attempts},
+			CutoffAt: started.Add(goal), Deadline: started.Add(deadline), MayRepeat: func() bool { return true },
+			OnMessage: func(*exchanger.Gathered) {}, Done: done,
+		})
+		synctest.Wait()
+		if took := time.Since(started); !res.Final || took > goal+5*time.Millisecond || d.stops != 1 || d.cancelled != 0 {
+			t.Errorf("final %t after %s, %d stops, %d jobs cancelled, want the last message soon after %s and one stop", res.Final, took, d.stops, d.cancelled, goal)
 		}
 	})
 }
--- a/internal/route/delegator/doc.go
+++ b/internal/route/delegator/doc.go
@@ -6,7 +6,9 @@
 //	asker -> gatherer   exchanger.Gather
 //	asker <- gatherer   exchanger.Gathered, accepted or refused
 //	asker -> gatherer   exchanger.Permit
-//	asker <- gatherer   exchanger.Gathered, the answer
+//	asker <- gatherer   exchanger.Gathered, the parts until the goal
+//	asker <- gatherer   exchanger.Gathered, each later part, until the last message
+//	asker -> gatherer   exchanger.Permit, to stop, when the answer is enough before that
 //
 // A daemon that does not accept in time is passed over for another one, which gets the attempts that the first has no
 // permit for. So no more searchers than the route allows run a request, even if the first daemon received it and only its
--- a/internal/route/delegator/server.go
+++ b/internal/route/delegator/server.go
@@ -10,8 +10,11 @@
 type Job interface {
 	// Allow permits n attempts for each shard. Before, one is permitted. Any goroutine may call it.
 	Allow(n int)
-	// Run gathers the query and returns the answer. ctx is cancelled when nobody waits for it any more.
-	Run(ctx context.Context) *exchanger.Gathered
+	// Stop ends the job with the answer so far. Any goroutine may call it.
+	Stop()
+	// Run gathers the query and passes the messages with parts to send, the last one as its end. ctx is cancelled when
+	// nobody waits for them any more.
+	Run(ctx context.Context, send func(*exchanger.Gathered) error) error
 }
 
 // Gatherer gathers queries for other daemons.
@@ -43,25 +46,23 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if err := stream.Send(&exchanger.Gathered{Accepted: true}); err != nil {
-		// The job has not sent anything yet; without this call it would count as running.
+		// Without the call the job would count as running for good.
 		cancel()
-		job.Run(ctx)
-		return err
 	}
 	go func() {
-		defer cancel()
 		for {
 			var p exchanger.Permit
-			if stream.Recv(&p) != nil {
+			switch err := stream.Recv(&p); {
+			case err != nil:
 				// The asking daemon has ended the stream.
+				cancel()
 				return
+			case p.Stop:
+				job.Stop()
+			default:
+				job.Allow(p.Attempts)
 			}
-			job.Allow(p.Attempts)
 		}
 	}()
-	answer := job.Run(ctx)
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	return stream.Send(answer)
+	return job.Run(ctx, func(g *exchanger.Gathered) error { return stream.Send(g) })
 }
--- a/internal/route/forwarder/delegation.go
+++ b/internal/route/forwarder/delegation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -16,164 +17,333 @@
 // Delegator asks other daemons to gather a query.
 type Delegator interface {
 	Delegate(ctx context.Context, candidates []declarer.Member, q *delegator.Query) delegator.Result
+	// Reachable reports whether at least one of the daemons is known to answer, or not known not to.
+	Reachable(candidates []declarer.Member) bool
 }
 
-// delegation is a client's query that another daemon gathers. This daemon sends it to the searchers itself only when no
-// other one can, and for shards that the other could not reach.
+// stopTimeout bounds how long the daemons that gather may take to end once the answer is enough.
+const stopTimeout = 300 * time.Millisecond
+
+// delegation is a client's query whose shards are gathered in groups, each by a daemon of a zone with their searchers.
+// This daemon sends to the searchers itself when it is one of those, when no other one can, and for shards that others
+// could not reach.
 type delegation struct {
-	fwd      *Forwarder
-	req      *Request
-	body     []byte
-	route    *declarer.Route
-	view     *locator.View
-	cutoffAt time.Time
-	deadline time.Time
+	fwd                *Forwarder
+	req                *Request
+	body               []byte
+	route              *declarer.Route
+	view               *locator.View
+	cutoffAt, deadline time.Time
 	// budget is the retry budget of all shards together: asking a second daemon takes from all of them at once.
 	budget *hedger.Budget
-	sends  int
+	// messages has the messages of all groups, and results those of the groups that have ended.
+	messages chan *exchanger.Gathered
+	results  chan groupResult
+	// done is closed when the answer is enough.
+	done chan struct{}
+
+	records *merger.Records
+	stamps  []string
+	// open holds the shards that may still be answered, with the number of the group that gathers them. retriable holds
+	// the shards that others could not reach, with their attempts.
+	open      map[int]int
+	retriable []exchanger.Missing
+	// groups is the number of groups started, running that of those that have not ended.
+	groups, running int
+	mayHaveRun      bool
+	sends           int
+	daemons         []string
+}
+
+// groupResult is how a group ended.
+type groupResult struct {
+	group int
+	delegator.Result
 }
 
 func (f *Forwarder) newDelegation(req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) *delegation {
-	return &delegation{
+	d := &delegation{
 		fwd: f, req: req, body: body, route: rt, view: v, deadline: deadline, cutoffAt: clientCutoff(req, rt, deadline),
-		budget: f.stats.budget(rt.Shards[0], asker, time.Now()),
+		budget:   f.stats.budget(rt.Shards[0], asker, time.Now()),
+		messages: make(chan *exchanger.Gathered, len(rt.Shards)),
+		results:  make(chan groupResult, len(rt.Shards)),
+		done:     make(chan struct{}),
+		records:  merger.NewRecords(rt.TopK),
+		open:     make(map[int]int, len(rt.Shards)),
 	}
+	return d
 }
 
 // run returns the final answer.
-func (d *delegation) run(ctx context.Context, candidates []declarer.Member) Answer {
-	a, daemon := d.answer(ctx, candidates)
-	a.SubRequests, a.Gatherer = d.sends, daemon
+func (d *delegation) run(ctx context.Context) Answer {
+	if d.available() < d.route.RequiredShards() {
+		return refuseNotRun(d.fwd.cfg.RetryAfter, reasonUnavailable)
+	}
+	// The groups end on their own after the answer, so that their connections can be used again.
+	groupCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), d.deadline)
+	for _, g := range d.view.GatherGroups(d.route, d.fwd.self.Zone, d.fwd.delegator.Reachable) {
+		d.start(groupCtx, &g)
+	}
+	a := d.collect(ctx, groupCtx)
+	a.SubRequests, a.Gatherers = d.sends, d.daemons
+	close(d.done)
+	if ctx.Err() != nil {
+		cancel()
+		return a
+	}
+	time.AfterFunc(stopTimeout, cancel)
 	return a
 }
 
-// answer returns the final answer and the ID of the daemon that gathered it, empty for this one.
-func (d *delegation) answer(ctx context.Context, candidates []declarer.Member) (Answer, string) {
+// available returns the number of shards with a searcher that is available as far as this daemon knows.
+func (d *delegation) available() int {
+	n := 0
+	for _, s := range d.route.Shards {
+		if d.fwd.picker.Usable(d.view.Searchers(s)) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// start gathers a group here when this daemon is one of those that gather, or nobody else can, and elsewhere otherwise.
+func (d *delegation) start(ctx context.Context, g *locator.GatherGroup) {
+	self := d.fwd.self.ID
+	for i := range g.Members {
+		if g.Members[i].ID == self {
+			d.gatherHere(ctx, g.Shards, d.route.Attempts, d.fwd.budgets(gatherer), false)
+			return
+		}
+	}
+	if len(g.Members) == 0 {
+		d.gatherHere(ctx, g.Shards, d.route.Attempts, d.shardBudget, false)
+		return
+	}
+	members, shards, group := g.Members, g.Shards, d.openGroup(g.Shards)
 	latency := d.fwd.stats.gathers(d.route)
 	started := time.Now()
-	res := d.fwd.delegator.Delegate(ctx, candidates, &delegator.Query{
-		Gather:     d.message(),
+	query := &delegator.Query{
+		Gather:     d.message(shards),
 		Definition: d.route,
 		CutoffAt:   d.cutoffAt,
 		Deadline:   d.deadline,
 		Average:    time.Duration(latency.average.Load()),
+		OnMessage:  d.post,
+		Done:       d.done,
 		MayRepeat:  d.budget.Take,
-	})
-	if res.Err != nil {
-		d.fwd.recordUndelegated(d.req, &res, time.Since(started))
 	}
-	switch {
-	case ctx.Err() != nil:
-		return refuse(statusClientClosed, "client disconnected"), res.Daemon
-	case res.Answer != nil:
-		latency.record(time.Since(started))
-		return d.merge(ctx, res.Answer), res.Daemon
-	case !time.Now().Before(d.deadline):
-		return refuse(http.StatusGatewayTimeout, "no daemon gathered the query in time"), res.Daemon
-	case res.Attempts == 0:
-		return refuse(http.StatusBadGateway, "the daemon that gathered the query was lost"), res.Daemon
-	default:
-		return d.sendDirectly(ctx, &res), ""
+	go func() {
+		res := d.fwd.delegator.Delegate(ctx, members, query)
+		if res.Final {
+			latency.record(time.Since(started))
+		}
+		d.results <- groupResult{group, res}
+	}()
+}
+
+// openGroup records that a further group gathers shards, and returns its number.
+func (d *delegation) openGroup(shards []int) int {
+	d.groups++
+	d.running++
+	for _, i := range shards {
+		d.open[i] = d.groups
 	}
+	return d.groups
 }
 
-// shardBudget returns the budget of every shard.
-func (d *delegation) shardBudget(string) *hedger.Budget {
-	return d.budget
+// post passes a message to the query's goroutine while it waits for messages.
+func (d *delegation) post(g *exchanger.Gathered) {
+	select {
+	case d.messages <- g:
+	case <-d.done:
+	}
 }
 
-// message returns the message of the query, without its times.
-func (d *delegation) message() exchanger.Gather {
+// message returns the message for a group, without its times and attempts.
+func (d *delegation) message(shards []int) exchanger.Gather {
 	return exchanger.Gather{
-		Version: d.view.Version(), Route: d.route.Name, Needed: d.route.RequiredShards(),
+		Version: d.view.Version(), Route: d.route.Name, Shards: shards, Needed: d.neededOf(len(shards)),
 		Request: d.req.ID, Method: d.req.Method, Host: d.req.Host, Target: d.req.Target, Header: d.req.Header,
 		Body: d.body, HasBody: d.req.HasBody,
 	}
 }
 
-// sendDirectly sends the query to the searchers, with the attempts that are left.
-func (d *delegation) sendDirectly(ctx context.Context, res *delegator.Result) Answer {
+// neededOf returns how many of n shards an answer needs when the missing ones are spread evenly.
+func (d *delegation) neededOf(n int) int {
+	return int(math.Ceil(float64(d.route.RequiredShards()) * float64(n) / float64(len(d.route.Shards))))
+}
+
+// shardBudget returns the budget of every shard.
+func (d *delegation) shardBudget(string) *hedger.Budget {
+	return d.budget
+}
+
+// gatherHere sends the query to shards itself. repeated is true when another daemon has sent to them, or tried to.
+func (d *delegation) gatherHere(ctx context.Context, shards []int, attempts int, budgets budgetFunc, repeated bool) {
 	rt := *d.route
-	rt.Attempts = res.Attempts
-	q := d.fwd.newQuery(d.req, d.body, &rt, d.view, d.shardBudget, rt.Shards, rt.RequiredShards(), d.cutoffAt, d.deadline)
-	q.mayHaveRun = res.MayHaveRun
-	if q.available() < q.minAnswers {
-		return uncoveredAnswer(d.fwd.cfg.RetryAfter, res.MayHaveRun)
-	}
-	if res.MayHaveRun {
-		// Each shard may get the query a second time.
-		if !d.budget.Take() {
-			return refuse(http.StatusBadGateway, "the retry budget is used up")
+	rt.Attempts = attempts
+	j := d.fwd.newGatherJob(d.req, d.body, &rt, d.view, budgets, shards, d.neededOf(len(shards)), d.cutoffAt, d.deadline)
+	if repeated {
+		for i := range j.calls {
+			j.calls[i].refusals = 1
+		}
+	}
+	group := d.openGroup(shards)
+	go func() {
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			select {
+			case <-d.done:
+				j.Stop()
+			case <-stop:
+			}
+		}()
+		err := j.Run(ctx, func(g *exchanger.Gathered) error {
+			for i := range g.Missing {
+				// This daemon has tried what it can.
+				g.Missing[i].Attempts = 0
+			}
+			d.post(g)
+			return nil
+		})
+		d.results <- groupResult{group, delegator.Result{Final: err == nil, Err: err}}
+	}()
+}
+
+// collect waits until the answer is enough, or cannot become it.
+func (d *delegation) collect(ctx, groupCtx context.Context) Answer {
+	timer := time.NewTimer(d.wait())
+	defer timer.Stop()
+	for {
+		if a, ok := d.answer(groupCtx, time.Now()); ok {
+			return a
+		}
+		select {
+		case g := <-d.messages:
+			d.merge(g)
+		case r := <-d.results:
+			d.drain()
+			d.endGroup(groupCtx, &r)
+		case <-timer.C:
+			timer.Reset(d.wait())
+		case <-ctx.Done():
+			return refuse(statusClientClosed, "client disconnected")
+		}
+	}
+}
+
+// drain merges the messages that wait: a group's messages are posted before its result.
+func (d *delegation) drain() {
+	for {
+		select {
+		case g := <-d.messages:
+			d.merge(g)
+		default:
+			return
 		}
 	}
-	end := q.gather(ctx)
-	d.sends += len(q.cancels)
-	return q.answer(end, len(rt.Shards))
 }
 
-// merge returns the answer from what another daemon has gathered, and asks the searchers of shards that it could not
-// reach itself when the answer depends on them.
-func (d *delegation) merge(ctx context.Context, g *exchanger.Gathered) Answer {
+// wait returns the time until the cutoff, or until the deadline after it.
+func (d *delegation) wait() time.Duration {
+	now := time.Now()
+	if left := d.cutoffAt.Sub(now); left > 0 {
+		return left
+	}
+	return max(minTimerDelay, d.deadline.Sub(now))
+}
+
+// merge adds a message's parts. Those of shards that are not open are not from this query's groups.
+func (d *delegation) merge(g *exchanger.Gathered) {
+	d.mayHaveRun = d.mayHaveRun || g.MayHaveRun
 	d.sends += g.Sends
-	shards := len(d.route.Shards)
-	if !areBelow(g, shards) {
-		return refuse(http.StatusBadGateway, "the daemon that gathered the query answered for shards that the route does not have")
+	for _, p := range g.Parts {
+		if d.open[p.Shard] == 0 {
+			// The records of the other parts cannot be told apart from this one's.
+			d.fwd.log.Warn("gathered parts ignored: a shard that was not asked for", "request", d.req.ID, "shard", p.Shard)
+			return
+		}
 	}
-	records := merger.NewRecords(d.route.TopK)
-	records.Add(g.Records)
-	stamps := make([]string, 0, shards)
 	for _, p := range g.Parts {
-		stamps = append(stamps, p.Stamp)
+		delete(d.open, p.Shard)
+		d.stamps = append(d.stamps, p.Stamp)
 	}
-	need := d.route.RequiredShards() - len(stamps)
-	if need <= 0 {
-		return mergedAnswer(records, stamps, shards)
+	d.records.Add(g.Records)
+	for _, m := range g.Missing {
+		d.giveUp(m)
 	}
-	if len(g.Left) < need || !time.Now().Before(d.deadline) {
-		if !time.Now().Before(d.deadline) {
-			return refuse(http.StatusGatewayTimeout, "too few shards answered in time")
-		}
-		return uncoveredAnswer(d.fwd.cfg.RetryAfter, g.MayHaveRun)
+}
+
+// giveUp takes a shard out of those that may be answered.
+func (d *delegation) giveUp(m exchanger.Missing) {
+	if d.open[m.Shard] == 0 {
+		return
+	}
+	delete(d.open, m.Shard)
+	if m.Attempts > 0 {
+		d.retriable = append(d.retriable, m)
 	}
-	return d.complete(ctx, g, records, stamps, need)
 }
 
-// areBelow reports whether the indexes of all shards of an answer are below n.
-func areBelow(g *exchanger.Gathered, n int) bool {
-	for _, p := range g.Parts {
-		if p.Shard >= n {
-			return false
-		}
+// endGroup handles the end of a group. If no daemon gathered it, this one sends to its shards with the attempts that are
+// left.
+func (d *delegation) endGroup(ctx context.Context, r *groupResult) {
+	d.running--
+	if r.Daemon != "" {
+		d.daemons = append(d.daemons, r.Daemon)
 	}
-	for _, l := range g.Left {
-		if l.Shard >= n {
-			return false
+	d.mayHaveRun = d.mayHaveRun || r.MayHaveRun
+	var rest []int
+	for i, group := range d.open {
+		if group == r.group {
+			rest = append(rest, i)
 		}
 	}
-	return true
+	if !r.Final {
+		d.fwd.recordUndelegated(d.req, &r.Result)
+	}
+	if len(rest) == 0 {
+		return
+	}
+	if !r.Final && r.Attempts > 0 && (!r.MayHaveRun || d.budget.Take()) {
+		d.gatherHere(ctx, rest, r.Attempts, d.shardBudget, false)
+		return
+	}
+	for _, i := range rest {
+		d.giveUp(exchanger.Missing{Shard: i})
+	}
 }
 
-// complete asks the searchers of the shards that are left, of which need must answer.
+// answer returns the final answer, and false while there is none.
+func (d *delegation) answer(ctx context.Context, now time.Time) (Answer, bool) {
+	required, total := d.route.RequiredShards(), len(d.route.Shards)
+	answered := len(d.stamps)
+	if answered+len(d.open) < required && len(d.retriable) > 0 && now.Before(d.deadline) {
+		d.retry(ctx)
+	}
+	switch {
+	case answered >= required && (len(d.open) == 0 || !now.Before(d.cutoffAt)):
+		return mergedAnswer(d.records, d.stamps, total), true
+	case answered+len(d.open) < required:
+		return uncoveredAnswer(d.fwd.cfg.RetryAfter, d.mayHaveRun || d.running > 0), true
+	case !now.Before(d.deadline):
+		return refuse(http.StatusGatewayTimeout, "too few shards answered in time"), true
+	default:
+		return Answer{}, false
+	}
+}
+
+// retry sends to the shards that other daemons could not reach, because the answer depends on them.
 //
 // Load pattern: the zone of the daemon that gathers cannot reach another zone, or searchers that this daemon reaches.
-func (d *delegation) complete(ctx context.Context, g *exchanger.Gathered, records *merger.Records, stamps []string, need int) Answer {
-	rt := *d.route
-	names := make([]string, len(g.Left))
-	for i, l := range g.Left {
-		names[i] = d.route.Shards[l.Shard]
-		rt.Attempts = min(rt.Attempts, l.Attempts)
-	}
-	q := d.fwd.newQuery(d.req, d.body, &rt, d.view, d.shardBudget, names, need, d.cutoffAt, d.deadline)
-	q.mayHaveRun = g.MayHaveRun
-	for i := range q.calls {
-		// The other daemon has sent a request to the shard, or tried to.
-		q.calls[i].refusals = 1
-	}
-	end := q.gather(ctx)
-	d.sends += len(q.cancels)
-	if end != covered {
-		return q.answer(end, len(d.route.Shards))
-	}
-	records.Add(q.records.Bytes())
-	return mergedAnswer(records, append(stamps, q.stamps...), len(d.route.Shards))
+func (d *delegation) retry(ctx context.Context) {
+	attempts := d.route.Attempts
+	shards := make([]int, len(d.retriable))
+	for i, m := range d.retriable {
+		shards[i] = m.Shard
+		attempts = min(attempts, m.Attempts)
+	}
+	d.retriable = nil
+	d.gatherHere(ctx, shards, attempts, d.shardBudget, true)
 }
--- a/internal/route/forwarder/gather.go
+++ b/internal/route/forwarder/gather.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/query/merger"
 	"cornelwood.example/internal/route/delegator"
 	"cornelwood.example/internal/route/locator"
 )
@@ -28,12 +30,18 @@
 	return int(f.gathers.Load())
 }
 
-// gatherJob is a query that this daemon gathers for another.
+// gatherJob gathers shards of a query, for another daemon or for a delegation of this one, and passes their answers on:
+// those that are there at the cutoff together, each later one by itself.
 type gatherJob struct {
 	*query
-	in *exchanger.Gather
 	// indexes holds the index in the route of each call.
-	indexes []int
+	indexes  []int
+	stopOnce sync.Once
+	send     func(*exchanger.Gathered) error
+	// isCounted is true when the job counts as one of Forwarder.Gathers.
+	isCounted bool
+	// missingBefore is the number of missing shards, and partsBefore that of parts, in earlier messages.
+	missingBefore, partsBefore int
 }
 
 var _ delegator.Job = (*gatherJob)(nil)
@@ -43,7 +51,6 @@
 // Load pattern: the queries of a whole zone at few daemons, some of which start, leave or have more than they can do;
 // the asking daemon learns at once that it must ask another one.
 func (f *Forwarder) Admit(in *exchanger.Gather) (delegator.Job, exchanger.GatherCode) {
-	arrived := time.Now()
 	v := f.views.View()
 	if ready, _ := v.Ready(); !ready {
 		return nil, exchanger.NotReady
@@ -59,11 +66,21 @@
 		f.gathers.Add(-1)
 		return nil, exchanger.Busy
 	}
-	j := f.newGatherJob(in, rt, v, arrived)
-	if j.available() < j.minAnswers {
-		f.gathers.Add(-1)
-		return nil, exchanger.Uncovered
+	f.stats.setFleet(len(v.Members()), v.GathererCount())
+	now := time.Now()
+	req := &Request{
+		ID: in.Request, Method: in.Method, Host: in.Host, Target: in.Target, Header: in.Header, HasBody: in.HasBody,
+		ClientTimeout: in.Remaining, Arrived: now,
 	}
+	indexes := in.Shards
+	if len(indexes) == 0 {
+		indexes = allIndexes(len(rt.Shards))
+	}
+	limited := *rt
+	limited.Attempts = min(in.Attempts, rt.Attempts)
+	j := f.newGatherJob(req, in.Body, &limited, v, f.budgets(gatherer), indexes, in.Needed, now.Add(in.Goal-replyMargin), now.Add(in.Remaining))
+	j.isCounted = true
+	j.permitted.Store(1)
 	return j, ""
 }
 
@@ -83,28 +100,15 @@
 	return rt
 }
 
-func (f *Forwarder) newGatherJob(in *exchanger.Gather, rt *declarer.Route, v *locator.View, arrived time.Time) *gatherJob {
-	req := &Request{
-		ID: in.Request, Method: in.Method, Host: in.Host, Target: in.Target, Header: in.Header, HasBody: in.HasBody,
-		ClientTimeout: in.Remaining, Arrived: arrived,
-	}
-	indexes := in.Shards
-	if len(indexes) == 0 {
-		indexes = allIndexes(len(rt.Shards))
-	}
+// newGatherJob returns a job for the shards of a route with these indexes.
+func (f *Forwarder) newGatherJob(req *Request, body []byte, rt *declarer.Route, v *locator.View, budgets budgetFunc, indexes []int, needed int, cutoffAt, deadline time.Time) *gatherJob {
 	shards := make([]string, len(indexes))
 	for i, n := range indexes {
 		shards[i] = rt.Shards[n]
 	}
-	f.stats.setFleet(len(v.Members()), v.GathererCount())
-	j := &gatherJob{
-		query:   f.newQuery(req, in.Body, rt, v, f.budgets(gatherer), shards, min(in.Needed, len(shards)), arrived.Add(in.Goal-replyMargin), arrived.Add(in.Remaining)),
-		in:      in,
-		indexes: indexes,
-	}
-	j.isJob = true
-	j.attempts = min(in.Attempts, rt.Attempts)
-	j.permitted.Store(1)
+	j := &gatherJob{query: f.newQuery(req, body, rt, v, budgets, shards, min(needed, len(shards)), cutoffAt, deadline), indexes: indexes}
+	j.job = j
+	j.stop = make(chan struct{})
 	return j
 }
 
@@ -121,24 +125,61 @@
 	j.allow(min(n, j.attempts))
 }
 
-// Run gathers the query.
-func (j *gatherJob) Run(ctx context.Context) *exchanger.Gathered {
-	defer j.fwd.gathers.Add(-1)
+// Stop ends the job with the parts so far.
+func (j *gatherJob) Stop() {
+	j.stopOnce.Do(func() { close(j.stop) })
+}
+
+// Run gathers the shards and passes the messages to send.
+func (j *gatherJob) Run(ctx context.Context, send func(*exchanger.Gathered) error) error {
+	if j.isCounted {
+		defer j.fwd.gathers.Add(-1)
+	}
+	j.send = send
 	if ctx.Err() != nil {
-		return &exchanger.Gathered{}
+		return ctx.Err()
+	}
+	if end := j.gather(ctx); end == disconnected {
+		return context.Canceled
+	}
+	if j.isCounted {
+		j.fwd.recordGather(j)
+	}
+	g := j.message(true)
+	g.Final, g.Sends = true, len(j.cancels)
+	return j.send(g)
+}
+
+// flush passes on what the other side can use now: shards that will be missing at once, parts from the cutoff on.
+func (j *gatherJob) flush(now time.Time) error {
+	pending := len(j.calls) - len(j.parts) - j.missing
+	if pending == 0 {
+		// The last message follows.
+		return nil
 	}
-	end := j.gather(ctx)
-	out := &exchanger.Gathered{
-		Records: j.records.Bytes(), MayHaveRun: j.mayHaveRun || j.anyInFlight(), Sends: len(j.cancels),
+	withParts := !now.Before(j.cutoffAt) && len(j.parts) > j.partsBefore
+	if !withParts && j.missing == j.missingBefore {
+		return nil
 	}
-	for i, call := range j.parts {
-		out.Parts = append(out.Parts, exchanger.Part{Shard: j.indexes[call], Stamp: j.stamps[i]})
+	return j.send(j.message(withParts))
+}
+
+// message returns the message with what has not been in an earlier one.
+func (j *gatherJob) message(withParts bool) *exchanger.Gathered {
+	g := &exchanger.Gathered{MayHaveRun: j.mayHaveRun || j.anyInFlight()}
+	if withParts && len(j.parts) > j.partsBefore {
+		for i, call := range j.parts[j.partsBefore:] {
+			g.Parts = append(g.Parts, exchanger.Part{Shard: j.indexes[call], Stamp: j.stamps[j.partsBefore+i]})
+		}
+		g.Records = j.records.Bytes()
+		j.records, j.partsBefore = merger.NewRecords(j.route.TopK), len(j.parts)
 	}
-	if end == uncovered {
-		for _, i := range j.untriedCalls() {
-			out.Left = append(out.Left, exchanger.Left{Shard: j.indexes[i], Attempts: int(j.permitted.Load()) - j.calls[i].attempts})
+	for i := range j.calls {
+		if c := &j.calls[i]; c.failed && !c.isReported {
+			c.isReported = true
+			g.Missing = append(g.Missing, exchanger.Missing{Shard: j.indexes[i], Attempts: max(0, int(j.permitted.Load())-c.attempts)})
 		}
 	}
-	j.fwd.recordGather(j, end)
-	return out
+	j.missingBefore = j.missing
+	return g
 }
--- a/internal/route/forwarder/gather_test.go
+++ b/internal/route/forwarder/gather_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -23,30 +24,42 @@
 }
 
 // gatherFor gathers a query for another daemon, which permits all attempts after permitAfter, and returns the message
-// with its parts as a text: shard indexes, and those left with their attempts.
+// with its parts as a text: shard indexes, and those missing with their attempts.
 func (s *setup) gatherFor(ctx context.Context, in *exchanger.Gather, permitAfter time.Duration) (*exchanger.Gathered, string) {
 	s.t.Helper()
 	job, refused := s.Admit(in)
 	if refused != "" {
 		s.t.Fatalf("refused: %s", refused)
 	}
-	time.AfterFunc(permitAfter, func() { job.Allow(2) })
-	g := job.Run(ctx)
+	if permitAfter == 0 {
+		job.Allow(2)
+	} else {
+		time.AfterFunc(permitAfter, func() { job.Allow(2) })
+	}
+	var all exchanger.Gathered
+	_ = job.Run(ctx, func(g *exchanger.Gathered) error {
+		all.Parts = append(all.Parts, g.Parts...)
+		all.Records = append(all.Records, g.Records...)
+		all.Missing = append(all.Missing, g.Missing...)
+		all.MayHaveRun = g.MayHaveRun
+		return nil
+	})
 	if n := s.Gathers(); n != 0 {
 		s.t.Errorf("%d queries are gathered after the last has ended, want 0", n)
 	}
 	var b strings.Builder
 	for i := range 9 {
-		for _, p := range g.Parts {
+		for _, p := range all.Parts {
 			if p.Shard == i {
 				b.WriteString(string(rune('0' + i)))
 			}
 		}
 	}
-	for _, l := range g.Left {
-		b.WriteString(" left " + string(rune('0'+l.Shard)) + "x" + string(rune('0'+l.Attempts)))
+	slices.SortFunc(all.Missing, func(a, b exchanger.Missing) int { return a.Shard - b.Shard })
+	for _, m := range all.Missing {
+		b.WriteString(" without " + string(rune('0'+m.Shard)) + "x" + string(rune('0'+m.Attempts)))
 	}
-	return g, b.String()
+	return &all, b.String()
 }
 
 func TestGather(t *testing.T) {
@@ -112,8 +125,8 @@
 			s.behaviors[id] = failWith(true, false)
 		}
 		g, parts := s.gatherFor(s.t.Context(), askFor(), 0)
-		if parts != "23 left 0x2" || !g.MayHaveRun {
-			t.Errorf("parts %q, may have run %t, want two parts and shard 0 left with 2 attempts", parts, g.MayHaveRun)
+		if parts != "23 without 0x2 without 1x0" || !g.MayHaveRun {
+			t.Errorf("parts %q, may have run %t, want two parts, and shard 0 missing with 2 attempts left", parts, g.MayHaveRun)
 		}
 	})
 }
@@ -144,7 +157,7 @@
 					t.Errorf("refused %q, want %q", refused, tt.want)
 				}
 				if refused == "" {
-					job.Run(s.t.Context())
+					_ = job.Run(s.t.Context(), func(*exchanger.Gathered) error { return nil })
 				}
 				if n := s.Gathers(); n != before {
 					t.Errorf("%d queries counted as gathered, want %d", n, before)
@@ -164,27 +177,34 @@
 		defer cancel()
 		s.gatherFor(ctx, askFor(), never)
 		time.Sleep(time.Millisecond)
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		if s.cancelled != 4 {
 			t.Errorf("%d exchanges cancelled, want 4", s.cancelled)
 		}
 	})
 }
 
-// fakeDelegator returns a fixed result after 20 ms.
+// fakeDelegator is a daemon that gathers: it sends its messages after 20 ms, 10 ms apart.
 type fakeDelegator struct {
-	result delegator.Result
-	asked  int
+	messages []*exchanger.Gathered
+	result   delegator.Result
 }
 
-func (f *fakeDelegator) Delegate(context.Context, []declarer.Member, *delegator.Query) delegator.Result {
-	f.asked++
-	time.Sleep(20 * time.Millisecond)
+func (f *fakeDelegator) Reachable([]declarer.Member) bool { return true }
+
+func (f *fakeDelegator) Delegate(_ context.Context, _ []declarer.Member, q *delegator.Query) delegator.Result {
+	time.Sleep(10 * time.Millisecond)
+	for _, g := range f.messages {
+		time.Sleep(10 * time.Millisecond)
+		q.OnMessage(g)
+	}
 	return f.result
 }
 
-// parts returns a gathered answer with parts of these shards.
-func parts(left []exchanger.Left, shards ...int) *exchanger.Gathered {
-	g := &exchanger.Gathered{Left: left, MayHaveRun: true}
+// parts returns a message with parts of these shards.
+func parts(missing []exchanger.Missing, shards ...int) *exchanger.Gathered {
+	g := &exchanger.Gathered{Missing: missing, MayHaveRun: true}
 	for _, i := range shards {
 		g.Parts = append(g.Parts, exchanger.Part{Shard: i, Stamp: "gathered"})
 		g.Records = append(g.Records, "gathered--------"...)
@@ -194,26 +214,34 @@
 
 // TestDelegated checks the answers to a query that another daemon gathers, or does not.
 func TestDelegated(t *testing.T) {
+	final := delegator.Result{Final: true, Daemon: "m"}
+	left := func(attempts int) []exchanger.Missing { return []exchanger.Missing{{Shard: 2, Attempts: attempts}} }
+	type messages = []*exchanger.Gathered
 	for _, tt := range []struct {
-		name   string
-		result delegator.Result
-		status int
+		name     string
+		messages messages
+		result   delegator.Result
+		status   int
 		// stamps is the number of parts in the answer, and sent the number of requests that this daemon sends itself.
 		stamps, sent int
 	}{
-		{"complete", delegator.Result{Answer: parts(nil, 0, 1, 2, 3)}, http.StatusOK, 4, 0},
-		{"covered", delegator.Result{Answer: parts(nil, 0, 1, 3)}, http.StatusOK, 3, 0},
-		{"shard left", delegator.Result{Answer: parts([]exchanger.Left{{Shard: 2, Attempts: 1}}, 0, 1)}, http.StatusOK, 3, 1},
-		{"too few", delegator.Result{Answer: parts(nil, 0, 1)}, http.StatusBadGateway, 0, 0},
-		{"unknown shard", delegator.Result{Answer: parts(nil, 0, 1, 2, 4)}, http.StatusBadGateway, 0, 0},
-		{"nobody gathers", delegator.Result{Attempts: 2}, http.StatusOK, 4, 4},
-		{"silent daemon", delegator.Result{Attempts: 1, MayHaveRun: true}, http.StatusOK, 4, 4},
-		{"lost daemon", delegator.Result{MayHaveRun: true}, http.StatusBadGateway, 0, 0},
+		{"complete", messages{parts(nil, 0, 1, 2, 3)}, final, http.StatusOK, 4, 0},
+		{"complete with two messages", messages{parts(nil, 0, 1), parts(nil, 2, 3)}, final, http.StatusOK, 4, 0},
+		{"covered", messages{parts(left(0), 0, 1, 3)}, final, http.StatusOK, 3, 0},
+		{"shard not reached, not needed", messages{parts(left(1), 0, 1, 3)}, final, http.StatusOK, 3, 0},
+		{"shard not reached", messages{parts([]exchanger.Missing{{Shard: 3}, {Shard: 2, Attempts: 1}}, 0, 1)}, final, http.StatusOK, 3, 1},
+		{"too few", messages{parts([]exchanger.Missing{{Shard: 2}, {Shard: 3}}, 0, 1)}, final, http.StatusBadGateway, 0, 0},
+		{"shard without a word", messages{parts(nil, 0, 1)}, final, http.StatusBadGateway, 0, 0},
+		{"shard twice", messages{parts(nil, 0, 1, 2), parts(nil, 2, 3)}, final, http.StatusOK, 3, 0},
+		{"nobody gathers", nil, delegator.Result{Attempts: 2}, http.StatusOK, 4, 4},
+		{"silent daemon", nil, delegator.Result{Attempts: 1, MayHaveRun: true}, http.StatusOK, 4, 4},
+		{"lost daemon", nil, delegator.Result{MayHaveRun: true}, http.StatusBadGateway, 0, 0},
+		{"lost after parts", messages{parts(nil, 0, 1, 2)}, delegator.Result{MayHaveRun: true}, http.StatusOK, 3, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			withForwarder(t, 4, func(s *setup) {
 				s.gatherElsewhere()
-				s.delegator = &fakeDelegator{result: tt.result}
+				s.delegator = &fakeDelegator{messages: tt.messages, result: tt.result}
 				// The budget must allow for the shard that is asked a second time.
 				s.stats.cfg.ExtraSlack = 1000
 				s.stats.budget("1", asker, time.Now()).AddTokens(1)
@@ -228,11 +256,12 @@
 	}
 }
 
-// TestDelegatedRecords checks that the records of a shard that was left are merged with those gathered.
+// TestDelegatedRecords checks that the records of a shard that was not reached are merged with those gathered.
 func TestDelegatedRecords(t *testing.T) {
 	withForwarder(t, 4, func(s *setup) {
 		s.gatherElsewhere()
-		s.delegator = &fakeDelegator{result: delegator.Result{Answer: parts([]exchanger.Left{{Shard: 2, Attempts: 1}}, 0, 1)}}
+		missing := []exchanger.Missing{{Shard: 3}, {Shard: 2, Attempts: 1}}
+		s.delegator = &fakeDelegator{messages: []*exchanger.Gathered{parts(missing, 0, 1)}, result: delegator.Result{Final: true}}
 		s.stats.cfg.ExtraSlack = 1000
 		s.stats.budget("1", asker, time.Now()).AddTokens(1)
 		a, _ := s.request(s.t.Context(), "/q/x", "")
@@ -241,3 +270,19 @@
 		}
 	})
 }
+
+// TestGatherHere checks that a daemon which gathers itself answers like one that asks, including a shard that comes after
+// the goal.
+func TestGatherHere(t *testing.T) {
+	withForwarder(t, 4, func(s *setup) {
+		s.gatherElsewhere()
+		s.delegator = &fakeDelegator{}
+		s.self.ID = s.views.View().GatherGroups(s.views.View().Matcher.Route("q"), "z", func([]declarer.Member) bool { return true })[0].Members[0].ID
+		for _, id := range []string{"1a", "1b", "2a", "2b"} {
+			s.behaviors[id] = replyAfter(300*time.Millisecond, goodReply(id))
+		}
+		a, took := s.request(s.t.Context(), "/q/x", "")
+		s.assertAnswer(a, http.StatusOK)
+		s.assertTook(took, 300*time.Millisecond, 320*time.Millisecond)
+	})
+}
--- a/internal/route/forwarder/metrics.go
+++ b/internal/route/forwarder/metrics.go
@@ -36,8 +36,8 @@
 		}, []string{"service", "kind"}),
 	}
 	m.gathers = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "cornelwood_gathers_total", Help: "Queries gathered for other daemons, by route and whether enough shards answered.",
-	}, []string{"route", "covered"})
+		Name: "cornelwood_gathers_total", Help: "Queries gathered for other daemons, by route and whether all shards answered.",
+	}, []string{"route", "complete"})
 	m.unlogged = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cornelwood_log_lines_withheld_total", Help: "Lines about requests beyond the bound on their rate.",
 	})
@@ -65,27 +65,27 @@
 		return
 	}
 	f.log.Info("request answered", "request", req.ID, "route", route, "status", a.Status, "reason", a.Reason,
-		"missing", a.Missing, "sends", a.SubRequests, "gatherer", a.Gatherer, "took", took, "patience", req.ClientTimeout, "version", v.Version(), "revision", v.Revision())
+		"missing", a.Missing, "sends", a.SubRequests, "gatherers", a.Gatherers, "took", took, "patience", req.ClientTimeout, "version", v.Version(), "revision", v.Revision())
 }
 
 // recordGather counts a query that this daemon gathered for another one, and logs an incomplete one.
-func (f *Forwarder) recordGather(j *gatherJob, end queryEnd) {
-	f.metrics.gathers.WithLabelValues(j.route.Name, strconv.FormatBool(end == covered)).Inc()
+func (f *Forwarder) recordGather(j *gatherJob) {
 	missing := len(j.calls) - len(j.parts)
+	f.metrics.gathers.WithLabelValues(j.route.Name, strconv.FormatBool(missing == 0)).Inc()
 	if missing == 0 || !f.allowLogLine() {
 		return
 	}
 	f.log.Info("query gathered for another daemon", "request", j.req.ID, "route", j.route.Name, "missing", missing,
-		"covered", end == covered, "sends", len(j.cancels), "took", time.Since(j.req.Arrived), "goal", j.in.Goal, "version", j.in.Version)
+		"shards", len(j.calls), "sends", len(j.cancels), "took", time.Since(j.req.Arrived), "cutoff", j.cutoffAt.Sub(j.req.Arrived))
 }
 
 // recordUndelegated logs that no other daemon gathered a query.
-func (f *Forwarder) recordUndelegated(req *Request, res *delegator.Result, took time.Duration) {
+func (f *Forwarder) recordUndelegated(req *Request, res *delegator.Result) {
 	if !f.allowLogLine() {
 		return
 	}
 	f.log.Info("query not gathered by another daemon", "request", req.ID, "daemon", res.Daemon, "error", res.Err,
-		"attempts", res.Attempts, "mayhaverun", res.MayHaveRun, "took", took)
+		"attempts", res.Attempts, "mayhaverun", res.MayHaveRun, "took", time.Since(req.Arrived))
 }
 
 // allowLogLine reports whether a line may be logged now, and counts it as withheld if not.
--- a/internal/route/forwarder/query.go
+++ b/internal/route/forwarder/query.go
@@ -18,8 +18,10 @@
 	// parts holds the index of each merged call and stamps the signatures of their answers, in the same order.
 	parts  []int
 	stamps []string
-	// isJob is true for a query that is gathered for another daemon, which may ask for the missing shards itself.
-	isJob bool
+	// job is set when the parts are passed on one by one, instead of one answer at the end.
+	job *gatherJob
+	// stop is closed when no more parts are needed; nil when that cannot be known.
+	stop chan struct{}
 	// cutoffAt is the time from which the answer goes out without the missing shards once it covers enough of them.
 	cutoffAt time.Time
 }
@@ -40,21 +42,15 @@
 
 // answerQuery answers a request whose route names shards: daemons near the searchers gather it, or this daemon does.
 func (f *Forwarder) answerQuery(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
-	candidates := v.Gatherers(rt)
-	switch {
-	case len(candidates) == 0:
-		return f.gatherAll(ctx, req, body, rt, v, sender, deadline)
-	case v.IsGatherer(&f.self):
-		return f.gatherAll(ctx, req, body, rt, v, gatherer, deadline)
-	default:
-		d := f.newDelegation(req, body, rt, v, deadline)
-		return d.run(ctx, candidates)
+	if !v.IsGathered(rt) {
+		return f.gatherAll(ctx, req, body, rt, v, deadline)
 	}
+	return f.newDelegation(req, body, rt, v, deadline).run(ctx)
 }
 
 // gatherAll sends a query to every shard of its route.
-func (f *Forwarder) gatherAll(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, r role, deadline time.Time) Answer {
-	q := f.newQuery(req, body, rt, v, f.budgets(r), rt.Shards, rt.RequiredShards(), clientCutoff(req, rt, deadline), deadline)
+func (f *Forwarder) gatherAll(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
+	q := f.newQuery(req, body, rt, v, f.budgets(sender), rt.Shards, rt.RequiredShards(), clientCutoff(req, rt, deadline), deadline)
 	if q.available() < q.minAnswers {
 		return refuseNotRun(f.cfg.RetryAfter, reasonUnavailable)
 	}
@@ -127,9 +123,14 @@
 			timer.Reset(q.hedgeAndWait())
 		case <-timer.C:
 			timer.Reset(q.hedgeAndWait())
+		case <-q.stop:
+			return expired
 		case <-ctx.Done():
 			return disconnected
 		}
+		if q.job != nil && q.job.flush(time.Now()) != nil {
+			return disconnected
+		}
 	}
 }
 
@@ -172,9 +173,13 @@
 	answered := len(q.parts)
 	pending := len(q.calls) - answered - q.missing
 	switch {
+	case q.job != nil && (pending == 0 || !now.Before(q.deadline)):
+		return covered, true
+	case q.job != nil:
+		return 0, false
 	case answered >= q.minAnswers && (pending == 0 || !now.Before(q.cutoffAt)):
 		return covered, true
-	case answered+pending < q.minAnswers && !q.waitsForRest(answered, pending, now):
+	case answered+pending < q.minAnswers:
 		return uncovered, true
 	case !now.Before(q.deadline):
 		return expired, true
@@ -183,26 +188,6 @@
 	}
 }
 
-// waitsForRest reports whether a query that too few shards can answer here waits for the pending ones: the other daemon
-// needs them if it can complete the answer.
-func (q *query) waitsForRest(answered, pending int, now time.Time) bool {
-	if !q.isJob || pending == 0 || !now.Before(q.cutoffAt) {
-		return false
-	}
-	return answered+pending+len(q.untriedCalls()) >= q.minAnswers
-}
-
-// untriedCalls returns the calls that have ended without an answer although they have attempts left.
-func (q *query) untriedCalls() []int {
-	var out []int
-	for i := range q.calls {
-		if c := &q.calls[i]; c.failed && c.attempts < int(q.permitted.Load()) {
-			out = append(out, i)
-		}
-	}
-	return out
-}
-
 // answer returns the final answer to a client; shards is the number of the route's shards.
 func (q *query) answer(end queryEnd, shards int) Answer {
 	switch end {
--- a/internal/route/forwarder/request.go
+++ b/internal/route/forwarder/request.go
@@ -37,8 +37,8 @@
 	Missing int
 	// RetryAfter is the time after which a refused client may retry; 0 when none is set.
 	RetryAfter time.Duration
-	// Gatherer is the ID of the daemon that gathered the answer for this one; empty when this daemon sent the requests.
-	Gatherer string
+	// Gatherers are the IDs of the daemons that gathered the answer for this one.
+	Gatherers []string
 	// SubRequests is the number of requests sent to searchers.
 	SubRequests int
 	// Reason says why the daemon refused the request or failed to answer it; empty for answers from searchers.
--- a/internal/route/forwarder/stats.go
+++ b/internal/route/forwarder/stats.go
@@ -97,6 +97,7 @@
 // routeLatency tracks the latencies of one route's sub-requests; average is a moving average in nanoseconds.
 type routeLatency struct {
 	quantile *hedger.Estimator
+	median   *hedger.Estimator
 	average  atomic.Int64
 	goal     time.Duration
 }
@@ -122,7 +123,7 @@
 		if goal <= 0 {
 			goal = defaultGoal
 		}
-		l = &routeLatency{quantile: hedger.NewEstimator(s.cfg.HedgeQuantile, time.Now()), goal: goal}
+		l = &routeLatency{quantile: hedger.NewEstimator(s.cfg.HedgeQuantile, time.Now()), median: hedger.NewEstimator(0.5, time.Now()), goal: goal}
 		l.average.Store(int64(goal / initialAverageDivisor))
 		s.routes[name] = l
 	}
@@ -204,17 +205,23 @@
 // record adds the latency of an answer.
 func (l *routeLatency) record(d time.Duration) {
 	l.quantile.Record(d)
+	l.median.Record(d)
 	old := l.average.Load()
 	// An update lost to a concurrent one is a single sample with a weight of 1 in 32.
 	l.average.Store(old + (int64(d)-old)>>averageShift)
 }
 
 // hedgeDelay returns the time after which an attempt is hedged.
+//
+// Load pattern: a sixth of the searchers and more turn slow at once, so that most queries wait for some of them.
 func (l *routeLatency) hedgeDelay(now time.Time) time.Duration {
 	d, ok := l.quantile.Estimate(now)
 	if !ok {
 		return l.goal / initialHedgeDivisor
 	}
+	if median, ok := l.median.Estimate(now); ok {
+		d = min(d, maxHedgeMedians*median)
+	}
 	return min(max(d, minHedgeDelay), l.goal/maxHedgeDivisor)
 }
 
@@ -223,6 +230,9 @@
 	minHedgeDelay = 4 * time.Millisecond
 	// initialHedgeDivisor sets the hedge delay while there are too few samples: the goal divided by it.
 	initialHedgeDivisor = 4
+	// maxHedgeMedians limits the hedge delay to a multiple of the median latency: while many searchers are slow, the
+	// quantile is theirs.
+	maxHedgeMedians = 2
 	// maxHedgeDivisor sets the maximum hedge delay, the goal divided by it: the answer to the hedge can then still
 	// arrive within the goal.
 	maxHedgeDivisor = 2
--- a/internal/route/locator/gatherers.go
+++ b/internal/route/locator/gatherers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,9 +20,6 @@
 	maxGatherers = 4
 	// minGathererShare is the least processor share of a daemon that gathers, relative to the largest of its zone.
 	minGathererShare = 0.5
-	// minZoneCoverage is the least number of shards with a searcher in a zone whose daemons gather, relative to that of
-	// the zone with the most.
-	minZoneCoverage = 0.9
 )
 
 // chooseGatherers returns the daemons of each zone that gather queries: those with the largest processor shares, in the
@@ -57,44 +55,85 @@
 	return conns > 0 && conns < connsPerDaemon*daemons
 }
 
-// Gatherers returns the daemons that may gather the queries of a route, none when every daemon sends to the searchers
-// itself. They are in the zones whose searchers cover the most shards.
-func (v *View) Gatherers(rt *declarer.Route) []declarer.Member {
-	if len(rt.Shards) == 0 || !v.gathered[rt.Shards[0]] {
-		return nil
+// IsGathered reports whether few daemons gather the queries of a route.
+func (v *View) IsGathered(rt *declarer.Route) bool {
+	return len(rt.Shards) > 0 && v.gathered[rt.Shards[0]]
+}
+
+// GatherGroup is a group of a route's shards, by their indexes, that one daemon of a zone gathers.
+type GatherGroup struct {
+	Zone   string
+	Shards []int
+	// Members are the daemons that may gather them; none when no zone's daemons can.
+	Members []declarer.Member
+}
+
+// GatherGroups divides the shards of a route among zones that have their searchers: as many as possible to ownZone, and
+// the rest to as few others as possible. reachable reports whether a zone's daemons can be asked. Shards without a
+// searcher in such a zone belong to the first group.
+//
+// Load pattern: searchers whose zones differ from shard to shard, so that no zone has all of them, and each answer that
+// crosses a zone border by itself takes as many bytes as a merged one.
+func (v *View) GatherGroups(rt *declarer.Route, ownZone string, reachable func([]declarer.Member) bool) []GatherGroup {
+	byZone := v.shardsByZone(rt)
+	left := make(map[int]bool, len(rt.Shards))
+	for i := range rt.Shards {
+		left[i] = true
+	}
+	var groups []GatherGroup
+	for len(left) > 0 {
+		zone, shards := "", []int(nil)
+		for z, indexes := range byZone {
+			n := intersect(indexes, left)
+			better := len(n) > len(shards) || len(n) == len(shards) && z < zone
+			if len(groups) == 0 && (z == ownZone || zone == ownZone) {
+				better = z == ownZone
+			}
+			if len(n) > 0 && better && reachable(v.gatherers[z]) {
+				zone, shards = z, n
+			}
+		}
+		if len(shards) == 0 || len(groups) > 0 && len(shards) < minGroupShards {
+			break
+		}
+		for _, i := range shards {
+			delete(left, i)
+		}
+		groups = append(groups, GatherGroup{Zone: zone, Shards: shards, Members: v.gatherers[zone]})
 	}
-	covered := v.coveredShards(rt)
-	most := 0
-	for _, n := range covered {
-		most = max(most, n)
+	rest := slices.Sorted(maps.Keys(left))
+	if len(groups) == 0 {
+		return []GatherGroup{{Shards: rest}}
 	}
-	var out []declarer.Member
-	for zone, n := range covered {
-		if float64(n) >= minZoneCoverage*float64(most) {
-			out = append(out, v.gatherers[zone]...)
+	groups[0].Shards = append(groups[0].Shards, rest...)
+	return groups
+}
+
+// minGroupShards is the least number of shards for which a further daemon is asked: fewer answers cross zones by
+// themselves.
+const minGroupShards = 3
+
+func intersect(indexes []int, left map[int]bool) []int {
+	var out []int
+	for _, i := range indexes {
+		if left[i] {
+			out = append(out, i)
 		}
 	}
 	return out
 }
 
-// coveredShards returns the number of the route's shards that have a searcher in each zone.
-func (v *View) coveredShards(rt *declarer.Route) map[string]int {
-	covered := make(map[string]int)
-	for _, service := range rt.Shards {
-		searchers := v.services[service]
-		for i := range searchers {
-			zone := searchers[i].Zone
-			if !slices.ContainsFunc(searchers[:i], func(s Searcher) bool { return s.Zone == zone }) {
-				covered[zone]++
+// shardsByZone returns the indexes of the route's shards that have a searcher in each zone.
+func (v *View) shardsByZone(rt *declarer.Route) map[string][]int {
+	byZone := make(map[string][]int)
+	for i, service := range rt.Shards {
+		for _, s := range v.services[service] {
+			if in := byZone[s.Zone]; len(in) == 0 || in[len(in)-1] != i {
+				byZone[s.Zone] = append(in, i)
 			}
 		}
 	}
-	return covered
-}
-
-// IsGatherer reports whether a daemon is one of those that gather in its zone.
-func (v *View) IsGatherer(m *declarer.Member) bool {
-	return slices.ContainsFunc(v.gatherers[m.Zone], func(g declarer.Member) bool { return g.ID == m.ID })
+	return byZone
 }
 
 // GathererCount returns the number of daemons that gather in all zones.
--- a/internal/route/locator/gatherers_test.go
+++ b/internal/route/locator/gatherers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -50,8 +51,11 @@
 		}
 		l.Members().Replace(members, 1)
 		synctest.Wait()
-		for _, m := range l.View().Gatherers(&rt) {
-			got[m.Zone]++
+		if !l.View().IsGathered(&rt) {
+			return
+		}
+		for _, zone := range g.searcherZones {
+			got[zone] = len(l.View().gatherers[zone])
 		}
 	})
 	return got
@@ -104,3 +108,49 @@
 		})
 	}
 }
+
+// TestGatherGroups checks how the shards of a route are divided among zones. The searchers of shard i are in the zones
+// i, i+1 and so on, as many as copies says; daemons of the zones in unreachable cannot be asked.
+func TestGatherGroups(t *testing.T) {
+	zones := []string{"a", "b", "c", "d", "e"}
+	for _, tt := range []struct {
+		name           string
+		shards, copies int
+		own            string
+		unreachable    string
+		want           []string
+	}{
+		{"own zone has all", 10, 5, "c", "", []string{"c 0123456789"}},
+		{"two zones have all", 10, 3, "b", "", []string{"b 014569", "d 2378"}},
+		{"zone without searchers", 10, 3, "z", "", []string{"a 034589", "c 1267"}},
+		{"own zone out of reach", 10, 3, "b", "b", []string{"a 034589", "c 1267"}},
+		{"few shards left", 6, 4, "b", "", []string{"b 013452"}},
+		{"nobody in reach", 5, 3, "b", "abcde", []string{" 01234"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			v := &View{services: make(map[string][]Searcher), gatherers: make(map[string][]declarer.Member)}
+			rt := &declarer.Route{}
+			for i := range tt.shards {
+				name := fmt.Sprint(i)
+				rt.Shards = append(rt.Shards, name)
+				for n := range tt.copies {
+					v.services[name] = append(v.services[name], Searcher{Searcher: declarer.Searcher{Zone: zones[(i+n)%len(zones)]}})
+				}
+			}
+			for _, z := range zones {
+				v.gatherers[z] = []declarer.Member{{ID: z, Zone: z}}
+			}
+			var got []string
+			for _, g := range v.GatherGroups(rt, tt.own, func(ms []declarer.Member) bool { return !strings.Contains(tt.unreachable, ms[0].Zone) }) {
+				text := g.Zone + " "
+				for _, i := range g.Shards {
+					text += fmt.Sprint(i)
+				}
+				got = append(got, text)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("groups (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -22,13 +22,13 @@
 // Costs are relative to the average latency of the route: 1 is the cost of an average exchange.
 const (
 	// crossZoneCost is the cost of an exchange with another zone in addition to its latency.
-	crossZoneCost = 3
+	crossZoneCost = 1.2
 	// crossZoneDelay is about the network round trip between zones.
 	crossZoneDelay = 2 * time.Millisecond
 	// inFlightCost is the cost of each exchange in flight, as a share of the searcher's slowness.
 	inFlightCost = 0.35
 	// failureCost is the cost of a failed attempt.
-	failureCost = 12
+	failureCost = 8
 	// coldCost is the additional cost of a searcher during its warm-up.
 	coldCost = 1
 	// stallThreshold is the relative latency above which an exchange in flight counts as the searcher's slowness.
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -134,6 +134,19 @@
 	return &m, c
 }
 
+// Reachable reports whether one of the candidates may be chosen.
+func (s *Selector) Reachable(candidates []declarer.Member) bool {
+	now := s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range candidates {
+		if s.stateOf(&candidates[i], now).silences == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Selector) cost(st *state, average time.Duration, now time.Time) float64 {
 	cost := st.latencyAt(now)
 	for c := range st.inFlight {
--- a/internal/upstream/connector/conn.go
+++ b/internal/upstream/connector/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,11 +17,22 @@
 	// syncBodyBytes is the largest body that is written before the answer is read. A larger
 	// one could fill the connection's window, and block the write, while the searcher answers.
 	syncBodyBytes = 8 << 10
+	// maxHeadBytes is the maximum size of an answer's head. A faulty searcher may send one without end.
+	maxHeadBytes = 64 << 10
+	// maxInformational is how many informational answers (1xx) may precede an answer.
+	maxInformational = 4
 	// maxStrayAnswers is how many answers to earlier requests are skipped before the
 	// connection is closed.
 	maxStrayAnswers = 2
 )
 
+// errHeadTooLong means that an answer's head has more than maxHeadBytes, errInformational that more than
+// maxInformational answers preceded it.
+var (
+	errHeadTooLong   = errors.New("head of the answer is too long")
+	errInformational = errors.New("too many informational answers")
+)
+
 // errStrayAnswers means that a connection carried only answers to other requests.
 var errStrayAnswers = errors.New("connection carries only answers to other requests")
 
@@ -31,6 +41,10 @@
 type conn struct {
 	net.Conn
 	r *bufio.Reader
+	// head bounds what r reads of an answer's head.
+	head *headReader
+	// memory bounds the bodies that are read at once on all connections.
+	memory *memory
 	// isNew is true until the first exchange has ended.
 	isNew bool
 	// idleSince is when the last exchange ended.
@@ -43,7 +57,40 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	return &conn{Conn: nc, isNew: true, r: bufio.NewReaderSize(nc, readBufferBytes)}
+	head := &headReader{Conn: nc}
+	return &conn{Conn: nc, isNew: true, head: head, r: bufio.NewReaderSize(head, readBufferBytes)}
+}
+
+// headReader reads from a connection, and fails once a head has more than maxHeadBytes.
+type headReader struct {
+	net.Conn
+	// inHead is true while a head is read, left the number of bytes that it may still have.
+	inHead bool
+	left   int
+}
+
+// Read reads into p.
+func (h *headReader) Read(p []byte) (int, error) {
+	if !h.inHead {
+		return h.Conn.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.Conn.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
+// readHead reads an answer's head. The body is read from the response.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.head.inHead, c.head.left = true, maxHeadBytes
+	defer func() { c.head.inHead = false }()
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+	if err != nil && c.head.left <= 0 {
+		return nil, errHeadTooLong
+	}
+	return resp, err
 }
 
 // usable reports whether the connection is open and has no unread bytes, so that the next
@@ -122,21 +169,20 @@
 
 // readOne reads one complete answer, and skips informational ones (1xx).
 func (c *conn) readOne(req *Request, codec Codec) (*Reply, error) {
-	for {
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: req.Method})
+	for range maxInformational + 1 {
+		resp, err := c.readHead(req.Method)
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readBody(resp)
+		body, err := c.memory.readBody(resp)
 		if err != nil {
 			return nil, err
 		}
-		if len(body) > maxReplyBytes {
-			return nil, &http.MaxBytesError{Limit: maxReplyBytes}
-		}
+		// After the end of the body this reads nothing.
+		resp.Body.Close()
 		c.keepAlive = parseKeepAlive(resp.Header)
 		return &Reply{
 			Status:   resp.StatusCode,
@@ -146,12 +192,7 @@
 			reusable: !resp.Close && c.r.Buffered() == 0,
 		}, nil
 	}
-}
-
-// readBody reads an answer's body, up to one byte more than maxReplyBytes.
-func readBody(resp *http.Response) ([]byte, error) {
-	defer resp.Body.Close()
-	return io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	return nil, errInformational
 }
 
 // parseKeepAlive returns the timeout of the Keep-Alive header, 0 when there is none.
--- a/internal/upstream/connector/connector.go
+++ b/internal/upstream/connector/connector.go
@@ -39,6 +39,8 @@
 	// DialPause is how long no connection is opened to a searcher that has reset a new one:
 	// it has reached the number of connections that it accepts.
 	DialPause time.Duration
+	// MaxBuffered bounds the bytes of large answers that are read at once.
+	MaxBuffered int64
 	// Dial opens a connection; nil means over TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 }
@@ -52,6 +54,7 @@
 		MaxFreshIdle:   time.Second,
 		UserTimeout:    2 * time.Second,
 		DialPause:      200 * time.Millisecond,
+		MaxBuffered:    32 << 20,
 	}
 }
 
@@ -92,6 +95,8 @@
 type Connector struct {
 	cfg   Config
 	codec Codec
+	// memory bounds what is read of large answers.
+	memory *memory
 
 	mu         sync.Mutex
 	idle       map[netip.AddrPort][]*conn
@@ -112,6 +117,7 @@
 	c := &Connector{
 		cfg:         cfg,
 		codec:       codec,
+		memory:      &memory{limit: cfg.MaxBuffered},
 		idle:        make(map[netip.AddrPort][]*conn),
 		openCounts:  make(map[netip.AddrPort]int),
 		pausedUntil: make(map[netip.AddrPort]time.Time),
@@ -221,7 +227,9 @@
 		c.countClosed(addr)
 		return nil, err
 	}
-	return newConn(nc), nil
+	cn := newConn(nc)
+	cn.memory = c.memory
+	return cn, nil
 }
 
 // pauseDials prevents new connections to a searcher that resets them, for Config.DialPause.
--- a/internal/upstream/connector/connector_test.go
+++ b/internal/upstream/connector/connector_test.go
@@ -422,3 +422,67 @@
 	rep, err = do(t, c, s, "1")
 	assertAnswered(t, rep, err)
 }
+
+// TestEndlessAnswers checks that bytes without end in place of an answer end the exchange soon, close the connection and
+// take little memory.
+func TestEndlessAnswers(t *testing.T) {
+	chunk := strings.Repeat("x", 1<<12)
+	for _, tt := range []struct {
+		name, start, repeat string
+		want                error
+	}{
+		{"status line", "HTTP/1.1 200 ", chunk, errHeadTooLong},
+		{"header value", "HTTP/1.1 200 OK\r\nA: ", chunk, errHeadTooLong},
+		{"headers", "HTTP/1.1 200 OK\r\n", "A: b\r\n", errHeadTooLong},
+		{"informational answers", "", "HTTP/1.1 100 Continue\r\n\r\n", errInformational},
+		{"answers to others", "", answer("old", "x"), errStrayAnswers},
+		{"body without a length", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", chunk, &http.MaxBytesError{}},
+		{"body in chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + chunk + "\r\n", &http.MaxBytesError{}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			closed := make(chan struct{})
+			s := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) {
+				defer close(closed)
+				_, err := io.WriteString(w, tt.start)
+				for err == nil {
+					_, err = io.WriteString(w, tt.repeat)
+				}
+			})
+			c := newConnector(t, nil)
+			_, err := do(t, c, s, "1")
+			var tooLarge *http.MaxBytesError
+			bothTooLarge := errors.As(tt.want, &tooLarge) && errors.As(err, &tooLarge)
+			if !errors.Is(err, tt.want) && !bothTooLarge {
+				t.Errorf("error %v, want %v", err, tt.want)
+			}
+			<-closed
+			if n := c.memory.used.Load(); n != 0 {
+				t.Errorf("%d bytes count as read after the exchange, want 0", n)
+			}
+		})
+	}
+}
+
+// TestMaxBuffered checks that many endless bodies at once take no more memory than the bound, while small answers are
+// still read.
+func TestMaxBuffered(t *testing.T) {
+	endless := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) {
+		_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n")
+		for err == nil {
+			_, err = io.WriteString(w, strings.Repeat("x", 1<<12))
+		}
+	})
+	small := newSearcher(t, reply(answer("1", "x")))
+	c := newConnector(t, func(cfg *Config) { cfg.MaxBuffered = 1 << 20 })
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			if _, err := do(t, c, endless, "1"); !errors.Is(err, errBuffered) {
+				t.Errorf("error %v, want that too many bytes are read at once", err)
+			}
+		})
+		rep, err := do(t, c, small, "1")
+		assertAnswered(t, rep, err)
+	}
+	wg.Wait()
+}
--- a/internal/upstream/connector/request.go
+++ b/internal/upstream/connector/request.go
@@ -7,9 +7,6 @@
 	"time"
 )
 
-// maxReplyBytes is the maximum size of an answer's body, which is held in memory.
-const maxReplyBytes = 8 << 20
-
 // Request is one request to a searcher.
 type Request struct {
 	Method string
