--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -47,6 +47,8 @@
 	compactedRevision uint64
 	// confirmedAt is when the store last confirmed that it held nothing newer.
 	confirmedAt time.Time
+	// trustedFrom is the time from which confirmations count, after a pause of the process.
+	trustedFrom time.Time
 	// lostAt is when the store stopped answering, zero while it answers.
 	lostAt time.Time
 }
@@ -175,7 +177,7 @@
 func (c *Cache[T]) confirm(revision uint64, age time.Duration) {
 	now := time.Now()
 	c.revision = max(c.revision, revision)
-	if confirmedAt := now.Add(-age); confirmedAt.After(c.confirmedAt) {
+	if confirmedAt := now.Add(-age); confirmedAt.After(c.confirmedAt) && !now.Before(c.trustedFrom) {
 		c.confirmedAt = confirmedAt
 	}
 	for name, ts := range c.tombstones {
@@ -330,6 +332,26 @@
 	return nil
 }
 
+// staleAnswerTime is how long after a pause of the process answers may be read that had arrived during it or before.
+const staleAnswerTime = 50 * time.Millisecond
+
+// invalidate makes the cached state count as stale until it is confirmed again.
+func (c *Cache[T]) invalidate() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.confirmedAt = time.Time{}
+	c.trustedFrom = time.Now().Add(staleAnswerTime)
+	c.changed.raise()
+}
+
+// isCurrent reports whether the state is fresh, or as fresh as it can be while the store does not answer.
+func (c *Cache[T]) isCurrent(maxAge time.Duration) bool {
+	c.mu.Lock()
+	lost := c.listed && !c.lostAt.IsZero()
+	c.mu.Unlock()
+	return lost || c.isFresh(maxAge)
+}
+
 func (c *Cache[T]) isNeverStale() bool {
 	return c.neverStale
 }
--- a/internal/control/relayer/cache_test.go
+++ b/internal/control/relayer/cache_test.go
@@ -201,3 +201,28 @@
 		}
 	})
 }
+
+// TestInvalidate checks that the state counts as stale after a pause of the process, also for peers, until a
+// confirmation that was not read from what had arrived before.
+func TestInvalidate(t *testing.T) {
+	const maxAge = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newTestCache()
+		c.Replace([]follower.Item[string]{item("a", 1, "x")}, 1)
+		got := []bool{c.isFresh(maxAge)}
+		c.invalidate()
+		got = append(got, c.isFresh(maxAge))
+		c.Apply(nil, 1)
+		got = append(got, c.isFresh(maxAge))
+		u, err := c.updateSince(1)
+		if err != nil || u.Age <= maxAge {
+			t.Errorf("peers see an age of %s, %v, want more than %s", u.Age, err, maxAge)
+		}
+		time.Sleep(staleAnswerTime)
+		c.Apply(nil, 1)
+		got = append(got, c.isFresh(maxAge))
+		if diff := cmp.Diff([]bool{true, false, false, true}, got); diff != "" {
+			t.Errorf("fresh before, after, after an old answer, after a new one (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -70,7 +70,9 @@
 	Revision() (uint64, bool)
 	hasNewerThan(revision uint64) bool
 	isFresh(maxAge time.Duration) bool
+	isCurrent(maxAge time.Duration) bool
 	isNeverStale() bool
+	invalidate()
 	updateSince(revision uint64) (update, error)
 	applyUpdate(u *update) error
 }
@@ -390,6 +392,24 @@
 	}
 }
 
+// Invalidate makes the cached state count as stale until it is confirmed again: after a pause of the process, its age is
+// not known. The clock does not even count a pause of the whole machine.
+func (r *Relayer) Invalidate() {
+	for _, c := range r.caches {
+		c.invalidate()
+	}
+}
+
+// IsCurrent reports whether the cached state is fresh, or as fresh as it can be while the store does not answer.
+func (r *Relayer) IsCurrent() bool {
+	for _, c := range r.caches {
+		if !c.isCurrent(r.cfg.MaxAge) {
+			return false
+		}
+	}
+	return true
+}
+
 // CallName returns the name of the call that Handle answers.
 func CallName() string {
 	return callPoll
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -31,6 +31,7 @@
 	"cornelwood.example/internal/route/picker"
 	"cornelwood.example/internal/route/selector"
 	"cornelwood.example/internal/settings/reader"
+	"cornelwood.example/internal/time/sentry"
 	"cornelwood.example/internal/upstream/connector"
 	"cornelwood.example/internal/web/server"
 	"cornelwood.example/platform"
@@ -69,6 +70,7 @@
 	locator                *locator.Locator
 	conns                  *connector.Connector
 	picker                 *picker.Picker
+	pauses                 *pauseGuard
 	selector               *selector.Selector
 	forwarder              *forwarder.Forwarder
 	linker                 *linker.Linker
@@ -145,10 +147,13 @@
 // buildForwarder creates the forwarder, and what it needs to leave queries to other daemons.
 func (r *Router) buildForwarder(settings *reader.EntrySettings) {
 	self := selfMember(settings)
+	r.pauses = newPauseGuard(r.locator, r.relayer, sentry.BootClock, relayer.Default().MaxAge, func(pause time.Duration) {
+		r.log.Warn("process was paused; requests are refused until the cached state is confirmed", "pause", pause, "most", maxDistrust)
+	})
 	peers := &peers{r.linker}
 	r.selector = selector.New(self.Zone, peers, r.log.Named("route"), time.Now)
 	d := delegator.New(delegator.Default(), peers, r.selector, peers)
-	r.forwarder = forwarder.New(forwarderConfig(settings), self, r.locator, r.picker, r.conns, d, r.log.Named("route"), forwarder.NewMetrics(r.reg))
+	r.forwarder = forwarder.New(forwarderConfig(settings), self, r.pauses, r.picker, r.conns, d, r.log.Named("route"), forwarder.NewMetrics(r.reg))
 	srv := delegator.NewServer(r.forwarder)
 	r.linker.HandleStream(gatherStream, func(ctx context.Context, s *linker.Stream) error { return srv.Serve(ctx, s) })
 	r.linker.Handle(probeCall, func(context.Context, netip.AddrPort, []byte) (any, error) {
@@ -227,6 +232,7 @@
 	sup.Add(r.registrar)
 	sup.Add(r.relayer)
 	sup.Add(r.selector)
+	sup.Add(r.pauses.sentry)
 	for _, f := range r.followers {
 		sup.Add(f)
 	}
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -21,6 +21,8 @@
 	// gatherers holds the daemons that gather queries, by zone; gathered the services whose queries they gather.
 	gatherers map[string][]declarer.Member
 	gathered  map[string]bool
+	// isOutdated is true when the state may be older than its bound.
+	isOutdated bool
 }
 
 // Searcher is a searcher that may get new requests.
@@ -39,6 +41,8 @@
 // Ready reports whether routes and searchers have been received, and if not, which are missing.
 func (v *View) Ready() (bool, string) {
 	switch {
+	case v.isOutdated:
+		return false, "the cached state may be outdated after a pause of the process"
 	case v.Matcher == nil:
 		return false, "no desired state received yet"
 	case !v.listed:
@@ -48,6 +52,13 @@
 	}
 }
 
+// Outdated returns a copy of the view that is not ready, since it may be older than its bound.
+func (v *View) Outdated() *View {
+	out := *v
+	out.isOutdated = true
+	return &out
+}
+
 // Searchers returns the searchers of a service that may get new requests. The slice must not be changed.
 func (v *View) Searchers(service string) []Searcher {
 	return v.services[service]
