relayer: bound the daemons that read the store in an outage

Now three daemons a zone read it, and three more each 1.2 s; the others poll them, also those ranked after themselves when the store turns them away.

Not measured yet.

--- a/internal/control/registrar/registrar.go
+++ b/internal/control/registrar/registrar.go
@@ -24,8 +24,9 @@
 
 // Registry holds the records of the daemons.
 type Registry interface {
-	// Register writes a daemon's record and replaces an earlier one.
-	Register(ctx context.Context, m declarer.Member) error
+	// Register writes a daemon's record and replaces an earlier one. isNew is true when
+	// there is probably none.
+	Register(ctx context.Context, m declarer.Member, isNew bool) error
 	// Deregister removes a daemon's record.
 	Deregister(ctx context.Context, id string) error
 }
@@ -33,13 +34,15 @@
 // Registrar is the service that registers this daemon.
 type Registrar struct {
 	self     declarer.Member
+	isNew    bool
 	registry Registry
 	log      hclog.Logger
 }
 
-// New returns a Registrar that writes self's record to registry.
-func New(self declarer.Member, registry Registry, log hclog.Logger) *Registrar {
-	return &Registrar{self: self, registry: registry, log: log}
+// New returns a Registrar that writes self's record to registry. isNew is true when there is
+// probably none yet.
+func New(self declarer.Member, isNew bool, registry Registry, log hclog.Logger) *Registrar {
+	return &Registrar{self: self, isNew: isNew, registry: registry, log: log}
 }
 
 // String names the service for its supervisor.
@@ -50,7 +53,7 @@
 // Serve registers the daemon, waits until ctx ends, and returns the error of ctx.
 func (r *Registrar) Serve(ctx context.Context) error {
 	if err := r.retryCall(ctx, "register", func(ctx context.Context) error {
-		return r.registry.Register(ctx, r.self)
+		return r.registry.Register(ctx, r.self, r.isNew)
 	}); err != nil {
 		return err
 	}
--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -346,10 +346,14 @@
 
 // isCurrent reports whether the state is fresh, or as fresh as it can be while the store does not answer.
 func (c *Cache[T]) isCurrent(maxAge time.Duration) bool {
+	return c.isLost() || c.isFresh(maxAge)
+}
+
+// isLost reports whether the state is listed and the store does not answer.
+func (c *Cache[T]) isLost() bool {
 	c.mu.Lock()
-	lost := c.listed && !c.lostAt.IsZero()
-	c.mu.Unlock()
-	return lost || c.isFresh(maxAge)
+	defer c.mu.Unlock()
+	return c.listed && !c.lostAt.IsZero()
 }
 
 func (c *Cache[T]) isNeverStale() bool {
--- a/internal/control/relayer/rank.go
+++ b/internal/control/relayer/rank.go
@@ -14,14 +14,27 @@
 // their rank. Members with self's ID or rank are left out.
 func rankedBefore(self declarer.Member, members []declarer.Member) []declarer.Member {
 	ownRank := rank(&self)
-	var before []declarer.Member
+	return ranked(self, members, func(other uint64) bool { return other < ownRank })
+}
+
+// rankedAfter returns the members of self's zone that are ranked after it, in order of their
+// rank.
+func rankedAfter(self declarer.Member, members []declarer.Member) []declarer.Member {
+	ownRank := rank(&self)
+	return ranked(self, members, func(other uint64) bool { return other > ownRank })
+}
+
+// ranked returns the members of self's zone, without itself, whose rank is wanted, in order of
+// their rank.
+func ranked(self declarer.Member, members []declarer.Member, isWanted func(rank uint64) bool) []declarer.Member {
+	var out []declarer.Member
 	for _, m := range members {
-		if m.Zone == self.Zone && m.ID != self.ID && rank(&m) < ownRank {
-			before = append(before, m)
+		if m.Zone == self.Zone && m.ID != self.ID && isWanted(rank(&m)) {
+			out = append(out, m)
 		}
 	}
-	slices.SortFunc(before, func(a, b declarer.Member) int { return cmp.Compare(rank(&a), rank(&b)) })
-	return before
+	slices.SortFunc(out, func(a, b declarer.Member) int { return cmp.Compare(rank(&a), rank(&b)) })
+	return out
 }
 
 // rank returns a hash of the member's zone and ID; lower values are ranked first. The
--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,16 @@
 	DirectReadTime time.Duration
 	// MaxSources is the number of sources that are polled in one round.
 	MaxSources int
+	// MaxReaders is the number of daemons of a zone that read the store themselves while their
+	// sources answer with stale state, because the store does not answer those. As many
+	// more do with each ReadersInterval, since the store may turn some machines away and serve
+	// others.
+	MaxReaders      int
+	ReadersInterval time.Duration
+	// StaleBackoff is how long a source with stale state is polled after the others.
+	StaleBackoff time.Duration
+	// StalePause is the pause between two polls of a daemon that waits for those.
+	StalePause time.Duration
 }
 
 // Default returns the settings that keep the cached state at most 3 s old.
@@ -55,7 +66,12 @@
 		StartupRetry:   100 * time.Millisecond,
 		LeaderPause:    300 * time.Millisecond,
 		DirectReadTime: 1500 * time.Millisecond,
-		MaxSources:     2,
+		MaxSources:     3,
+
+		MaxReaders:      3,
+		ReadersInterval: 1200 * time.Millisecond,
+		StaleBackoff:    time.Second,
+		StalePause:      300 * time.Millisecond,
 	}
 }
 
@@ -71,6 +87,7 @@
 	hasNewerThan(revision uint64) bool
 	isFresh(maxAge time.Duration) bool
 	isCurrent(maxAge time.Duration) bool
+	isLost() bool
 	isNeverStale() bool
 	invalidate()
 	updateSince(revision uint64) (update, error)
@@ -140,10 +157,14 @@
 	lastBatches map[string]uint64
 	// members returns the known members.
 	members func() []declarer.Member
-	// skippedUntil holds, by ID, until when a member that did not answer is not polled.
-	skippedUntil map[string]time.Time
+	// skippedUntil holds, by ID, until when a member that did not answer is not polled, and
+	// staleUntil until when one whose state was stale is polled after the others.
+	skippedUntil, staleUntil map[string]time.Time
 
 	started time.Time
+	// staleSince is when the sources were first found to have stale state only; zero while
+	// one has fresh state.
+	staleSince time.Time
 	// readsStore is true while this daemon reads the store itself, readsMembers while
 	// it reads the list of members: at the start, and as the leader of its zone unless
 	// the leader of another zone relays the store's state.
@@ -157,7 +178,7 @@
 func New(cfg Config, self declarer.Member, members func() []declarer.Member, caller Caller, observer Observer, log hclog.Logger) *Relayer {
 	return &Relayer{
 		cfg: cfg, self: self, members: members, caller: caller, observer: observer, log: log,
-		skippedUntil: make(map[string]time.Time), lastBatches: make(map[string]uint64),
+		skippedUntil: make(map[string]time.Time), staleUntil: make(map[string]time.Time), lastBatches: make(map[string]uint64),
 	}
 }
 
@@ -217,27 +238,69 @@
 		if len(sources) > 0 {
 			r.setReadsMembers(false)
 		}
-		switch {
-		case len(sources) == 0:
+		if len(sources) == 0 {
 			r.leadZone(ctx)
 			r.pause(ctx, r.cfg.LeaderPause)
-		case r.pollSources(ctx, sources):
-			r.setReadsStore(false, "a peer relays the store's state")
-			r.pause(ctx, r.cfg.PollPause)
-		case r.isStarting():
-			r.pause(ctx, r.cfg.StartupRetry)
-		default:
-			r.setReadsStore(ctx.Err() == nil, "no peer has fresh state of the store")
-			r.pause(ctx, r.cfg.DirectReadTime)
+			continue
 		}
+		r.pause(ctx, r.followSources(ctx, sources))
 	}
 	return ctx.Err()
 }
 
+// followSources runs one round of a daemon that is not its zone's leader, and returns the
+// pause until the next.
+func (r *Relayer) followSources(ctx context.Context, sources []declarer.Member) time.Duration {
+	state := r.pollSources(ctx, sources)
+	if state != fresh && r.isLost() {
+		state = max(state, r.pollSources(ctx, rankedAfter(r.self, r.members())))
+	}
+	if state == fresh {
+		r.staleSince = time.Time{}
+		r.setReadsStore(false, "a peer relays the store's state")
+		return r.cfg.PollPause
+	}
+	if r.isStarting() {
+		return r.cfg.StartupRetry
+	}
+	if state == stale && !r.mayRead(sources) {
+		r.setReadsStore(false, "daemons ranked before this one read the store")
+		return r.cfg.StalePause
+	}
+	r.setReadsStore(ctx.Err() == nil, "no peer has fresh state of the store")
+	return r.cfg.DirectReadTime
+}
+
+// mayRead reports whether this daemon reads the store itself while its sources answer with
+// stale state.
+//
+// Load pattern: an outage of the store, in which a whole fleet would call it again and again.
+func (r *Relayer) mayRead(sources []declarer.Member) bool {
+	now := time.Now()
+	if r.staleSince.IsZero() {
+		r.staleSince = now
+	}
+	before := 0
+	for i := range sources {
+		if !r.isSkipped(sources[i].ID) {
+			before++
+		}
+	}
+	return before < r.cfg.MaxReaders*(1+int(now.Sub(r.staleSince)/r.cfg.ReadersInterval))
+}
+
 // leadZone runs one round of a zone's leader: it reads the store itself unless the
 // leader of another zone that is ranked before it has fresh state.
 func (r *Relayer) leadZone(ctx context.Context) {
+	if !r.hasState() {
+		// The daemons of the zone wait for this one's state.
+		r.setReadsStore(true, "no state yet")
+	}
 	relayed := r.pollLeaders(ctx)
+	if r.isLost() {
+		// The store may turn this daemon away and serve others of its zone.
+		r.pollSources(ctx, rankedAfter(r.self, r.members()))
+	}
 	r.setReadsMembers(!relayed)
 	if relayed {
 		r.setReadsStore(false, "the leader of another zone relays the store's state")
@@ -246,6 +309,22 @@
 	r.setReadsStore(true, "no leader ranked before this one has fresh state of the store")
 }
 
+// isLost reports whether the store does not answer this daemon, and no peer that it answers
+// has relayed its state since.
+func (r *Relayer) isLost() bool {
+	return slices.ContainsFunc(r.caches, cache.isLost)
+}
+
+// hasState reports whether every kind has been listed.
+func (r *Relayer) hasState() bool {
+	for _, c := range r.caches {
+		if _, listed := c.Revision(); !listed && !c.isNeverStale() {
+			return false
+		}
+	}
+	return true
+}
+
 // isStarting reports whether the daemon has just started. Its sources may then be
 // starting, too, and have no state yet.
 func (r *Relayer) isStarting() bool {
@@ -257,29 +336,41 @@
 	_ = sleeper.Sleep(ctx, d)
 }
 
-// pollSources polls up to MaxSources sources in order until one has fresh state, and
-// reports whether there is one.
-func (r *Relayer) pollSources(ctx context.Context, sources []declarer.Member) bool {
-	polled := 0
+// sourceState is what polls of sources found.
+type sourceState int
+
+const (
+	// silent: no source answered.
+	silent sourceState = iota
+	// stale: one answered, but none has fresh state.
+	stale
+	// fresh: one has fresh state.
+	fresh
+)
+
+// pollSources polls up to MaxSources sources until one has fresh state: in order, but those
+// that had stale state a moment ago last.
+func (r *Relayer) pollSources(ctx context.Context, sources []declarer.Member) sourceState {
+	polled, best := 0, silent
+	now := time.Now()
+	slices.SortStableFunc(sources, func(a, b declarer.Member) int {
+		return compareBool(now.Before(r.staleUntil[a.ID]), now.Before(r.staleUntil[b.ID]))
+	})
 	for i := range sources {
 		if r.isSkipped(sources[i].ID) {
 			continue
 		}
-		if r.pollSource(ctx, &sources[i]) {
-			return true
+		in := r.newPoll(&sources[i], r.cfg.PollWait)
+		in.Observations = r.observer.Drain()
+		best = max(best, r.applyPoll(&sources[i], r.poll(ctx, &sources[i], in)))
+		if best == fresh {
+			return fresh
 		}
 		if polled++; polled == r.cfg.MaxSources {
-			return false
+			break
 		}
 	}
-	return false
-}
-
-// pollSource polls one source, and reports whether its state is fresh.
-func (r *Relayer) pollSource(ctx context.Context, m *declarer.Member) bool {
-	in := r.newPoll(m, r.cfg.PollWait)
-	in.Observations = r.observer.Drain()
-	return r.poll(ctx, m, in)
+	return best
 }
 
 // pollLeaders polls the leader of each other zone. It reports whether one that is ranked
@@ -287,8 +378,16 @@
 func (r *Relayer) pollLeaders(ctx context.Context) bool {
 	r.publishObservations()
 	relayed := false
-	for _, m := range zoneLeaders(r.self.Zone, r.members(), r.isSkipped) {
-		if r.poll(ctx, &m, r.newPoll(&m, 0)) && rank(&m) < rank(&r.self) {
+	leaders := zoneLeaders(r.self.Zone, r.members(), r.isSkipped)
+	answers := make([]*pollResponse, len(leaders))
+	var polls sync.WaitGroup
+	for i := range leaders {
+		in := r.newPoll(&leaders[i], 0)
+		polls.Go(func() { answers[i] = r.poll(ctx, &leaders[i], in) })
+	}
+	polls.Wait()
+	for i := range leaders {
+		if r.applyPoll(&leaders[i], answers[i]) == fresh && rank(&leaders[i]) < rank(&r.self) {
 			relayed = true
 		}
 	}
@@ -315,21 +414,30 @@
 	return in
 }
 
-// poll sends a request to a peer and applies the response. It reports whether the peer's
-// state is fresh; the caches cannot show that, as they may be fresh because this daemon
-// reads the store itself.
-func (r *Relayer) poll(ctx context.Context, m *declarer.Member, in *pollRequest) bool {
+// poll sends a request to a peer and returns the response, nil when there is none. It may
+// be called from several goroutines.
+func (r *Relayer) poll(ctx context.Context, m *declarer.Member, in *pollRequest) *pollResponse {
 	ctx, cancel := context.WithTimeout(ctx, in.Wait+r.cfg.PollMargin)
 	defer cancel()
 	var out pollResponse
 	if err := r.caller.Call(ctx, m.Peer, callPoll, in, &out); err != nil {
 		r.log.Debug("poll of peer failed", "peer", m.ID, "error", err)
+		return nil
+	}
+	return &out
+}
+
+// applyPoll applies the response of a peer, nil when it did not answer. It returns whether
+// the peer's state is fresh; the caches cannot show that, as they may be fresh because this
+// daemon reads the store itself.
+func (r *Relayer) applyPoll(m *declarer.Member, out *pollResponse) sourceState {
+	if out == nil {
 		backoff := r.cfg.PeerBackoff
 		if r.isStarting() {
 			backoff = r.cfg.StartupRetry
 		}
 		r.skippedUntil[m.ID] = time.Now().Add(backoff)
-		return false
+		return silent
 	}
 	for i := range out.Updates {
 		r.applyUpdate(m, &out.Updates[i])
@@ -337,7 +445,23 @@
 	r.lastBatches[m.ID] = out.LastBatch
 	r.observer.Merge(out.Observations)
 	r.recent.add(m.ID, m.Zone, out.Observations)
-	return r.hasFreshState(&out)
+	if r.hasFreshState(out) {
+		return fresh
+	}
+	r.staleUntil[m.ID] = time.Now().Add(r.cfg.StaleBackoff)
+	return stale
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // hasFreshState reports whether a peer's state is fresh for every kind that can
--- a/internal/control/relayer/relayer_test.go
+++ b/internal/control/relayer/relayer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"reflect"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -87,10 +88,10 @@
 	return f.silent[peer]
 }
 
-func (f *fleet) setStoreDown(i int) {
+func (f *fleet) setStoreDown(i int, down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.storeDown[i] = true
+	f.storeDown[i] = down
 }
 
 func (f *fleet) isStoreDown(i int) bool {
@@ -187,15 +188,20 @@
 	}
 }
 
-func (f *fleet) assertReaders(want int) {
-	f.t.Helper()
-	got := 0
+// readers returns the number of daemons that read the store.
+func (f *fleet) readers() int {
+	n := 0
 	for _, r := range f.daemons {
 		if open, _ := r.Open(); open {
-			got++
+			n++
 		}
 	}
-	if got != want {
+	return n
+}
+
+func (f *fleet) assertReaders(want int) {
+	f.t.Helper()
+	if got := f.readers(); got != want {
 		f.t.Errorf("%d daemons read the store, want %d", got, want)
 	}
 }
@@ -251,7 +257,7 @@
 					for i := range f.members {
 						open, _ := f.daemons[f.members[i].Peer].Open()
 						if open {
-							f.setStoreDown(i)
+							f.setStoreDown(i, true)
 						}
 					}
 					time.Sleep(2 * time.Second)
@@ -302,3 +308,65 @@
 		}
 	})
 }
+
+// TestReadersInOutage checks how many of 40 daemons call the store while it does not answer anyone, and that all of them
+// have its state soon after it answers again.
+func TestReadersInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, append(slices.Repeat([]string{"a"}, 20), slices.Repeat([]string{"b"}, 20)...)...)
+		f.run(func() {
+			time.Sleep(2 * time.Second)
+			for i := range f.members {
+				f.setStoreDown(i, true)
+			}
+			time.Sleep(2500 * time.Millisecond)
+			if n := f.readers(); n > 18 {
+				t.Errorf("%d daemons call the store in its outage, want 18 at most: 9 a zone after 2.5 s", n)
+			}
+			for i := range f.members {
+				f.setStoreDown(i, false)
+			}
+			f.storeRevision.Store(9)
+			time.Sleep(time.Second)
+			for i := range f.members {
+				f.assertRevision(i, 9)
+			}
+		})
+	})
+}
+
+// TestStoreRefusesReaders checks that the store's state reaches all daemons of a zone when the store turns away the first
+// of them, as many as usually read it.
+func TestStoreRefusesReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, slices.Repeat([]string{"a"}, 20)...)
+		f.run(func() {
+			time.Sleep(2 * time.Second)
+			for i, m := range f.members {
+				if len(rankedBefore(m, f.members)) < Default().MaxReaders {
+					f.setStoreDown(i, true)
+				}
+			}
+			f.storeRevision.Store(9)
+			time.Sleep(Default().ReadersInterval + 3*time.Second)
+			for i := range f.members {
+				f.assertRevision(i, 9)
+			}
+		})
+	})
+}
+
+// TestLeaderReadsAtOnce checks that the leader of a zone has the store's state soon after the start of the fleet although
+// the leaders of the other zones do not answer.
+func TestLeaderReadsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c", "d", "e")
+		for i := 1; i < len(f.members); i++ {
+			f.setSilent(i, true)
+		}
+		f.run(func() {
+			time.Sleep(250 * time.Millisecond)
+			f.assertRevision(0, 5)
+		})
+	})
+}
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -174,7 +174,7 @@
 	r.relayer = relayer.New(relayer.Default(), self, func() []declarer.Member { return r.locator.View().Members() }, r.linker, r.picker, r.log.Named("control"))
 	r.linker.Handle(relayer.CallName(), r.relayer.Handle)
 	members := relayer.NewCache("members", r.locator.Members(), r.relayer).NeverStale()
-	r.registrar = registrar.New(self, r.store, r.log.Named("control"))
+	r.registrar = registrar.New(self, settings.Store.Bootstrap, r.store, r.log.Named("control"))
 	cfg := follower.Default()
 	r.followers = []suture.Service{
 		follower.New("members", cfg, r.store.Members(), members, r.relayer.MemberGate()),
--- a/internal/settings/reader/entry.go
+++ b/internal/settings/reader/entry.go
@@ -31,6 +31,8 @@
 // Store holds the settings of the connection to the metadata store.
 type Store struct {
 	Address netip.AddrPort
+	// Bootstrap is true when the whole deployment starts for the first time, so that the store holds nothing of it.
+	Bootstrap bool
 }
 
 // Process holds the limits of the process.
@@ -100,6 +102,7 @@
 		}},
 		{"store", "connection to the metadata store", []field{
 			{key: "address", required: true, help: "IP address and port of the store", parse: address(&s.Store.Address)},
+			{key: "bootstrap", defaultValue: "false", help: "true when the whole deployment starts for the first time, so that the store holds no record of this daemon; saves a call", parse: boolean(&s.Store.Bootstrap)},
 		}},
 		{"process", "process limits", []field{
 			{key: "memory", defaultValue: "0", help: "memory use in MB at which the process is killed; 0 for no limit", parse: integer(&s.Process.MemoryMB, 0, maxMemoryMB)},
--- a/internal/settings/reader/entry_test.go
+++ b/internal/settings/reader/entry_test.go
@@ -62,7 +62,7 @@
 		"{{node_name}}", "front-addis-a-1", "{{zone}}", "addis-a", "{{region}}", "et-central",
 		"{{listen.front_addr}}", "10.1.0.39:8226", "{{listen.ready_addr}}", "10.1.0.39:8227",
 		"{{ip}}:{{port_range.0}}", "10.1.0.39:7740", "{{platform.address}}", "10.200.1.7:8229",
-		"{{limits.memory_mb}}", "284", "{{limits.cpu_share}}", "0.4", "{{bounds.grace_s}}", "6", "{{bounds.retry_budget_ratio}}", "0.2",
+		"{{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}}", "true", "{{limits.memory_mb}}", "284", "{{limits.cpu_share}}", "0.4", "{{bounds.grace_s}}", "6", "{{bounds.retry_budget_ratio}}", "0.2",
 		"{{bounds.retry_slack}}", "56", "{{bounds.budget_window_s}}", "10",
 	).Replace(string(text))
 	path := writeFile(t, filled)
@@ -77,7 +77,7 @@
 	if diff := cmp.Diff(want, set.Extra); diff != "" {
 		t.Errorf("retry budget (-want +got):\n%s", diff)
 	}
-	if set.Shutdown.Grace != 6*time.Second || set.Process.MemoryMB != 284 || set.Process.Share != 0.4 || !set.Log.JSON {
+	if set.Shutdown.Grace != 6*time.Second || set.Process.MemoryMB != 284 || set.Process.Share != 0.4 || !set.Store.Bootstrap || !set.Log.JSON {
 		t.Errorf("settings %+v", set)
 	}
 }
