cornelwood: a soak with gathering daemons

TestEntrySoakGathered has nine daemons, of which six gather, shards without a searcher in one zone, and the same faults. Both soaks check the number of searchers that run a request.

--- a/cmd/cornelwood/entry_soak_faults_test.go
+++ b/cmd/cornelwood/entry_soak_faults_test.go
@@ -380,11 +380,22 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	runs := make(map[string]int)
+	// serviceRuns holds the runs of each request at each service, and excess the requests that ran more often at one than
+	// its route allows.
+	serviceRuns := make(map[[2]string]int)
+	excess := make(map[string]bool)
 	for _, s := range k.searchers {
 		for id, n := range s.Runs() {
 			runs[id] += n
+			key := [2]string{s.service, id}
+			if serviceRuns[key] += n; serviceRuns[key] > soakAttempts {
+				excess[id] = true
+			}
 		}
 	}
+	if len(excess) > soakMaxExcess {
+		k.t.Errorf("requests that ran more than %d times at one service, want at most %d of them: %v", soakAttempts, soakMaxExcess, excess)
+	}
 	aborted, overdue, pastTimeout := 0, 0, 0
 	for _, a := range k.requests {
 		n := runs[a.id]
--- a/cmd/cornelwood/entry_soak_test.go
+++ b/cmd/cornelwood/entry_soak_test.go
@@ -42,6 +42,10 @@
 	soakMonotonicAfter = 250 * time.Millisecond
 	// soakAnswerMargin is the time after its route's timeout within which a request is answered.
 	soakAnswerMargin = 500 * time.Millisecond
+	// soakAttempts is the number of searchers of one service that may run a request, and soakMaxExcess the number of
+	// requests that may run at more.
+	soakAttempts  = 2
+	soakMaxExcess = 3
 	// soakMaxAborted is the number of requests that graceful shutdowns may abort.
 	soakMaxAborted = 3
 	// soakGracePeriod is the time from SIGTERM to SIGKILL.
@@ -55,6 +59,9 @@
 	soakTopK         = 5
 	soakRouteTimeout = 2 * time.Second
 	soakClients      = 8
+	// soakDaemonConns is the number of connections that a searcher declares for each daemon when few of them gather: too
+	// few for all.
+	soakDaemonConns = 1
 )
 
 // soakClientPause is the pause of a client between two requests.
@@ -63,6 +70,16 @@
 // TestEntrySoak injects seeded faults, overlapping and in series, into entry daemons under load, from outside their
 // processes. It checks what clients received and what searchers ran.
 func TestEntrySoak(t *testing.T) {
+	runEntrySoak(t, *soakDaemons, false)
+}
+
+// TestEntrySoakGathered does the same while few daemons of each zone gather the queries of the others, and no zone has
+// searchers of every shard.
+func TestEntrySoakGathered(t *testing.T) {
+	runEntrySoak(t, *soakDaemons*3/2, true)
+}
+
+func runEntrySoak(t *testing.T, daemons int, gathered bool) {
 	seeds := regressionSeeds
 	if !slices.Contains(seeds, *soakSeed) {
 		seeds = append([]uint64{*soakSeed}, seeds...)
@@ -70,7 +87,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Logf("seed %d", seed)
-			k := newEntrySoak(t, seed)
+			k := newEntrySoak(t, seed, daemons, gathered)
 			ctx, stop := context.WithCancel(t.Context())
 			var clients sync.WaitGroup
 			for i := range soakClients {
@@ -95,6 +112,8 @@
 	dir     string
 	store   *keeper.MemoryStore
 	daemons []*entryDaemon
+	// gathered is true when few daemons gather the queries of the others.
+	gathered bool
 	// activeFaults counts faults that have not ended.
 	activeFaults sync.WaitGroup
 	// injected holds the name and time of each injected fault.
@@ -160,26 +179,30 @@
 	violation string
 }
 
-func newEntrySoak(t *testing.T, seed uint64) *entrySoak {
+func newEntrySoak(t *testing.T, seed uint64, daemons int, gathered bool) *entrySoak {
 	k := &entrySoak{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), store: keeper.NewMemoryStore(), started: time.Now(),
 		searchers: make(map[string]*soakSearcher), liveSearchers: make(map[string][]string),
-		declaredAt: make(map[int]time.Time), tally: make(map[string]int),
+		declaredAt: make(map[int]time.Time), tally: make(map[string]int), gathered: gathered,
 	}
 	storeServer := httptest.NewServer(k.store)
 	t.Cleanup(storeServer.Close)
 	for i := range soakShards {
-		for _, zone := range []string{"a", "b", "c"} {
+		zones := []string{"a", "b", "c"}
+		if gathered {
+			zones[(i+1)%len(zones)] = zones[i%len(zones)]
+		}
+		for _, zone := range zones {
 			k.addSearcher(fmt.Sprintf("s%d", i), zone, nil)
 		}
 	}
 	for _, zone := range []string{"a", "b", "c", "a"} {
 		k.addSearcher("one", zone, nil)
 	}
-	k.declareVersion()
-	for i := range *soakDaemons {
+	for i := range daemons {
 		k.addDaemon(fmt.Sprintf("d%d", i), string(rune('a'+i%3)), strings.TrimPrefix(storeServer.URL, "http://"))
 	}
+	k.declareVersion()
 	for _, d := range k.daemons {
 		k.eventually("ready: "+d.id, startTimeout, func() bool { return d.isReady() })
 	}
@@ -233,12 +256,18 @@
 	for i := range shards {
 		shards[i] = fmt.Sprintf("%q", fmt.Sprintf("s%d", i))
 	}
-	common := fmt.Sprintf(`"host":%q,"timeout_ms":%d,"goal_ms":200,"attempts":2`, entryHost, soakRouteTimeout.Milliseconds())
+	services := ""
+	if k.gathered {
+		for i := range shards {
+			services += fmt.Sprintf(`{"name":%s,"max_conns":%d},`, shards[i], soakDaemonConns*len(k.daemons))
+		}
+	}
+	common := fmt.Sprintf(`"host":%q,"timeout_ms":%d,"goal_ms":200,"attempts":%d`, entryHost, soakRouteTimeout.Milliseconds(), soakAttempts)
 	spec := fmt.Sprintf(`{"version":%d,"routes":[
 		{"name":"q","path_prefix":"/q/","kind":"idempotent","gather":[%s],"top_k":%d,"min_shard_ratio":0.6,%s},
 		{"name":"p","path_prefix":"/p/","kind":"non_idempotent","service":"one",%s},
-		{"name":"v","path_prefix":"/v%d/","kind":"idempotent","service":"one",%s}]}`,
-		k.latestVersion, strings.Join(shards, ","), soakTopK, common, common, k.latestVersion, common)
+		{"name":"v","path_prefix":"/v%d/","kind":"idempotent","service":"one",%s}],"services":[%s]}`,
+		k.latestVersion, strings.Join(shards, ","), soakTopK, common, common, k.latestVersion, common, strings.TrimSuffix(services, ","))
 	k.store.Set(platform.KindConfig, platform.ConfigName, json.RawMessage(spec))
 	k.declaredAt[k.latestVersion] = time.Now()
 }
@@ -252,13 +281,18 @@
 
 func (k *entrySoak) addDaemon(id, zone, store string) {
 	host := soakHost()
+	// The last daemon of each zone is smaller, so that the others gather.
+	share := 1.0
+	if len(k.daemons) >= 6 {
+		share = 0.1
+	}
 	ports := freePorts(k.t, host, 3)
 	d := &entryDaemon{
 		id: id, zone: zone, callerAddr: host + ":" + ports[0], checkAddr: host + ":" + ports[1],
 		settings: filepath.Join(k.dir, id+".ini"), storeProxy: startProxy(k.t, store),
 	}
 	text := fmt.Sprintf("[daemon]\nid = %s\nzone = %s\nregion = r\n[log]\njson = true\n[caller]\nlisten = %s\nchecks = %s\npeers = %s:%s\n"+
-		"[store]\naddress = %s\n[shutdown]\ngrace = %s\n", id, zone, d.callerAddr, d.checkAddr, host, ports[2], d.storeProxy.addr(), soakGracePeriod)
+		"[process]\nshare = %g\n[store]\naddress = %s\n[shutdown]\ngrace = %s\n", id, zone, d.callerAddr, d.checkAddr, host, ports[2], share, d.storeProxy.addr(), soakGracePeriod)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		k.t.Fatal(err)
 	}
