--- a/internal/control/reconciler/config.go
+++ b/internal/control/reconciler/config.go
@@ -46,9 +46,11 @@
 	tickInterval = 100 * time.Millisecond
 	// spreadInterval is the mean interval between exchanges with a random peer.
 	spreadInterval = time.Second
-	// spreadTimeout bounds one call of an exchange, so that several attempts fit into the
-	// 3 s within which a change has to be in force when messages are lost.
-	spreadTimeout = 600 * time.Millisecond
+	// spreadTimeout bounds one attempt of a call of an exchange, and spreadAttempts their
+	// number, so that an exchange of several calls fits into the 3 s within which a change has
+	// to be in force when messages are lost.
+	spreadTimeout  = 300 * time.Millisecond
+	spreadAttempts = 2
 	// maxRounds bounds the calls of one exchange.
 	maxRounds = 64
 	// maxExchanges bounds the concurrent exchanges that this daemon opened.
--- a/internal/control/reconciler/spread.go
+++ b/internal/control/reconciler/spread.go
@@ -58,13 +58,22 @@
 	r.metrics.sent(e.sent)
 	e.knownInstances = r.instancesAt(e.peer)
 	r.calls.Go(func() {
-		callCtx, cancel := context.WithTimeout(ctx, spreadTimeout)
-		defer cancel()
-		e.err = r.link.Call(callCtx, e.peer, CallSpread, e.sent, &e.reply)
+		for range spreadAttempts {
+			if e.err = r.callSpread(ctx, e); e.err == nil || isRefused(e.err) || ctx.Err() != nil {
+				break
+			}
+		}
 		_ = r.post(ctx, e) // fails only when the loop ends
 	})
 }
 
+// callSpread makes one attempt of a call. The peer may get the message twice, which changes nothing.
+func (r *Reconciler) callSpread(ctx context.Context, e *replyEvent) error {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	return r.link.Call(ctx, e.peer, CallSpread, e.sent, &e.reply)
+}
+
 // addSenderState sets the fields that every message has: those about this daemon.
 func (r *Reconciler) addSenderState(now time.Time, m *spreader.Message) {
 	m.Sender = r.cfg.Self.ID
