relayer: pack the state for daemons that start, and relay it by several daemons of a zone

The list is encoded once for a revision and compressed, the members with the largest processor share are ranked first, and the first three of a zone serve the others. What those observe of searchers goes up the same way, once. Not measured yet.

--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -1,7 +1,11 @@
 package relayer
 
 import (
+	"bytes"
+	"compress/flate"
 	"errors"
+	"fmt"
+	"io"
 	"sync"
 	"time"
 
@@ -49,6 +53,8 @@
 	confirmedAt time.Time
 	// trustedFrom is the time from which confirmations count, after a pause of the process.
 	trustedFrom time.Time
+	// whole is the packed full list; nil after a change.
+	whole []byte
 	// lostAt is when the store stopped answering, zero while it answers.
 	lostAt time.Time
 }
@@ -107,7 +113,7 @@
 		for _, it := range items {
 			c.items[it.Name] = it
 		}
-		c.listed = true
+		c.listed, c.whole = true, nil
 		c.confirm(revision, age)
 		c.sink.Replace(items, revision)
 		c.changed.raise()
@@ -160,6 +166,7 @@
 		if !exists || ch.Revision < current.Revision {
 			return false
 		}
+		c.whole = nil
 		delete(c.items, ch.Name)
 		c.tombstones[ch.Name] = tombstone{objectRevision: ch.Revision, removalRevision: revision, at: time.Now()}
 		return true
@@ -167,6 +174,7 @@
 	if exists && ch.Revision <= current.Revision || isDeleted && ch.Revision <= deleted.objectRevision {
 		return false
 	}
+	c.whole = nil
 	delete(c.tombstones, ch.Name)
 	c.items[ch.Name] = ch.Item
 	return true
@@ -219,7 +227,7 @@
 	Age time.Duration `json:"age"`
 	// Lost is true while the store does not answer the sender.
 	Lost bool `json:"lost,omitempty"`
-	// Entries is an encoded []entry.
+	// Entries is an encoded []entry, compressed by flate.
 	Entries []byte `json:"entries,omitempty"`
 }
 
@@ -272,25 +280,89 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := update{Kind: c.kind, Revision: c.revision, Age: time.Since(c.confirmedAt), Lost: !c.lostAt.IsZero(), Whole: revision == 0 || revision < c.compactedRevision}
+	if u.Whole {
+		var err error
+		u.Entries, err = c.wholeEntries()
+		return u, err
+	}
 	var entries []entry[T]
 	for _, it := range c.items {
-		if u.Whole || it.Revision > revision {
+		if it.Revision > revision {
 			entries = append(entries, encodeItem(it))
 		}
 	}
 	for name, ts := range c.tombstones {
-		if !u.Whole && ts.removalRevision > revision {
+		if ts.removalRevision > revision {
 			entries = append(entries, entry[T]{Name: name, Revision: ts.objectRevision, Removed: true})
 		}
 	}
-	if len(entries) == 0 {
-		return u, nil
-	}
 	var err error
-	u.Entries, err = linker.Encode(entries)
+	u.Entries, err = packEntries(entries)
 	return u, err
 }
 
+// wholeEntries returns the packed full list.
+//
+// Load pattern: all daemons of a zone start at once and ask for the full list, which a desired
+// state of a thousand routes makes large.
+func (c *Cache[T]) wholeEntries() ([]byte, error) {
+	if c.whole != nil {
+		return c.whole, nil
+	}
+	entries := make([]entry[T], 0, len(c.items))
+	for _, it := range c.items {
+		entries = append(entries, encodeItem(it))
+	}
+	var err error
+	c.whole, err = packEntries(entries)
+	return c.whole, err
+}
+
+// packEntries encodes and compresses entries; no entries are no bytes.
+func packEntries[T any](entries []entry[T]) ([]byte, error) {
+	if len(entries) == 0 {
+		return nil, nil
+	}
+	raw, err := linker.Encode(entries)
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// unpackEntries reverses packEntries.
+func unpackEntries[T any](packed []byte) ([]entry[T], error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxEntriesBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > maxEntriesBytes {
+		return nil, fmt.Errorf("entries of an update: want %d bytes at most", maxEntriesBytes)
+	}
+	var entries []entry[T]
+	if err := linker.Decode(raw, &entries); err != nil {
+		return nil, err
+	}
+	return entries, nil
+}
+
+// maxEntriesBytes bounds the size of unpacked entries.
+const maxEntriesBytes = 32 << 20
+
 func encodeItem[T any](it follower.Item[T]) entry[T] {
 	e := entry[T]{Name: it.Name, Revision: it.Revision, Value: it.Value}
 	if it.Err != nil {
@@ -303,11 +375,9 @@
 // answers the peer and confirmed the update's revision later than the cached state: a peer
 // that has lost the store shows nothing about this daemon's own connection to it.
 func (c *Cache[T]) applyUpdate(u *update) error {
-	var entries []entry[T]
-	if len(u.Entries) > 0 {
-		if err := linker.Decode(u.Entries, &entries); err != nil {
-			return err
-		}
+	entries, err := unpackEntries[T](u.Entries)
+	if err != nil {
+		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/control/relayer/observations.go
+++ b/internal/control/relayer/observations.go
@@ -33,14 +33,17 @@
 type batch struct {
 	number uint64
 	// source is the ID of the daemon that the observations came from, and zone its zone.
-	source       string
-	zone         string
+	source string
+	zone   string
+	// isRelayed is true for what a source that this daemon polls has relayed.
+	isRelayed    bool
 	at           time.Time
 	observations []exchanger.Observation
 }
 
-func (b *observationBuffer) add(source, zone string, observations []exchanger.Observation) {
-	if len(observations) == 0 {
+// add adds a batch, and sets its number and time.
+func (b *observationBuffer) add(added batch) {
+	if len(added.observations) == 0 {
 		return
 	}
 	b.mu.Lock()
@@ -48,7 +51,8 @@
 	now := time.Now()
 	b.lastNumber++
 	b.batches = slices.DeleteFunc(b.batches, func(ba batch) bool { return now.Sub(ba.at) > observationRetention })
-	b.batches = append(b.batches, batch{number: b.lastNumber, source: source, zone: zone, at: now, observations: observations})
+	added.number, added.at = b.lastNumber, now
+	b.batches = append(b.batches, added)
 }
 
 const (
@@ -70,6 +74,24 @@
 // the number of the newest batch. A peer does not get the batches that came from it, and
 // a peer of another zone gets only those from ownZone.
 func (b *observationBuffer) since(after uint64, peer, peerZone, ownZone string) ([]exchanger.Observation, uint64) {
+	out, number := b.merged(after, func(ba *batch) bool {
+		return ba.source != peer && (peerZone == ownZone || ba.zone == ownZone)
+	})
+	if peerZone != ownZone {
+		out = filterForOtherZones(out)
+	}
+	return out, number
+}
+
+// ownSince returns the observations of the batches after a number that were not relayed to
+// this daemon by a source, merged by searcher, and the number of the newest batch.
+func (b *observationBuffer) ownSince(after uint64) ([]exchanger.Observation, uint64) {
+	return b.merged(after, func(ba *batch) bool { return !ba.isRelayed })
+}
+
+// merged returns the observations of the wanted batches after a number, merged by searcher, and
+// the number of the newest batch.
+func (b *observationBuffer) merged(after uint64, isWanted func(ba *batch) bool) ([]exchanger.Observation, uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if after > b.lastNumber {
@@ -78,8 +100,9 @@
 	}
 	var out []exchanger.Observation
 	index := make(map[string]int)
-	for _, ba := range b.batches {
-		if ba.number <= after || ba.source == peer || peerZone != ownZone && ba.zone != ownZone {
+	for k := range b.batches {
+		ba := &b.batches[k]
+		if ba.number <= after || !isWanted(ba) {
 			continue
 		}
 		for i := range ba.observations {
@@ -93,8 +116,5 @@
 			out[pos].Add(ob)
 		}
 	}
-	if peerZone != ownZone {
-		out = filterForOtherZones(out)
-	}
 	return out, b.lastNumber
 }
--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -157,6 +157,8 @@
 	observer Observer
 	// lastBatches holds the LastBatch of each peer's last response, by the peer's ID.
 	lastBatches map[string]uint64
+	// sentBatch is the number of the newest batch that a source was sent.
+	sentBatch uint64
 	// members returns the known members.
 	members func() []declarer.Member
 	// skippedUntil holds, by ID, until when a member that did not answer is not polled, and
@@ -241,7 +243,7 @@
 			r.pause(ctx, r.cfg.StartupRetry)
 			continue
 		}
-		sources := rankedBefore(r.self, r.members())
+		sources := spreadSources(&r.self, rankedBefore(r.self, r.members()))
 		if len(sources) > 0 {
 			r.setReadsMembers(false)
 		}
@@ -381,10 +383,12 @@
 // pollSources polls up to MaxSources sources until one has fresh state: in order, but those
 // that had stale state a moment ago last.
 func (r *Relayer) pollSources(ctx context.Context, sources []declarer.Member) sourceState {
-	polled, best, cutOff := 0, silent, false
+	polled, best := 0, silent
+	// first is the source of the highest rank that answered. Daemons ranked after this one
+	// have from it what they say about a cut.
+	first, cutOff := &r.self, false
 	defer func() {
-		// Daemons ranked after this one have it from this one.
-		if best != silent && len(sources) > 0 && rank(&sources[0]) < rank(&r.self) {
+		if first != &r.self {
 			r.setCutOff(cutOff)
 		}
 	}()
@@ -397,9 +401,11 @@
 			continue
 		}
 		in := r.newPoll(&sources[i], r.cfg.PollWait)
-		in.Observations = r.observer.Drain()
+		in.Observations = r.unsentObservations()
 		out := r.poll(ctx, &sources[i], in)
-		cutOff = cutOff || out != nil && out.CutOff
+		if out != nil && compareRanks(&sources[i], first) < 0 {
+			first, cutOff = &sources[i], out.CutOff
+		}
 		best = max(best, r.applyPoll(&sources[i], out))
 		if best == fresh {
 			return fresh
@@ -430,16 +436,25 @@
 		r.silentRounds++
 	}
 	for i := range leaders {
-		if r.applyPoll(&leaders[i], answers[i]) == fresh && rank(&leaders[i]) < rank(&r.self) {
+		if r.applyPoll(&leaders[i], answers[i]) == fresh && compareRanks(&leaders[i], &r.self) < 0 {
 			relayed = true
 		}
 	}
 	return relayed
 }
 
+// unsentObservations returns the observations of this daemon, and of those that poll it, that
+// no source has been sent.
+func (r *Relayer) unsentObservations() []exchanger.Observation {
+	r.publishObservations()
+	out, number := r.recent.ownSince(r.sentBatch)
+	r.sentBatch = number
+	return out
+}
+
 // publishObservations makes this daemon's observations available to its peers.
 func (r *Relayer) publishObservations() {
-	r.recent.add(r.self.ID, r.self.Zone, r.observer.Drain())
+	r.recent.add(batch{source: r.self.ID, zone: r.self.Zone, observations: r.observer.Drain()})
 }
 
 func (r *Relayer) isSkipped(id string) bool {
@@ -487,7 +502,7 @@
 	}
 	r.lastBatches[m.ID] = out.LastBatch
 	r.observer.Merge(out.Observations)
-	r.recent.add(m.ID, m.Zone, out.Observations)
+	r.recent.add(batch{source: m.ID, zone: m.Zone, isRelayed: true, observations: out.Observations})
 	if r.hasFreshState(out) {
 		return fresh
 	}
@@ -541,7 +556,7 @@
 		return nil, err
 	}
 	r.observer.Merge(in.Observations)
-	r.recent.add(in.From, in.Zone, in.Observations)
+	r.recent.add(batch{source: in.From, zone: in.Zone, observations: in.Observations})
 	timeout := time.NewTimer(in.Wait)
 	defer timeout.Stop()
 	for {
--- a/internal/control/relayer/relayer_test.go
+++ b/internal/control/relayer/relayer_test.go
@@ -432,3 +432,56 @@
 		})
 	})
 }
+
+// TestObservationsReachAll checks that in a zone with several relays every daemon gets what another one observed, once.
+func TestObservationsReachAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, slices.Repeat([]string{"a"}, 12)...)
+		f.run(func() {
+			time.Sleep(2 * time.Second)
+			for i := range f.observers {
+				f.observers[i].observe(exchanger.Observation{Searcher: fmt.Sprint(i), Answers: 1, Slowness: 1})
+			}
+			time.Sleep(3 * time.Second)
+		})
+		for i, o := range f.observers {
+			got := make(map[string]int)
+			for _, ob := range o.merged {
+				got[ob.Searcher] += ob.Answers
+			}
+			want := make(map[string]int)
+			for k := range f.observers {
+				if k != i {
+					want[fmt.Sprint(k)] = 1
+				}
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("answers observed by others that daemon %d has (-want +got):\n%s", i, diff)
+			}
+		}
+	})
+}
+
+// TestSpreadSources checks that the daemons of a zone poll different ones of those ranked first, and that the rest follow
+// in order.
+func TestSpreadSources(t *testing.T) {
+	var members []declarer.Member
+	for i := range 60 {
+		m := declarer.Member{ID: fmt.Sprint(i), Zone: "a", Share: 0.2}
+		if i < 3 {
+			m.Share = 0.8
+		}
+		members = append(members, m)
+	}
+	polled := make(map[string]int)
+	for _, m := range members {
+		if before := spreadSources(&m, rankedBefore(m, members)); len(before) > 0 {
+			polled[before[0].ID]++
+		}
+	}
+	for _, id := range []string{"0", "1", "2"} {
+		if n := polled[id]; n < 10 {
+			t.Errorf("%d daemons poll daemon %s first, want about 20 each at the three large ones: %v", n, id, polled)
+		}
+	}
+}
