--- a/internal/route/forwarder/stats_test.go
+++ b/internal/route/forwarder/stats_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"cornelwood.example/internal/contract/declarer"
 )
 
 // fleet simulates the budgets of many daemons for one service.
@@ -120,3 +122,32 @@
 		})
 	}
 }
+
+// TestHedgeDelayOfSlowSearchers checks that requests are hedged soon while a sixth of the searchers takes ten times as
+// long as the others, and not sooner than usual while all are alike.
+func TestHedgeDelayOfSlowSearchers(t *testing.T) {
+	const usual = 15 * time.Millisecond
+	for _, tt := range []struct {
+		name      string
+		slow      time.Duration
+		low, high time.Duration
+	}{
+		{"a sixth is slow", 10 * usual, usual, 3 * usual},
+		{"all alike", usual, usual, 2 * usual},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			rt := &declarer.Route{Name: "q", LatencyGoal: declarer.Duration{Duration: 8 * usual}}
+			l := newStats(Default()).route(rt)
+			for i := range 600 {
+				d := usual
+				if i%6 == 0 {
+					d = tt.slow
+				}
+				l.record(d)
+			}
+			if got := l.hedgeDelay(time.Now()); got < tt.low || got > tt.high {
+				t.Errorf("hedge delay %s, want %s to %s", got, tt.low, tt.high)
+			}
+		})
+	}
+}
