connector: accept no answer without an ID on a connection in use again

A late copy of an earlier answer that does not name its request was taken for the answer to the next one. By reading; the test fails without the change.

--- a/internal/upstream/connector/conn.go
+++ b/internal/upstream/connector/conn.go
@@ -33,6 +33,10 @@
 	errInformational = errors.New("too many informational answers")
 )
 
+// errNoRequestID means that an answer on a connection that carried another one before does not
+// say which request it belongs to: it may be a late copy of an earlier one.
+var errNoRequestID = errors.New("answer on a connection in use again has no request ID")
+
 // errStrayAnswers means that a connection carried only answers to other requests.
 var errStrayAnswers = errors.New("connection carries only answers to other requests")
 
@@ -160,8 +164,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if rep.Meta.RequestID == "" || rep.Meta.RequestID == req.ID {
+		switch {
+		case rep.Meta.RequestID == req.ID || rep.Meta.RequestID == "" && c.isNew:
 			return rep, nil
+		case rep.Meta.RequestID == "":
+			return nil, errNoRequestID
 		}
 	}
 	return nil, errStrayAnswers
--- a/internal/upstream/connector/connector_test.go
+++ b/internal/upstream/connector/connector_test.go
@@ -163,10 +163,10 @@
 		text  string
 		conns int32
 	}{
-		{"kept", answer("", "x"), 1},
-		{"closing", answer("", "x", "Connection: close\r\n"), 2},
-		{"second answer after the first", answer("", "x") + answer("", "stray"), 2},
-		{"Keep-Alive timeout passed", answer("", "x", "Keep-Alive: timeout=1\r\n"), 2},
+		{"kept", answer("1", "x"), 1},
+		{"closing", answer("1", "x", "Connection: close\r\n"), 2},
+		{"second answer after the first", answer("1", "x") + answer("1", "stray"), 2},
+		{"Keep-Alive timeout passed", answer("1", "x", "Keep-Alive: timeout=1\r\n"), 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -206,6 +206,17 @@
 		rep, err := do(t, newConnector(t, nil), s, "1")
 		assertAnswered(t, rep, err)
 	})
+	t.Run("copy without an ID on a connection in use again", func(t *testing.T) {
+		s := newSearcher(t, func(w net.Conn, _ *http.Request, n int) {
+			_, _ = io.WriteString(w, answer([]string{"1", ""}[n], "x"))
+		})
+		c := newConnector(t, nil)
+		rep, err := do(t, c, s, "1")
+		assertAnswered(t, rep, err)
+		if _, err := do(t, c, s, "2"); !errors.Is(err, errNoRequestID) {
+			t.Errorf("error %v, want that the answer has no ID", err)
+		}
+	})
 	t.Run("only stray answers", func(t *testing.T) {
 		s := newSearcher(t, reply(strings.Repeat(answer("old", "stray"), 4)))
 		if _, err := do(t, newConnector(t, nil), s, "1"); !errors.Is(err, errStrayAnswers) {
