--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -124,8 +124,6 @@
 	// LastBatch the number of the newest batch.
 	Observations []exchanger.Observation `json:"seen,omitempty"`
 	LastBatch    uint64                  `json:"number,omitempty"`
-	// CutOff is true while the sender's zone is cut off from the others and from the store.
-	CutOff bool `json:"cutoff,omitempty"`
 }
 
 // Check validates the response. It returns the first error, or nil.
@@ -166,11 +164,6 @@
 	skippedUntil, staleUntil map[string]time.Time
 
 	started time.Time
-	// silentRounds is the number of rounds in a row in which no leader of another zone
-	// answered this one, a zone's leader. isCutOff is true while the zone is cut off from the
-	// others and from the store.
-	silentRounds int
-	isCutOff     atomic.Bool
 	// staleSince is when the sources were first found to have stale state only; zero while
 	// one has fresh state.
 	staleSince time.Time
@@ -257,28 +250,6 @@
 	return ctx.Err()
 }
 
-// minSilentRounds is the number of rounds without an answer from any other zone after which a
-// zone that cannot reach the store either counts as cut off. Each round asks another daemon of
-// each zone.
-const minSilentRounds = 2
-
-func (r *Relayer) hasOtherZones() bool {
-	return slices.ContainsFunc(r.members(), func(m declarer.Member) bool { return m.Zone != r.self.Zone })
-}
-
-// IsCutOff reports whether this daemon's zone is cut off from the other zones and from the store,
-// as its leader has found.
-func (r *Relayer) IsCutOff() bool {
-	return r.isCutOff.Load()
-}
-
-func (r *Relayer) setCutOff(cutOff bool) {
-	if r.isCutOff.Swap(cutOff) != cutOff {
-		r.log.Warn("connection of the zone to the other zones and to the store changed", "zone", r.self.Zone, "cutoff", cutOff)
-		r.cacheChanged.raise()
-	}
-}
-
 // followSources runs one round of a daemon that is not its zone's leader, and returns the
 // pause until the next.
 func (r *Relayer) followSources(ctx context.Context, sources []declarer.Member) time.Duration {
@@ -328,7 +299,6 @@
 		r.setReadsStore(true, "no state yet")
 	}
 	relayed := r.pollLeaders(ctx)
-	r.setCutOff(r.silentRounds >= minSilentRounds && r.isLost())
 	if r.isLost() {
 		// The store may turn this daemon away and serve others of its zone.
 		r.pollSources(ctx, rankedAfter(r.self, r.members()))
@@ -384,14 +354,6 @@
 // that had stale state a moment ago last.
 func (r *Relayer) pollSources(ctx context.Context, sources []declarer.Member) sourceState {
 	polled, best := 0, silent
-	// first is the source of the highest rank that answered. Daemons ranked after this one
-	// have from it what they say about a cut.
-	first, cutOff := &r.self, false
-	defer func() {
-		if first != &r.self {
-			r.setCutOff(cutOff)
-		}
-	}()
 	now := time.Now()
 	slices.SortStableFunc(sources, func(a, b declarer.Member) int {
 		return compareBool(now.Before(r.staleUntil[a.ID]), now.Before(r.staleUntil[b.ID]))
@@ -402,11 +364,7 @@
 		}
 		in := r.newPoll(&sources[i], r.cfg.PollWait)
 		in.Observations = r.unsentObservations()
-		out := r.poll(ctx, &sources[i], in)
-		if out != nil && compareRanks(&sources[i], first) < 0 {
-			first, cutOff = &sources[i], out.CutOff
-		}
-		best = max(best, r.applyPoll(&sources[i], out))
+		best = max(best, r.applyPoll(&sources[i], r.poll(ctx, &sources[i], in)))
 		if best == fresh {
 			return fresh
 		}
@@ -430,11 +388,6 @@
 		polls.Go(func() { answers[i] = r.poll(ctx, &leaders[i], in) })
 	}
 	polls.Wait()
-	if slices.ContainsFunc(answers, func(a *pollResponse) bool { return a != nil }) {
-		r.silentRounds = 0
-	} else if r.hasOtherZones() {
-		r.silentRounds++
-	}
 	for i := range leaders {
 		if r.applyPoll(&leaders[i], answers[i]) == fresh && compareRanks(&leaders[i], &r.self) < 0 {
 			relayed = true
@@ -610,7 +563,7 @@
 
 func (r *Relayer) answer(in *pollRequest) (any, error) {
 	r.publishObservations()
-	out := pollResponse{CutOff: r.isCutOff.Load()}
+	var out pollResponse
 	out.Observations, out.LastBatch = r.recent.since(in.LastBatch, in.From, in.Zone, r.self.Zone)
 	for _, c := range r.caches {
 		if _, known := c.Revision(); !known {
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -136,7 +136,7 @@
 	}, func() float64 { return float64(r.conns.Opened()) }))
 	r.buildForwarder(settings)
 	r.server = &http.Server{
-		Handler:           platform.NewFrontend(r.forwarder, r.isClosing),
+		Handler:           platform.NewFrontend(r.forwarder, r.leaving.Load),
 		ConnState:         r.active.track,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -256,25 +256,9 @@
 	if r.leaving.Load() {
 		return false, "leaving"
 	}
-	if r.isOfNoUse() {
-		return false, "the zone is cut off and lacks searchers"
-	}
 	return r.locator.View().Ready()
 }
 
-// isOfNoUse reports whether the daemon cannot answer some of the requests because its zone is cut off, so that clients are
-// better off with the daemons of other zones.
-//
-// Load pattern: a zone is cut off for seconds with its clients' requests, and its searchers lack some of the shards.
-func (r *Router) isOfNoUse() bool {
-	return r.relayer.IsCutOff() && !r.locator.View().IsSelfSufficient(r.settings.Load().Daemon.Zone)
-}
-
-// isClosing reports whether client connections are closed after their next answer.
-func (r *Router) isClosing() bool {
-	return r.leaving.Load() || r.isOfNoUse()
-}
-
 // close releases the daemon's resources in reverse order of acquisition.
 func (r *Router) close() {
 	for i := len(r.closers) - 1; i >= 0; i-- {
