forwarder: keep the budgets of gathering and asking apart

A daemon that gathers shares of the first shard's budget was reset to that of an asking daemon with each of its own queries. By reading; TestBudgetsOfGatherer fails without the change.

--- a/internal/route/forwarder/delegation.go
+++ b/internal/route/forwarder/delegation.go
@@ -64,7 +64,7 @@
 func (f *Forwarder) newDelegation(req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) *delegation {
 	d := &delegation{
 		fwd: f, req: req, body: body, route: rt, view: v, deadline: deadline, cutoffAt: clientCutoff(req, rt, deadline),
-		budget:   f.stats.budget(rt.Shards[0], asker, time.Now()),
+		budget:   f.stats.askerBudget(rt, time.Now()),
 		messages: make(chan *exchanger.Gathered, len(rt.Shards)),
 		results:  make(chan groupResult, len(rt.Shards)),
 		done:     make(chan struct{}),
--- a/internal/route/forwarder/gather_test.go
+++ b/internal/route/forwarder/gather_test.go
@@ -244,7 +244,7 @@
 				s.delegator = &fakeDelegator{messages: tt.messages, result: tt.result}
 				// The budget must allow for the shard that is asked a second time.
 				s.stats.cfg.ExtraSlack = 1000
-				s.stats.budget("1", asker, time.Now()).AddTokens(1)
+				s.stats.askerBudget(&testRouting(4).Routes[0], time.Now()).AddTokens(1)
 				a, _ := s.request(s.t.Context(), "/q/x", "")
 				s.assertAnswer(a, tt.status)
 				if len(a.Stamps) != tt.stamps || a.Status == http.StatusOK && a.Missing != 4-tt.stamps {
@@ -263,7 +263,7 @@
 		missing := []exchanger.Missing{{Shard: 3}, {Shard: 2, Attempts: 1}}
 		s.delegator = &fakeDelegator{messages: []*exchanger.Gathered{parts(missing, 0, 1)}, result: delegator.Result{Final: true}}
 		s.stats.cfg.ExtraSlack = 1000
-		s.stats.budget("1", asker, time.Now()).AddTokens(1)
+		s.stats.askerBudget(&testRouting(4).Routes[0], time.Now()).AddTokens(1)
 		a, _ := s.request(s.t.Context(), "/q/x", "")
 		if diff := cmp.Diff("gathered--------gathered--------3a              ", string(a.Body)); diff != "" {
 			t.Errorf("records (-want +got):\n%s", diff)
@@ -286,3 +286,21 @@
 		s.assertTook(took, 300*time.Millisecond, 320*time.Millisecond)
 	})
 }
+
+// TestBudgetsOfGatherer checks that a daemon which gathers, and asks others for shards of other zones, keeps both budgets.
+func TestBudgetsOfGatherer(t *testing.T) {
+	s := newStats(Config{ExtraPercent: 17, ExtraSlack: 600, ExtraWindow: 10 * time.Second})
+	s.setFleet(300, 10)
+	rt := &declarer.Route{Shards: []string{"1"}}
+	now := time.Unix(1000, 0)
+	s.budget("1", gatherer, now).AddTokens(9)
+	s.askerBudget(rt, now)
+	b := s.budget("1", gatherer, now)
+	taken := 0
+	for b.Take() {
+		taken++
+	}
+	if taken < 8 {
+		t.Errorf("%d extra requests left to the gatherer after a query of its own, want 8 or more", taken)
+	}
+}
--- a/internal/route/forwarder/stats.go
+++ b/internal/route/forwarder/stats.go
@@ -183,6 +183,12 @@
 	return b.Budget
 }
 
+// askerBudget counts a query and returns the budget of extra requests to all shards of a route together, as far as a daemon
+// may spend it that leaves its queries to others. A daemon that also gathers has another budget for each shard.
+func (s *stats) askerBudget(rt *declarer.Route, now time.Time) *hedger.Budget {
+	return s.budget("ask/"+rt.Shards[0], asker, now)
+}
+
 // setPercent sets the percentage of every budget.
 func (s *stats) setPercent(percent int) {
 	s.percent.Store(int64(percent))
