router: a zone that is cut off and lacks searchers leaves the rotation within a second

The readiness check of all its daemons fails as soon as the zone's leader gets no answer from any other zone and the store does not answer a call of 0.3 s; the relayed polls that wait tell the others at once. Ruled out before: to wait for the loss of the store's state (1.7 to 2.5 s; no difference).

--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -107,6 +107,8 @@
 	// the peer's last response.
 	Observations []exchanger.Observation `json:"seen,omitempty"`
 	LastBatch    uint64                  `json:"number,omitempty"`
+	// CutOff is the CutOff of the last response.
+	CutOff bool `json:"cutoff,omitempty"`
 }
 
 // Check validates the request. It returns the first error, or nil.
@@ -124,6 +126,8 @@
 	// LastBatch the number of the newest batch.
 	Observations []exchanger.Observation `json:"seen,omitempty"`
 	LastBatch    uint64                  `json:"number,omitempty"`
+	// CutOff is true while the sender's zone is cut off from the others and from the store.
+	CutOff bool `json:"cutoff,omitempty"`
 }
 
 // Check validates the response. It returns the first error, or nil.
@@ -164,6 +168,10 @@
 	skippedUntil, staleUntil map[string]time.Time
 
 	started time.Time
+	// checkStore reports whether the store answers. isCutOff is true while the zone is cut off
+	// from the others and from the store.
+	checkStore func(ctx context.Context) bool
+	isCutOff   atomic.Bool
 	// staleSince is when the sources were first found to have stale state only; zero while
 	// one has fresh state.
 	staleSince time.Time
@@ -176,10 +184,11 @@
 	gatesChanged signal
 }
 
-// New returns a Relayer without caches; add them with NewCache before Serve.
-func New(cfg Config, self declarer.Member, members func() []declarer.Member, caller Caller, observer Observer, log hclog.Logger) *Relayer {
+// New returns a Relayer without caches; add them with NewCache before Serve. checkStore reports
+// whether the store answers this daemon now, within some tenths of a second.
+func New(cfg Config, self declarer.Member, members func() []declarer.Member, caller Caller, checkStore func(ctx context.Context) bool, observer Observer, log hclog.Logger) *Relayer {
 	return &Relayer{
-		cfg: cfg, self: self, members: members, caller: caller, observer: observer, log: log,
+		cfg: cfg, self: self, members: members, caller: caller, checkStore: checkStore, observer: observer, log: log,
 		skippedUntil: make(map[string]time.Time), staleUntil: make(map[string]time.Time), lastBatches: make(map[string]uint64),
 	}
 }
@@ -250,6 +259,24 @@
 	return ctx.Err()
 }
 
+func (r *Relayer) hasOtherZones() bool {
+	return slices.ContainsFunc(r.members(), func(m declarer.Member) bool { return m.Zone != r.self.Zone })
+}
+
+// IsCutOff reports whether this daemon's zone is cut off from the other zones and from the store,
+// as its leader has found.
+func (r *Relayer) IsCutOff() bool {
+	return r.isCutOff.Load()
+}
+
+func (r *Relayer) setCutOff(cutOff bool) {
+	if r.isCutOff.Swap(cutOff) != cutOff {
+		r.log.Warn("connection of the zone to the other zones and to the store changed", "zone", r.self.Zone, "cutoff", cutOff)
+		// The polls that wait tell it to the other daemons of the zone.
+		r.cacheChanged.raise()
+	}
+}
+
 // followSources runs one round of a daemon that is not its zone's leader, and returns the
 // pause until the next.
 func (r *Relayer) followSources(ctx context.Context, sources []declarer.Member) time.Duration {
@@ -354,6 +381,14 @@
 // that had stale state a moment ago last.
 func (r *Relayer) pollSources(ctx context.Context, sources []declarer.Member) sourceState {
 	polled, best := 0, silent
+	// first is the source of the highest rank that answered. Daemons ranked after this one
+	// have from it what they say about a cut.
+	first, cutOff := &r.self, false
+	defer func() {
+		if first != &r.self {
+			r.setCutOff(cutOff)
+		}
+	}()
 	now := time.Now()
 	slices.SortStableFunc(sources, func(a, b declarer.Member) int {
 		return compareBool(now.Before(r.staleUntil[a.ID]), now.Before(r.staleUntil[b.ID]))
@@ -364,7 +399,11 @@
 		}
 		in := r.newPoll(&sources[i], r.cfg.PollWait)
 		in.Observations = r.unsentObservations()
-		best = max(best, r.applyPoll(&sources[i], r.poll(ctx, &sources[i], in)))
+		out := r.poll(ctx, &sources[i], in)
+		if out != nil && compareRanks(&sources[i], first) < 0 {
+			first, cutOff = &sources[i], out.CutOff
+		}
+		best = max(best, r.applyPoll(&sources[i], out))
 		if best == fresh {
 			return fresh
 		}
@@ -388,6 +427,8 @@
 		polls.Go(func() { answers[i] = r.poll(ctx, &leaders[i], in) })
 	}
 	polls.Wait()
+	isAlone := r.hasOtherZones() && !slices.ContainsFunc(answers, func(a *pollResponse) bool { return a != nil })
+	r.setCutOff(isAlone && !r.checkStore(ctx))
 	for i := range leaders {
 		if r.applyPoll(&leaders[i], answers[i]) == fresh && compareRanks(&leaders[i], &r.self) < 0 {
 			relayed = true
@@ -416,7 +457,7 @@
 
 // newPoll returns a request to a peer, without observations.
 func (r *Relayer) newPoll(m *declarer.Member, wait time.Duration) *pollRequest {
-	in := &pollRequest{From: r.self.ID, Zone: r.self.Zone, Revisions: make(map[string]uint64), Wait: wait, LastBatch: r.lastBatches[m.ID]}
+	in := &pollRequest{From: r.self.ID, Zone: r.self.Zone, Revisions: make(map[string]uint64), Wait: wait, LastBatch: r.lastBatches[m.ID], CutOff: r.isCutOff.Load()}
 	for _, c := range r.caches {
 		if revision, known := c.Revision(); known {
 			in.Revisions[c.name()] = revision
@@ -553,6 +594,9 @@
 // mustAnswerNow reports whether a poll is answered without a wait: there is a change for
 // the peer, or the state here is stale and the peer should ask another source.
 func (r *Relayer) mustAnswerNow(in *pollRequest) bool {
+	if in.CutOff != r.isCutOff.Load() {
+		return true
+	}
 	for _, c := range r.caches {
 		if c.hasNewerThan(in.Revisions[c.name()]) || !c.isFresh(r.cfg.MaxAge) {
 			return true
@@ -563,7 +607,7 @@
 
 func (r *Relayer) answer(in *pollRequest) (any, error) {
 	r.publishObservations()
-	var out pollResponse
+	out := pollResponse{CutOff: r.isCutOff.Load()}
 	out.Observations, out.LastBatch = r.recent.since(in.LastBatch, in.From, in.Zone, r.self.Zone)
 	for _, c := range r.caches {
 		if _, known := c.Revision(); !known {
--- a/internal/control/relayer/relayer_test.go
+++ b/internal/control/relayer/relayer_test.go
@@ -74,6 +74,27 @@
 	silent map[netip.AddrPort]bool
 	// storeDown holds the indexes of the daemons that the store does not answer.
 	storeDown map[int]bool
+	// cutZone is the zone whose daemons and those of the other zones do not reach each other.
+	cutZone string
+}
+
+func (f *fleet) setZoneCut(zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cutZone = zone
+}
+
+// isCut reports whether a daemon and the one at an address are on different sides of the cut.
+func (f *fleet) isCut(from string, peer netip.AddrPort) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	to := ""
+	for _, m := range f.members {
+		if m.Peer == peer {
+			to = m.Zone
+		}
+	}
+	return f.cutZone != "" && (from == f.cutZone) != (to == f.cutZone)
 }
 
 func (f *fleet) setSilent(i int, silent bool) {
@@ -105,7 +126,7 @@
 	for i, zone := range zones {
 		m := declarer.Member{ID: fmt.Sprintf("d%d", i), Zone: zone, Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)}
 		obs := &fakeObserver{}
-		r := New(Default(), m, func() []declarer.Member { return f.members }, f, obs, hclog.NewNullLogger())
+		r := New(Default(), m, func() []declarer.Member { return f.members }, f, func(context.Context) bool { return !f.isStoreDown(i) }, obs, hclog.NewNullLogger())
 		f.daemons[m.Peer] = r
 		f.members = append(f.members, m)
 		f.caches = append(f.caches, NewCache[string]("test", &memorySink{}, r))
@@ -116,7 +137,7 @@
 
 func (f *fleet) Call(ctx context.Context, peer netip.AddrPort, _ string, in, out any) error {
 	f.calls.Add(1)
-	if f.isSilent(peer) {
+	if poll, ok := in.(*pollRequest); f.isSilent(peer) || ok && f.isCut(poll.Zone, peer) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -371,6 +392,48 @@
 	})
 }
 
+// TestCutOff checks that all daemons of a zone that is cut off from the others and from the store know it after some
+// seconds, that those of the other zones do not count as cut off, and that it ends soon after the cut.
+func TestCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		zones := slices.Concat(slices.Repeat([]string{"a"}, 4), slices.Repeat([]string{"b"}, 4), slices.Repeat([]string{"c"}, 4))
+		f := newFleet(t, zones...)
+		cutOff := func() string {
+			text := ""
+			for i, m := range f.members {
+				if f.daemons[m.Peer].IsCutOff() {
+					text += zones[i]
+				}
+			}
+			return text
+		}
+		f.run(func() {
+			time.Sleep(2 * time.Second)
+			f.setZoneCut("a")
+			for i, zone := range zones {
+				f.setStoreDown(i, zone == "a")
+			}
+			// The load balancer needs two more seconds, and cuts take 5 s and more.
+			time.Sleep(1500 * time.Millisecond)
+			got := []string{cutOff()}
+			f.setZoneCut("")
+			for i := range zones {
+				f.setStoreDown(i, false)
+			}
+			time.Sleep(2 * time.Second)
+			got = append(got, cutOff())
+			for i := range zones {
+				f.setStoreDown(i, true)
+			}
+			time.Sleep(4 * time.Second)
+			got = append(got, cutOff())
+			if diff := cmp.Diff([]string{"aaaa", "", ""}, got); diff != "" {
+				t.Errorf("zones of the daemons that are cut off during the cut, after it, and in an outage of the store (-want +got):\n%s", diff)
+			}
+		})
+	})
+}
+
 // TestObservationsReachAll checks that in a zone with several relays every daemon gets what another one observed, once.
 func TestObservationsReachAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -136,7 +136,7 @@
 	}, func() float64 { return float64(r.conns.Opened()) }))
 	r.buildForwarder(settings)
 	r.server = &http.Server{
-		Handler:           platform.NewFrontend(r.forwarder, r.leaving.Load),
+		Handler:           platform.NewFrontend(r.forwarder, r.isClosing),
 		ConnState:         r.active.track,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -171,7 +171,7 @@
 	var closer func()
 	r.linker, closer = linker.New(linker.Config{Self: self.Peer, HeartbeatInterval: linkHeartbeatInterval}, nil, r.log.Named("peer"), r.reg)
 	r.closers = append(r.closers, closer)
-	r.relayer = relayer.New(relayer.Default(), self, func() []declarer.Member { return r.locator.View().Members() }, r.linker, r.picker, r.log.Named("control"))
+	r.relayer = relayer.New(relayer.Default(), self, func() []declarer.Member { return r.locator.View().Members() }, r.linker, r.checkStore, r.picker, r.log.Named("control"))
 	r.linker.Handle(relayer.CallName(), r.relayer.Handle)
 	members := relayer.NewCache("members", r.locator.Members(), r.relayer).NeverStale()
 	r.registrar = registrar.New(self, settings.Store.Bootstrap, r.store, r.log.Named("control"))
@@ -184,6 +184,16 @@
 	}
 }
 
+// storeCheckTimeout bounds a check of the store, which answers in milliseconds.
+const storeCheckTimeout = 300 * time.Millisecond
+
+// checkStore reports whether the store answers this daemon.
+func (r *Router) checkStore(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeCheckTimeout)
+	defer cancel()
+	return r.store.Check(ctx) == nil
+}
+
 // selfMember returns the daemon's own member record.
 func selfMember(settings *reader.EntrySettings) declarer.Member {
 	return declarer.Member{ID: settings.Daemon.ID, Zone: settings.Daemon.Zone, Peer: settings.Caller.Peers, Share: settings.Process.Share}
@@ -256,9 +266,25 @@
 	if r.leaving.Load() {
 		return false, "leaving"
 	}
+	if r.isOfNoUse() {
+		return false, "the zone is cut off and lacks searchers"
+	}
 	return r.locator.View().Ready()
 }
 
+// isOfNoUse reports whether the daemon cannot answer some of the requests because its zone is cut off, so that clients are
+// better off with the daemons of other zones.
+//
+// Load pattern: a zone is cut off for seconds with its clients' requests, and its searchers lack some of the shards.
+func (r *Router) isOfNoUse() bool {
+	return r.relayer.IsCutOff() && !r.locator.View().IsSelfSufficient(r.settings.Load().Daemon.Zone)
+}
+
+// isClosing reports whether client connections are closed after their next answer.
+func (r *Router) isClosing() bool {
+	return r.leaving.Load() || r.isOfNoUse()
+}
+
 // close releases the daemon's resources in reverse order of acquisition.
 func (r *Router) close() {
 	for i := len(r.closers) - 1; i >= 0; i-- {
--- a/internal/route/locator/gatherers.go
+++ b/internal/route/locator/gatherers.go
@@ -55,6 +55,35 @@
 	return conns > 0 && conns < connsPerDaemon*daemons
 }
 
+// IsSelfSufficient reports whether the searchers of a zone cover every query, and every service of the other routes.
+func (v *View) IsSelfSufficient(zone string) bool {
+	if v.Matcher == nil {
+		return false
+	}
+	if known, ok := v.selfSufficient.Load(zone); ok {
+		return known.(bool)
+	}
+	sufficient := v.coversAll(zone)
+	v.selfSufficient.Store(zone, sufficient)
+	return sufficient
+}
+
+func (v *View) coversAll(zone string) bool {
+	routes := v.Matcher.Routing().Routes
+	for i := range routes {
+		rt := &routes[i]
+		if len(rt.Shards) > 0 && len(v.shardsByZone(rt)[zone]) < rt.RequiredShards() {
+			return false
+		}
+		for _, t := range rt.Targets {
+			if !slices.ContainsFunc(v.services[t.Service], func(s Searcher) bool { return s.Zone == zone }) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // IsGathered reports whether few daemons gather the queries of a route.
 func (v *View) IsGathered(rt *declarer.Route) bool {
 	return len(rt.Shards) > 0 && v.gathered[rt.Shards[0]]
--- a/internal/route/locator/gatherers_test.go
+++ b/internal/route/locator/gatherers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -11,6 +12,7 @@
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/follower"
+	"cornelwood.example/internal/route/matcher"
 )
 
 // gatherFleet describes a deployment: daemons by zone, each with its processor shares, and zones with a searcher of every
@@ -154,3 +156,41 @@
 		})
 	}
 }
+
+// TestIsSelfSufficient checks whether a zone's searchers cover all routes: 4 of 5 shards are enough for the query.
+func TestIsSelfSufficient(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// shards holds the zones of the searchers of each shard, single those of the other route's service.
+		shards []string
+		single string
+		want   bool
+	}{
+		{"all", []string{"a", "ab", "a", "a", "a"}, "a", true},
+		{"enough", []string{"a", "ab", "b", "a", "a"}, "ab", true},
+		{"too few shards", []string{"a", "b", "b", "a", "a"}, "a", false},
+		{"no searcher of the service", []string{"a", "a", "a", "a", "a"}, "b", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			base := declarer.Route{Host: "h", Idempotent: true, Attempts: 1}
+			query, single := base, base
+			query.Prefix, query.TopK, query.Coverage = "/q/", 1, 0.8
+			single.Prefix, single.Targets = "/s/", []declarer.Target{{Service: "single", Weight: 1}}
+			v := &View{services: make(map[string][]Searcher), selfSufficient: &sync.Map{}}
+			add := func(service, zones string) {
+				for _, z := range zones {
+					v.services[service] = append(v.services[service], Searcher{Searcher: declarer.Searcher{Zone: string(z)}})
+				}
+			}
+			for i, zones := range tt.shards {
+				query.Shards = append(query.Shards, fmt.Sprint(i))
+				add(fmt.Sprint(i), zones)
+			}
+			add("single", tt.single)
+			v.Matcher = matcher.New(&declarer.Routing{Version: 1, Routes: []declarer.Route{query, single}})
+			if got := v.IsSelfSufficient("a"); got != tt.want {
+				t.Errorf("self-sufficient %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -8,6 +8,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -122,8 +123,10 @@
 		Matcher:  l.matcher,
 		services: make(map[string][]Searcher),
 		listed:   l.listed,
-		revision: l.revision,
-		members:  slices.Collect(maps.Values(l.members)),
+
+		selfSufficient: &sync.Map{},
+		revision:       l.revision,
+		members:        slices.Collect(maps.Values(l.members)),
 	}
 	limits := make(map[string]declarer.ServiceLimits)
 	if l.matcher != nil {
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -1,6 +1,7 @@
 package locator
 
 import (
+	"sync"
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
@@ -21,6 +22,8 @@
 	// gatherers holds the daemons that gather queries, by zone; gathered the services whose queries they gather.
 	gatherers map[string][]declarer.Member
 	gathered  map[string]bool
+	// selfSufficient caches IsSelfSufficient by zone.
+	selfSufficient *sync.Map
 	// isOutdated is true when the state may be older than its bound.
 	isOutdated bool
 }
