--- a/internal/route/forwarder/delegation.go
+++ b/internal/route/forwarder/delegation.go
@@ -62,7 +62,7 @@
 }
 
 func (f *Forwarder) newDelegation(req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) *delegation {
-	d := &delegation{
+	return &delegation{
 		fwd: f, req: req, body: body, route: rt, view: v, deadline: deadline, cutoffAt: clientCutoff(req, rt, deadline),
 		budget:   f.stats.askerBudget(rt, time.Now()),
 		messages: make(chan *exchanger.Gathered, len(rt.Shards)),
@@ -71,7 +71,6 @@
 		records:  merger.NewRecords(rt.TopK),
 		open:     make(map[int]int, len(rt.Shards)),
 	}
-	return d
 }
 
 // run returns the final answer.
