--- a/internal/time/sentry/sentry_test.go
+++ b/internal/time/sentry/sentry_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,20 +28,28 @@
 			synctest.Test(t, func(t *testing.T) {
 				start := time.Now()
 				// suspended is the time that only the clock of the Sentry counts.
-				var suspended time.Duration
+				var suspended atomic.Int64
+				var mu sync.Mutex
 				var got []time.Duration
-				s := New(func() time.Duration { return time.Since(start) + suspended }, threshold, func(d time.Duration) { got = append(got, d) })
+				clock := func() time.Duration { return time.Since(start) + time.Duration(suspended.Load()) }
+				s := New(clock, threshold, func(d time.Duration) {
+					mu.Lock()
+					defer mu.Unlock()
+					got = append(got, d)
+				})
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go func() { _ = s.Serve(ctx) }()
 				time.Sleep(10 * interval)
 				synctest.Wait()
-				suspended = tt.pause
+				suspended.Store(int64(tt.pause))
 				if tt.check {
 					s.Check()
 				}
 				time.Sleep(10 * interval)
 				synctest.Wait()
+				mu.Lock()
+				defer mu.Unlock()
 				if diff := cmp.Diff(tt.want, got); diff != "" {
 					t.Errorf("pauses (-want +got):\n%s", diff)
 				}
