relayer: bring nothing back that was removed before a daemon started

It could happen here in three ways, each shown by a test that failed: a daemon that had just started took the list of a peer that the store did not answer, although the store answered itself (TestStartBesideStalePeer; it now asks the store first); an older list of a peer that arrived after its own added what had been removed (TestOldListBringsNothingBack); and a daemon that had started since told its peers nothing of earlier removals (TestRemovalBeforeFirstList).

--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -114,6 +114,8 @@
 			c.items[it.Name] = it
 		}
 		c.listed, c.whole = true, nil
+		// What was removed before is not known here: peers with older state get the full list.
+		c.compactedRevision = revision
 		c.confirm(revision, age)
 		c.sink.Replace(items, revision)
 		c.changed.raise()
@@ -174,6 +176,10 @@
 	if exists && ch.Revision <= current.Revision || isDeleted && ch.Revision <= deleted.objectRevision {
 		return false
 	}
+	if !exists && ch.Revision <= c.revision {
+		// The state up to that revision is complete: the object has been removed since.
+		return false
+	}
 	c.whole = nil
 	delete(c.tombstones, ch.Name)
 	c.items[ch.Name] = ch.Item
--- a/internal/control/relayer/cache_test.go
+++ b/internal/control/relayer/cache_test.go
@@ -226,3 +226,47 @@
 		}
 	})
 }
+
+// TestOldListBringsNothingBack checks that an object which was removed stays so when a peer's older list arrives, at a
+// daemon that saw the removal and at one that has started since.
+func TestOldListBringsNothingBack(t *testing.T) {
+	old, _ := newTestCache()
+	old.Replace([]follower.Item[string]{item("a", 1, "x"), item("gone", 2, "x")}, 4)
+	u, err := old.updateSince(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, prepare := range map[string]func(c *Cache[string]){
+		"saw the removal": func(c *Cache[string]) {
+			c.Replace([]follower.Item[string]{item("a", 1, "x"), item("gone", 2, "x")}, 4)
+			c.Apply([]follower.Change[string]{removed("gone", 2)}, 5)
+		},
+		"has started since": func(c *Cache[string]) { c.Replace([]follower.Item[string]{item("a", 1, "x")}, 6) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, m := newTestCache()
+			prepare(c)
+			if err := c.applyUpdate(&u); err != nil {
+				t.Fatal(err)
+			}
+			assertValues(t, m, "a=x")
+		})
+	}
+}
+
+// TestRemovalBeforeFirstList checks that a peer with older state learns from a daemon that has started since what was
+// removed before.
+func TestRemovalBeforeFirstList(t *testing.T) {
+	peer, m := newTestCache()
+	peer.Replace([]follower.Item[string]{item("a", 1, "x"), item("gone", 2, "x")}, 4)
+	started, _ := newTestCache()
+	started.Replace([]follower.Item[string]{item("a", 1, "x"), item("new", 6, "x")}, 6)
+	u, err := started.updateSince(4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := peer.applyUpdate(&u); err != nil {
+		t.Fatal(err)
+	}
+	assertValues(t, m, "a=x new=x")
+}
--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -172,6 +172,8 @@
 	// from the others and from the store.
 	checkStore func(ctx context.Context) bool
 	isCutOff   atomic.Bool
+	// acceptsStale is true when this daemon has no state and the store does not answer it.
+	acceptsStale bool
 	// staleSince is when the sources were first found to have stale state only; zero while
 	// one has fresh state.
 	staleSince time.Time
@@ -289,6 +291,9 @@
 		r.setReadsStore(false, "a peer relays the store's state")
 		return r.cfg.PollPause
 	}
+	if state == stale && !r.hasState() {
+		return r.startBesideStalePeers(ctx)
+	}
 	if r.isStarting() {
 		return r.cfg.StartupRetry
 	}
@@ -300,6 +305,18 @@
 	return r.cfg.DirectReadTime
 }
 
+// startBesideStalePeers decides where a daemon without any state takes it from when its sources
+// have only stale state, which may hold what has been removed since: from the store if that
+// answers this daemon, and from the peers otherwise. It returns the pause until the next round.
+func (r *Relayer) startBesideStalePeers(ctx context.Context) time.Duration {
+	if r.checkStore(ctx) {
+		r.setReadsStore(ctx.Err() == nil, "no state yet, and only stale state at the peers")
+	} else {
+		r.acceptsStale = true
+	}
+	return r.cfg.StartupRetry
+}
+
 // mayRead reports whether this daemon reads the store itself while its sources answer with
 // stale state.
 //
@@ -326,6 +343,9 @@
 		r.setReadsStore(true, "no state yet")
 	}
 	relayed := r.pollLeaders(ctx)
+	if !relayed && !r.hasState() {
+		r.acceptsStale = !r.checkStore(ctx)
+	}
 	if r.isLost() {
 		// The store may turn this daemon away and serve others of its zone.
 		r.pollSources(ctx, rankedAfter(r.self, r.members()))
@@ -536,6 +556,11 @@
 		if c.name() != u.Kind {
 			continue
 		}
+		isStale := u.Lost || u.Age > r.cfg.MaxAge
+		if _, listed := c.Revision(); !listed && isStale && !c.isNeverStale() && !r.acceptsStale {
+			r.log.Info("stale state of a peer not taken for now", "peer", m.ID, "kind", u.Kind, "age", u.Age, "lost", u.Lost)
+			continue
+		}
 		if err := c.applyUpdate(u); err != nil {
 			r.log.Warn("update from peer not readable", "peer", m.ID, "kind", u.Kind, "error", err)
 		}
--- a/internal/control/relayer/relayer_test.go
+++ b/internal/control/relayer/relayer_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"reflect"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -486,3 +487,50 @@
 		}
 	}
 }
+
+// TestStartBesideStalePeer checks that a daemon which starts takes no list from a peer that the store does not answer while
+// the store may answer itself: the list may hold what has been removed since. It takes it when nobody has a newer one.
+func TestStartBesideStalePeer(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		storeDown bool
+		want      string
+	}{
+		{"store answers", false, "a=5"},
+		{"store is down", true, "gone=old"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, "a", "a")
+				leader, other := f.leader()
+				f.caches[leader].Replace([]follower.Item[string]{item("gone", 3, "old")}, 4)
+				f.caches[leader].Lost(errors.New("cut off"))
+				f.setStoreDown(leader, true)
+				f.setStoreDown(other, tt.storeDown)
+				held := func() string {
+					c := f.caches[other]
+					c.mu.Lock()
+					defer c.mu.Unlock()
+					text := ""
+					for name, it := range c.items {
+						text += name + "=" + it.Value
+					}
+					return text
+				}
+				f.run(func() {
+					heldGone := false
+					for range 40 {
+						time.Sleep(100 * time.Millisecond)
+						heldGone = heldGone || strings.Contains(held(), "gone")
+					}
+					if heldGone != tt.storeDown {
+						t.Errorf("the daemon that has started has held the removed object: %t, want %t", heldGone, tt.storeDown)
+					}
+					if diff := cmp.Diff(tt.want, held()); diff != "" {
+						t.Errorf("state of the daemon that has started (-want +got):\n%s", diff)
+					}
+				})
+			})
+		})
+	}
+}
