--- a/cmd/cornelwood/entry_test.go
+++ b/cmd/cornelwood/entry_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"syscall"
+	"sync"
 	"testing"
 	"time"
 
@@ -76,19 +77,44 @@
 // freePorts returns n ports of a loopback address that were free a moment ago.
 func freePorts(t *testing.T, host string, n int) []string {
 	t.Helper()
+	takenPorts.mu.Lock()
+	defer takenPorts.mu.Unlock()
 	var ports []string
-	for range n {
+	for len(ports) < n {
 		lis, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", host+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer lis.Close()
 		_, port, _ := net.SplitHostPort(lis.Addr().String())
-		ports = append(ports, port)
+		if !takenPorts.ports[port] {
+			takenPorts.ports[port] = true
+			ports = append(ports, port)
+		}
 	}
 	return ports
 }
 
+// takenPorts holds the ports that freePorts has returned: a process listens on its ports some time after that, and gives
+// them up while it restarts.
+var takenPorts = struct {
+	mu    sync.Mutex
+	ports map[string]bool
+}{ports: make(map[string]bool)}
+
+// TestFreePorts checks that no port is returned twice.
+func TestFreePorts(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 1000 {
+		for _, p := range freePorts(t, "127.0.0.1", 3) {
+			if seen[p] {
+				t.Fatalf("port %s returned twice", p)
+			}
+			seen[p] = true
+		}
+	}
+}
+
 func (s *entrySite) addSearcher(name string) {
 	p := searcher.NewStub(name, searchDelay)
 	srv := httptest.NewServer(p)
