--- a/cmd/cornelwood/entry_test.go
+++ b/cmd/cornelwood/entry_test.go
@@ -10,9 +10,9 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
-	"sync"
 	"testing"
 	"time"
 
