relayer: a source without state is no source with stale state

A source that has no state yet is told apart, and the bound on the readers holds for its daemons, too.

--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -297,7 +297,7 @@
 	if r.isStarting() {
 		return r.cfg.StartupRetry
 	}
-	if state == stale && !r.mayRead(sources) {
+	if state != silent && !r.mayRead(sources) {
 		r.setReadsStore(false, "daemons ranked before this one read the store")
 		return r.cfg.StalePause
 	}
@@ -391,7 +391,9 @@
 const (
 	// silent: no source answered.
 	silent sourceState = iota
-	// stale: one answered, but none has fresh state.
+	// empty: one answered, but has no state yet, as after the start of all daemons.
+	empty
+	// stale: one has state, but none has fresh state.
 	stale
 	// fresh: one has fresh state.
 	fresh
@@ -520,6 +522,9 @@
 	if r.hasFreshState(out) {
 		return fresh
 	}
+	if !r.hasWholeState(out) {
+		return empty
+	}
 	r.staleUntil[m.ID] = time.Now().Add(r.cfg.StaleBackoff)
 	return stale
 }
@@ -536,6 +541,16 @@
 	}
 }
 
+// hasWholeState reports whether a peer has state of every kind that can become stale.
+func (r *Relayer) hasWholeState(resp *pollResponse) bool {
+	for _, c := range r.caches {
+		if !c.isNeverStale() && !slices.ContainsFunc(resp.Updates, func(u update) bool { return u.Kind == c.name() }) {
+			return false
+		}
+	}
+	return true
+}
+
 // hasFreshState reports whether a peer's state is fresh for every kind that can
 // become stale.
 func (r *Relayer) hasFreshState(resp *pollResponse) bool {
--- a/internal/control/relayer/relayer_test.go
+++ b/internal/control/relayer/relayer_test.go
@@ -534,3 +534,23 @@
 		})
 	}
 }
+
+// TestCallsOfStart checks how many of 40 daemons read the store in the first seconds after all have started.
+func TestCallsOfStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, append(slices.Repeat([]string{"a"}, 20), slices.Repeat([]string{"b"}, 20)...)...)
+		f.run(func() {
+			most := 0
+			for range 60 {
+				time.Sleep(50 * time.Millisecond)
+				most = max(most, f.readers())
+			}
+			if most > 4 {
+				t.Errorf("up to %d daemons read the store, want 4 at most: the leaders, and a few beside", most)
+			}
+			for i := range f.members {
+				f.assertRevision(i, 5)
+			}
+		})
+	})
+}
--- a/internal/daemon/router/pauses.go
+++ b/internal/daemon/router/pauses.go
@@ -13,7 +13,7 @@
 // been confirmed: within it, a peer or the store answers unless it is away.
 const maxDistrust = 1500 * time.Millisecond
 
-// confirmer knows whether the cached state has been confirmed since the last pause.
+// confirmer is the cached state, which a pause invalidates and the store or a peer confirms.
 type confirmer interface {
 	IsCurrent() bool
 	Invalidate()
--- a/internal/route/forwarder/delegation.go
+++ b/internal/route/forwarder/delegation.go
@@ -94,7 +94,7 @@
 	return a
 }
 
-// available returns the number of shards with a searcher that is available as far as this daemon knows.
+// available returns the number of shards with a searcher that is available by this daemon's own state.
 func (d *delegation) available() int {
 	n := 0
 	for _, s := range d.route.Shards {
--- a/internal/route/forwarder/fanout.go
+++ b/internal/route/forwarder/fanout.go
@@ -63,7 +63,7 @@
 	lastSentAt time.Time
 	// done is true when the call needs no more attempts, failed when it has ended without an answer.
 	done, failed bool
-	// isReported is true when the other daemon knows that the call failed.
+	// isReported is true when the other daemon has been told that the call failed.
 	isReported bool
 	// awaitsPermit is true when the call failed and has attempts left that are not permitted yet.
 	awaitsPermit bool
--- a/internal/route/forwarder/stats.go
+++ b/internal/route/forwarder/stats.go
@@ -52,8 +52,8 @@
 	gatherer
 )
 
-// allowance is the part of a service's budget that one daemon may spend.
-type allowance struct {
+// budgetPart is the part of a service's budget that one daemon may spend.
+type budgetPart struct {
 	// start is the number of extra requests that it may send right after its start.
 	start float64
 	// percent is the number of extra requests for 100 first requests.
@@ -62,22 +62,22 @@
 	slack float64
 }
 
-// allowance returns the part of the budget that a daemon may spend in a role.
-func (s *stats) allowance(r role) allowance {
+// partOf returns the part of the budget that a daemon may spend in a role.
+func (s *stats) partOf(r role) budgetPart {
 	percent := float64(s.percent.Load())
 	slack := float64(s.cfg.ExtraSlack)
 	members := float64(s.members.Load())
 	switch r {
 	case gatherer:
-		a := allowance{percent: int(percent * gathererPart), slack: slack * gathererPart / max(1, float64(s.gatherers.Load()))}
+		a := budgetPart{percent: int(percent * gathererPart), slack: slack * gathererPart / max(1, float64(s.gatherers.Load()))}
 		a.start = min(maxGathererStart, max(minBurst, a.slack*gathererStartShare))
 		return a
 	case asker:
-		a := allowance{percent: int(percent * (1 - gathererPart)), slack: slack * (1 - gathererPart) / members}
+		a := budgetPart{percent: int(percent * (1 - gathererPart)), slack: slack * (1 - gathererPart) / members}
 		a.start = min(minBurst, a.slack*startShare)
 		return a
 	default:
-		return allowance{start: minBurst, percent: int(percent), slack: slack / members}
+		return budgetPart{start: minBurst, percent: int(percent), slack: slack / members}
 	}
 }
 
@@ -168,7 +168,7 @@
 // budget counts a first request to a service and returns the service's budget of extra requests, as far as the daemon
 // may spend it in a role.
 func (s *stats) budget(service string, r role, now time.Time) *hedger.Budget {
-	part := s.allowance(r)
+	part := s.partOf(r)
 	s.mu.Lock()
 	b := s.budgets[service]
 	if b == nil {
@@ -204,8 +204,8 @@
 }
 
 // burst returns the number of extra requests that the daemon may send at once.
-func (a allowance) burst() float64 {
-	return min(maxBurst, max(minBurst, a.slack*burstShare))
+func (p budgetPart) burst() float64 {
+	return min(maxBurst, max(minBurst, p.slack*burstShare))
 }
 
 // record adds the latency of an answer.
