--- a/internal/upstream/dialer/silence_test.go
+++ b/internal/upstream/dialer/silence_test.go
@@ -40,6 +40,8 @@
 			<-w
 		}
 		<-first
+		// The end of a request that was sent is completed by another goroutine.
+		synctest.Wait()
 		c.pool.mu.Lock()
 		defer c.pool.mu.Unlock()
 		for _, cn := range c.pool.conns {
