--- a/internal/route/forwarder/delegation.go
+++ b/internal/route/forwarder/delegation.go
@@ -75,7 +75,7 @@
 
 // run returns the final answer.
 func (d *delegation) run(ctx context.Context) Answer {
-	if d.available() < d.route.RequiredShards() {
+	if d.fwd.available(d.view, d.route.Shards) < d.route.RequiredShards() {
 		return refuseNotRun(d.fwd.cfg.RetryAfter, reasonUnavailable)
 	}
 	// The groups end on their own after the answer, so that their connections can be used again.
@@ -94,17 +94,6 @@
 	return a
 }
 
-// available returns the number of shards with a searcher that is available by this daemon's own state.
-func (d *delegation) available() int {
-	n := 0
-	for _, s := range d.route.Shards {
-		if d.fwd.picker.Usable(d.view.Searchers(s)) > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // start gathers a group here when this daemon is one of those that gather, or nobody else can, and elsewhere otherwise.
 func (d *delegation) start(ctx context.Context, g *locator.GatherGroup) {
 	self := d.fwd.self.ID
--- a/internal/route/forwarder/query.go
+++ b/internal/route/forwarder/query.go
@@ -51,7 +51,7 @@
 // gatherAll sends a query to every shard of its route.
 func (f *Forwarder) gatherAll(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
 	q := f.newQuery(req, body, rt, v, f.budgets(sender), rt.Shards, rt.RequiredShards(), clientCutoff(req, rt, deadline), deadline)
-	if q.available() < q.minAnswers {
+	if f.available(v, rt.Shards) < q.minAnswers {
 		return refuseNotRun(f.cfg.RetryAfter, reasonUnavailable)
 	}
 	a := q.answer(q.gather(ctx), len(rt.Shards))
@@ -80,11 +80,11 @@
 	}
 }
 
-// available returns the number of shards with an available searcher.
-func (q *query) available() int {
+// available returns the number of shards with a searcher that is available by this daemon's own state.
+func (f *Forwarder) available(v *locator.View, shards []string) int {
 	n := 0
-	for i := range q.calls {
-		if q.fwd.picker.Usable(q.calls[i].searchers) > 0 {
+	for _, s := range shards {
+		if f.picker.Usable(v.Searchers(s)) > 0 {
 			n++
 		}
 	}
