--- a/review/player/watches.go
+++ b/review/player/watches.go
@@ -14,25 +14,26 @@
 		// removeAfter is the time from the first cut to the removal, and secondCut that from the removal to the second.
 		removeAfter = 400 * time.Millisecond
 		secondCut   = 1200 * time.Millisecond
-		// lingers is how long the searcher serves on after its entry has been removed.
-		lingers  = 8 * time.Second
+		// lingers is how long the searcher serves on after its entry has been removed, before it exits.
+		lingers  = 3600 * time.Millisecond
 		interval = 20 * time.Millisecond
+		work     = "/desk/200"
 	)
 	var all []*searcher
 	for i := range 2 {
-		sr, err := s.addSearcher(ctx, fmt.Sprintf("i-desk-%d", i+1), "desk", ownZone, 3)
+		sr, err := s.addSearcher(ctx, fmt.Sprintf("i-desk-%d", i+1), "desk", ownZone, 20)
 		if err != nil {
 			return nil, err
 		}
 		sr.register("ready", 0)
 		all = append(all, sr)
 	}
-	if err := s.declare(ctx, route("idempotent", "desk"), ""); err != nil {
+	if err := s.declare(ctx, route("non_idempotent", "desk"), ""); err != nil {
 		return nil, err
 	}
 	load, stop := context.WithCancel(ctx)
 	var group sync.WaitGroup
-	group.Go(func() { s.sendAtInterval(load, http.MethodGet, "/desk/5", interval) })
+	group.Go(func() { s.sendAtInterval(load, http.MethodPost, work, interval) })
 	defer group.Wait()
 	defer stop()
 	if trouble {
