--- a/review/player/cold.go
+++ b/review/player/cold.go
@@ -35,7 +35,7 @@
 		all = append(all, sr)
 	}
 	service := fmt.Sprintf(`{"name":"desk","health_path":%q,"max_conns":35,"protocol":"h1","tls":false,"cold_s":%g,"cold_per_s":%g}`, healthPath, coldTime.Seconds(), rate)
-	if err := s.declare(ctx, route("non_idempotent", "desk"), service); err != nil {
+	if err := s.declare(ctx, onceRoute("desk"), service); err != nil {
 		return nil, err
 	}
 	load, stop := context.WithCancel(ctx)
--- a/review/player/refusals.go
+++ b/review/player/refusals.go
@@ -25,7 +25,7 @@
 		sr.copiesRefusals = trouble
 		sr.register("ready", 0)
 	}
-	if err := s.declare(ctx, route("non_idempotent", "till"), ""); err != nil {
+	if err := s.declare(ctx, onceRoute("till"), ""); err != nil {
 		return nil, err
 	}
 	c, err := s.dial(ctx)
--- a/review/player/shutdown.go
+++ b/review/player/shutdown.go
@@ -24,7 +24,7 @@
 		}
 		sr.register("ready", 0)
 	}
-	if err := s.declare(ctx, route("non_idempotent", "desk"), ""); err != nil {
+	if err := s.declare(ctx, onceRoute("desk"), ""); err != nil {
 		return nil, err
 	}
 	callers := make([]*caller, clients)
--- a/review/player/site.go
+++ b/review/player/site.go
@@ -157,10 +157,10 @@
 	return sleep(ctx, settleWindow+time.Second)
 }
 
-// route returns a route to one service for requests that may wait 5 s, like those of the users' sites to one searcher.
-func route(kind, service string) string {
-	return fmt.Sprintf(`{"name":"r-%s","host":%q,"path_prefix":"/%s/","kind":%q,"timeout_ms":5000,"goal_ms":500,"priority":2,"service":%q,"attempts":2}`,
-		service, host, service, kind, service)
+// onceRoute returns a route to one service for requests that may run once and wait 5 s, like those of the users' days.
+func onceRoute(service string) string {
+	return fmt.Sprintf(`{"name":"r-%s","host":%q,"path_prefix":"/%s/","kind":"non_idempotent","timeout_ms":5000,"goal_ms":500,"priority":2,"service":%q,"attempts":2}`,
+		service, host, service, service)
 }
 
 func (s *site) isReady(ctx context.Context) bool {
--- a/review/player/uploads.go
+++ b/review/player/uploads.go
@@ -36,7 +36,7 @@
 		}
 		old = append(old, sr)
 	}
-	if err := s.declare(ctx, route("non_idempotent", "desk"), ""); err != nil {
+	if err := s.declare(ctx, onceRoute("desk"), ""); err != nil {
 		return nil, err
 	}
 	calls := make([]call, clients)
--- a/review/player/watches.go
+++ b/review/player/watches.go
@@ -28,7 +28,7 @@
 		sr.register("ready", 0)
 		all = append(all, sr)
 	}
-	if err := s.declare(ctx, route("non_idempotent", "desk"), ""); err != nil {
+	if err := s.declare(ctx, onceRoute("desk"), ""); err != nil {
 		return nil, err
 	}
 	load, stop := context.WithCancel(ctx)
