--- a/review/player/cold.go
+++ b/review/player/cold.go
@@ -11,7 +11,7 @@
 	"cornelwood.example/platform"
 )
 
-// playCold ends the evacuation of a zone whose searcher has just become cold, and checks FAILBACK.
+// playCold ends the evacuation of a zone whose searchers have become cold, as their entries say, and checks FAILBACK.
 func playCold(ctx context.Context, s *site, trouble bool) ([]string, error) {
 	const (
 		rate     = 8.0
@@ -19,13 +19,17 @@
 		slack    = 5
 		coldTime = 3 * time.Second
 		evacuate = 2 * time.Second
-		interval = 12 * time.Millisecond
-		work     = "/desk/40"
+		// apart is the time between the entries of the two searchers, and from the second to the end of the evacuation.
+		apart    = 60 * time.Millisecond
+		interval = 10 * time.Millisecond
+		work     = "/desk/20"
 		// crashRate is well above the rate that a cold searcher tolerates, and above what the rule allows.
 		crashRate = 30
+		// recent bounds how long the daemon's watches have waited: they end by themselves after 1.2 s.
+		recent = 900 * time.Millisecond
 	)
 	var all []*searcher
-	for i, zone := range []string{ownZone, "zone-b"} {
+	for i, zone := range []string{ownZone, ownZone, "zone-b"} {
 		sr, err := s.addSearcher(ctx, fmt.Sprintf("i-desk-%d", i+1), "desk", zone, 6)
 		if err != nil {
 			return nil, err
@@ -48,25 +52,33 @@
 	if err := sleep(ctx, evacuate); err != nil {
 		return nil, err
 	}
-	cold := all[0]
-	coldAt := time.Now()
-	if trouble {
-		cold.turnCold(coldTime)
+	if err := s.cutter.awaitWatches(ctx, recent, platform.KindServers, platform.KindEvacuations); err != nil {
+		return nil, err
 	}
-	time.AfterFunc(checkInInterval, func() {
-		if trouble && !cold.isEnded() {
-			cold.register("ready", time.Until(coldAt.Add(coldTime)))
+	coldAt := time.Now()
+	zone := all[:2]
+	for _, sr := range zone {
+		if trouble {
+			sr.turnCold(coldTime)
+			sr.register("ready", coldTime)
 		}
-	})
+		if err := sleep(ctx, apart); err != nil {
+			return nil, err
+		}
+	}
 	s.store.Delete(platform.KindEvacuations, ownZone)
 	s.rec.addf("store: the evacuation of %s is taken back", ownZone)
-	if err := sleep(ctx, coldTime); err != nil {
+	if err := sleep(ctx, time.Until(coldAt.Add(coldTime))); err != nil {
 		return nil, err
 	}
 	if !trouble {
 		return nil, nil
 	}
-	return overload(cold, coldAt, coldAt.Add(coldTime), int(rate*overage+slack)), nil
+	var breaches []string
+	for _, sr := range zone {
+		breaches = append(breaches, overload(sr, coldAt, coldAt.Add(coldTime), int(rate*overage+slack))...)
+	}
+	return breaches, nil
 }
 
 // overload returns the first second in which a searcher got more requests than limit, between two times.
@@ -81,7 +93,7 @@
 			window = window[1:]
 		}
 		if len(window) > limit {
-			return []string{fmt.Sprintf("FAILBACK: cold searcher %s got more than %d requests in the second up to %.3f s after it turned cold", sr.id, limit, a.at.Sub(from).Seconds())}
+			return []string{fmt.Sprintf("FAILBACK: cold searcher %s got more than %d requests in the second up to %.3f s after the first one turned cold", sr.id, limit, a.at.Sub(from).Seconds())}
 		}
 	}
 	return nil
--- a/review/player/cutter.go
+++ b/review/player/cutter.go
@@ -16,23 +16,30 @@
 	rec *record
 
 	mu      sync.Mutex
-	waiting map[*http.Request]context.CancelFunc
+	waiting map[*http.Request]*watch
+}
+
+// watch is a call that waits for a change.
+type watch struct {
+	kind   string
+	since  time.Time
+	cancel context.CancelFunc
 }
 
 func newWatchCutter(store http.Handler, rec *record) *watchCutter {
-	return &watchCutter{Handler: store, rec: rec, waiting: make(map[*http.Request]context.CancelFunc)}
+	return &watchCutter{Handler: store, rec: rec, waiting: make(map[*http.Request]*watch)}
 }
 
 // ServeHTTP answers one call. It closes the connection of a watch that is cut off, without an answer.
 func (c *watchCutter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !strings.HasPrefix(r.URL.Path, platform.ObjectsPath+platform.KindServers) || !r.URL.Query().Has("watch") {
+	if !r.URL.Query().Has("watch") {
 		c.Handler.ServeHTTP(w, r)
 		return
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	c.mu.Lock()
-	c.waiting[r] = cancel
+	c.waiting[r] = &watch{kind: strings.TrimPrefix(r.URL.Path, platform.ObjectsPath), since: time.Now(), cancel: cancel}
 	c.mu.Unlock()
 	// The answer to a watch that has been cut off is thrown away with its connection.
 	answer := &heldAnswer{header: make(http.Header), status: http.StatusOK}
@@ -47,6 +54,33 @@
 	answer.sendTo(w)
 }
 
+// awaitWatches waits until a watch of each kind waits, and has waited for less than maxTime.
+func (c *watchCutter) awaitWatches(ctx context.Context, maxTime time.Duration, kinds ...string) error {
+	for !c.watchesWait(maxTime, kinds) {
+		if err := sleep(ctx, 2*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *watchCutter) watchesWait(maxTime time.Duration, kinds []string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := make(map[string]bool)
+	for _, w := range c.waiting {
+		if time.Since(w.since) < maxTime {
+			found[w.kind] = true
+		}
+	}
+	for _, kind := range kinds {
+		if !found[kind] {
+			return false
+		}
+	}
+	return true
+}
+
 // cutTime is how long the watches that wait are cut off. An HTTP client may send a call again at once when a connection that it
 // has used before is closed.
 const cutTime = 50 * time.Millisecond
@@ -70,8 +104,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	found := false
-	for r, cancel := range c.waiting {
-		cancel()
+	for r, w := range c.waiting {
+		if w.kind != platform.KindServers {
+			continue
+		}
+		w.cancel()
 		delete(c.waiting, r)
 		c.rec.addf("the store cuts off a waiting watch of the searchers")
 		found = true
--- a/review/player/searcher.go
+++ b/review/player/searcher.go
@@ -102,13 +102,6 @@
 	}
 }
 
-// isEnded reports whether the searcher has exited or crashed.
-func (sr *searcher) isEnded() bool {
-	sr.mu.Lock()
-	defer sr.mu.Unlock()
-	return sr.isClosed
-}
-
 // turnCold makes the searcher cold for a time, which its health page says at once.
 func (sr *searcher) turnCold(d time.Duration) {
 	sr.mu.Lock()
--- a/review/player/site.go
+++ b/review/player/site.go
@@ -34,8 +34,6 @@
 	drainLimit   = 3 * time.Second
 	grace        = 6 * time.Second
 	settleWindow = 4 * time.Second
-	// checkInInterval is the interval at which a searcher writes to the store.
-	checkInInterval = 1200 * time.Millisecond
 )
 
 // config is what a site is made from.
