--- a/review/player/uploads.go
+++ b/review/player/uploads.go
@@ -18,8 +18,8 @@
 		pieces    = 34
 		pause     = 100 * time.Millisecond
 		// lingers is how long an old searcher serves on after it has reported draining.
-		lingers = 3500 * time.Millisecond
-		work    = "/desk/300"
+		lingers = 3900 * time.Millisecond
+		work    = "/desk/700"
 	)
 	add := func(name string) (*searcher, error) {
 		sr, err := s.addSearcher(ctx, name, "desk", ownZone, 3)
