router: requests in a planned stop are refused or answered, not cut off

Cause: requests were accepted until 0.55 of the grace period, and the process ended at 0.9 of it with whatever was in flight. With a grace period of 6 s and time limits of 5 s anything that took longer than 2.1 s was cut off, on every path: single requests, queries gathered here, queries gathered by other daemons.

Now requests are refused as not run from 0.45 on, with an open listener until the last one in flight has ended; what is in flight at 0.88 gets its final answer: what was gathered if that is enough, 503 if nothing was sent, 504 otherwise. The daemons that gather send what they have.

--- a/cmd/cornelwood/entry_soak_faults_test.go
+++ b/cmd/cornelwood/entry_soak_faults_test.go
@@ -74,10 +74,30 @@
 	}
 }
 
+// stopKinds returns the functions that inject the faults of TestEntrySoakStops, by name. Two kinds stop daemons.
+func (k *entrySoak) stopKinds() map[string]func(f *soakFault) {
+	delaySearchers := func(delay time.Duration) func(f *soakFault) {
+		return func(f *soakFault) {
+			k.changeSearchers(f, func(s *soakSearcher, on bool) {
+				s.SetDelay(searchDelay)
+				if on {
+					s.SetDelay(delay)
+				}
+			})
+		}
+	}
+	return map[string]func(f *soakFault){
+		"term":              k.terminate,
+		"term too":          k.terminate,
+		"searchers late":    delaySearchers(k.options.timeout / 2),
+		"searchers overdue": delaySearchers(2 * k.options.timeout),
+	}
+}
+
 // injectAll draws the faults of the whole run, and injects each at its time.
 func (k *entrySoak) injectAll(total time.Duration) {
 	const meanPause = 350 * time.Millisecond
-	kinds := k.faultKinds()
+	kinds := k.options.kinds(k)
 	var names []string
 	for name := range kinds {
 		names = append(names, name)
@@ -364,7 +384,7 @@
 				return false
 			}
 			r.Host = entryHost
-			platform.WriteRequestHeaders(r.Header, fmt.Sprintf("r%d", k.requestCount.Add(1)), soakRouteTimeout)
+			platform.WriteRequestHeaders(r.Header, fmt.Sprintf("r%d", k.requestCount.Add(1)), k.options.timeout)
 			resp, err := httpClient.Do(r)
 			if err != nil {
 				return false
@@ -406,7 +426,7 @@
 			k.t.Errorf("request %s at %s ran %d times", a.id, a.daemon, n)
 		case a.nonIdempotent && n > 0 && isNotRunStatus(a.status):
 			k.t.Errorf("request %s at %s was refused with %d and ran", a.id, a.daemon, a.status)
-		case a.aborted && a.inShutdown && n > 0:
+		case a.aborted && a.inShutdown && (n > 0 || a.waited):
 			aborted++
 		}
 		if a.overdue {
@@ -416,8 +436,8 @@
 			pastTimeout++
 		}
 	}
-	if aborted > soakMaxAborted {
-		k.t.Errorf("%d requests aborted by graceful shutdowns, want at most %d", aborted, soakMaxAborted)
+	if aborted > k.options.maxAborted {
+		k.t.Errorf("%d requests aborted by graceful shutdowns, want at most %d", aborted, k.options.maxAborted)
 	}
 	if 2*overdue > pastTimeout {
 		k.t.Errorf("%d of %d requests past their route's timeout were unanswered %s later, want at most half", overdue, pastTimeout, soakAnswerMargin)
--- a/cmd/cornelwood/entry_soak_test.go
+++ b/cmd/cornelwood/entry_soak_test.go
@@ -48,6 +48,8 @@
 	soakMaxExcess = 3
 	// soakMaxAborted is the number of requests that graceful shutdowns may abort.
 	soakMaxAborted = 3
+	// soakLossSlack is the time within which a daemon that stops may close a connection while a request is on its way.
+	soakLossSlack = 200 * time.Millisecond
 	// soakGracePeriod is the time from SIGTERM to SIGKILL.
 	soakGracePeriod = 6 * time.Second
 )
@@ -58,7 +60,9 @@
 	soakMinShards    = 2
 	soakTopK         = 5
 	soakRouteTimeout = 2 * time.Second
-	soakClients      = 8
+	// soakLongTimeout is the timeout of the routes in TestEntrySoakStops: a request may outlast the grace period.
+	soakLongTimeout = 5 * time.Second
+	soakClients     = 8
 	// soakDaemonConns is the number of connections that a searcher declares for each daemon when few of them gather: too
 	// few for all.
 	soakDaemonConns = 1
@@ -70,16 +74,42 @@
 // TestEntrySoak injects seeded faults, overlapping and in series, into entry daemons under load, from outside their
 // processes. It checks what clients received and what searchers ran.
 func TestEntrySoak(t *testing.T) {
-	runEntrySoak(t, *soakDaemons, false)
+	runEntrySoak(t, soakOptions{daemons: *soakDaemons, timeout: soakRouteTimeout, maxAborted: soakMaxAborted, kinds: (*entrySoak).faultKinds})
 }
 
 // TestEntrySoakGathered does the same while few daemons of each zone gather the queries of the others, and no zone has
 // searchers of every shard.
 func TestEntrySoakGathered(t *testing.T) {
-	runEntrySoak(t, *soakDaemons*3/2, true)
+	runEntrySoak(t, soakOptions{
+		daemons: *soakDaemons * 3 / 2, gathered: true, timeout: soakRouteTimeout, maxAborted: soakMaxAborted, kinds: (*entrySoak).faultKinds,
+	})
 }
 
-func runEntrySoak(t *testing.T, daemons int, gathered bool) {
+// TestEntrySoakStops stops daemons gracefully one after the other, some at the same time, while searchers answer late or not
+// at all and clients go on using their connections. No request may end without an answer: requests that a daemon had passed
+// on were cut off at the end of its grace period (review/2, issue 29).
+func TestEntrySoakStops(t *testing.T) {
+	for _, gathered := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gathered %t", gathered), func(t *testing.T) {
+			runEntrySoak(t, soakOptions{daemons: *soakDaemons, gathered: gathered, timeout: soakLongTimeout, kinds: (*entrySoak).stopKinds})
+		})
+	}
+}
+
+// soakOptions holds what differs between the soaks.
+type soakOptions struct {
+	daemons int
+	// gathered is true when few daemons gather the queries of the others.
+	gathered bool
+	// timeout is that of every route and client.
+	timeout time.Duration
+	// maxAborted is the number of requests that graceful shutdowns may abort.
+	maxAborted int
+	// kinds returns the functions that inject each kind of fault, by name.
+	kinds func(k *entrySoak) map[string]func(f *soakFault)
+}
+
+func runEntrySoak(t *testing.T, o soakOptions) {
 	seeds := regressionSeeds
 	if !slices.Contains(seeds, *soakSeed) {
 		seeds = append([]uint64{*soakSeed}, seeds...)
@@ -87,7 +117,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Logf("seed %d", seed)
-			k := newEntrySoak(t, seed, daemons, gathered)
+			k := newEntrySoak(t, seed, o)
 			ctx, stop := context.WithCancel(t.Context())
 			var clients sync.WaitGroup
 			for i := range soakClients {
@@ -112,8 +142,7 @@
 	dir     string
 	store   *keeper.MemoryStore
 	daemons []*entryDaemon
-	// gathered is true when few daemons gather the queries of the others.
-	gathered bool
+	options soakOptions
 	// activeFaults counts faults that have not ended.
 	activeFaults sync.WaitGroup
 	// injected holds the name and time of each injected fault.
@@ -169,7 +198,9 @@
 	id, daemon    string
 	nonIdempotent bool
 	status        int
-	aborted       bool
+	// aborted is true when the connection ended without a whole answer, waited when that was more than soakLossSlack after
+	// the request was sent.
+	aborted, waited bool
 	// inShutdown is true when the daemon was in a graceful shutdown at the end of the request.
 	inShutdown bool
 	// pastTimeout is true when an undisturbed daemon took at least the route's timeout, overdue when it exceeded
@@ -179,17 +210,17 @@
 	violation string
 }
 
-func newEntrySoak(t *testing.T, seed uint64, daemons int, gathered bool) *entrySoak {
+func newEntrySoak(t *testing.T, seed uint64, o soakOptions) *entrySoak {
 	k := &entrySoak{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 7)), dir: t.TempDir(), store: keeper.NewMemoryStore(), started: time.Now(),
 		searchers: make(map[string]*soakSearcher), liveSearchers: make(map[string][]string),
-		declaredAt: make(map[int]time.Time), tally: make(map[string]int), gathered: gathered,
+		declaredAt: make(map[int]time.Time), tally: make(map[string]int), options: o,
 	}
 	storeServer := httptest.NewServer(k.store)
 	t.Cleanup(storeServer.Close)
 	for i := range soakShards {
 		zones := []string{"a", "b", "c"}
-		if gathered {
+		if o.gathered {
 			zones[(i+1)%len(zones)] = zones[i%len(zones)]
 		}
 		for _, zone := range zones {
@@ -199,7 +230,7 @@
 	for _, zone := range []string{"a", "b", "c", "a"} {
 		k.addSearcher("one", zone, nil)
 	}
-	for i := range daemons {
+	for i := range o.daemons {
 		k.addDaemon(fmt.Sprintf("d%d", i), string(rune('a'+i%3)), strings.TrimPrefix(storeServer.URL, "http://"))
 	}
 	k.declareVersion()
@@ -257,12 +288,12 @@
 		shards[i] = fmt.Sprintf("%q", fmt.Sprintf("s%d", i))
 	}
 	services := ""
-	if k.gathered {
+	if k.options.gathered {
 		for i := range shards {
 			services += fmt.Sprintf(`{"name":%s,"max_conns":%d},`, shards[i], soakDaemonConns*len(k.daemons))
 		}
 	}
-	common := fmt.Sprintf(`"host":%q,"timeout_ms":%d,"goal_ms":200,"attempts":%d`, entryHost, soakRouteTimeout.Milliseconds(), soakAttempts)
+	common := fmt.Sprintf(`"host":%q,"timeout_ms":%d,"goal_ms":200,"attempts":%d`, entryHost, k.options.timeout.Milliseconds(), soakAttempts)
 	spec := fmt.Sprintf(`{"version":%d,"routes":[
 		{"name":"q","path_prefix":"/q/","kind":"idempotent","gather":[%s],"top_k":%d,"min_shard_ratio":0.6,%s},
 		{"name":"p","path_prefix":"/p/","kind":"non_idempotent","service":"one",%s},
@@ -394,7 +425,7 @@
 	generation := d.generation
 	d.mu.Unlock()
 	// The client gives up some time after the daemon must have answered.
-	ctx, cancel := context.WithTimeout(context.Background(), soakRouteTimeout+2*soakAnswerMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), k.options.timeout+2*soakAnswerMargin)
 	defer cancel()
 	var body io.Reader = http.NoBody
 	if a.nonIdempotent {
@@ -406,7 +437,7 @@
 		return false
 	}
 	r.Host = entryHost
-	platform.WriteRequestHeaders(r.Header, a.id, soakRouteTimeout)
+	platform.WriteRequestHeaders(r.Header, a.id, k.options.timeout)
 	sentAt := time.Now()
 	resp, err := client.Do(r)
 	var text []byte
@@ -419,9 +450,9 @@
 	undisturbed := d.generation == generation && time.Since(d.disturbedAt) > took
 	a.inShutdown = d.terminating && d.generation == generation
 	d.mu.Unlock()
-	a.pastTimeout, a.overdue = undisturbed && took >= soakRouteTimeout, undisturbed && took > soakRouteTimeout+soakAnswerMargin
+	a.pastTimeout, a.overdue = undisturbed && took >= k.options.timeout, undisturbed && took > k.options.timeout+soakAnswerMargin
 	if err != nil {
-		a.aborted = true
+		a.aborted, a.waited = true, took > soakLossSlack
 		k.record(a)
 		return false
 	}
--- a/cmd/cornelwood/entry_test.go
+++ b/cmd/cornelwood/entry_test.go
@@ -167,6 +167,7 @@
 
 // response is an HTTP response whose body was read completely.
 type response struct {
+	id      string
 	status  int
 	stamp   string
 	stamps  []string
@@ -187,11 +188,11 @@
 	platform.WriteRequestHeaders(r.Header, id, 2*time.Second)
 	resp, err := client.Do(r)
 	if err != nil {
-		return response{err: err}
+		return response{id: id, err: err}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	out := response{status: resp.StatusCode, stamp: platform.ReadStamp(resp.Header), closing: resp.Close, body: string(body), err: err}
+	out := response{id: id, status: resp.StatusCode, stamp: platform.ReadStamp(resp.Header), closing: resp.Close, body: string(body), err: err}
 	out.stamps, out.missing = platform.ReadParts(resp.Header)
 	return out
 }
@@ -362,6 +363,57 @@
 	}
 }
 
+// TestEntryStopAnswersWhatItAccepts sends requests on open connections at all times of a planned stop, whose work outlasts the
+// grace period in some. A request that a searcher got must be answered, and one that was refused must not have run: those sent
+// from half of the grace period on were passed on and cut off at its end (review/2).
+func TestEntryStopAnswersWhatItAccepts(t *testing.T) {
+	const (
+		grace    = 3 * time.Second
+		interval = 100 * time.Millisecond
+		// work is longer than what is left of the grace period after the last requests that are accepted.
+		work = 1700 * time.Millisecond
+	)
+	s := withEntry(t)
+	var answers []response
+	var mu sync.Mutex
+	var clients sync.WaitGroup
+	var open []*http.Client
+	for range int(grace / interval) {
+		open = append(open, &http.Client{Transport: &http.Transport{}})
+		s.assertStatus(s.send(open[len(open)-1], http.MethodGet, "/none/"), http.StatusNotFound)
+	}
+	s.searchers["a1"].SetDelay(work)
+	s.searchers["a2"].SetDelay(work)
+	s.daemon.signal(t, syscall.SIGTERM)
+	for i, client := range open {
+		clients.Go(func() {
+			time.Sleep(time.Duration(i) * interval)
+			a := s.send(client, http.MethodPost, "/p/1")
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, a)
+		})
+	}
+	clients.Wait()
+	runs := make(map[string]int)
+	for _, name := range []string{"a1", "a2"} {
+		for id, n := range s.searchers[name].Runs() {
+			runs[id] += n
+		}
+	}
+	got := make(map[string]int)
+	for _, a := range answers {
+		ran := runs[a.id] > 0
+		if a.err != nil && ran || a.status == http.StatusServiceUnavailable && ran {
+			t.Errorf("request %s: status %d, error %v, ran", a.id, a.status, a.err)
+		}
+		got[fmt.Sprint(a.status)]++
+	}
+	if got["200"] == 0 || got["503"] == 0 {
+		t.Errorf("answers by status: %v; want some served and some refused", got)
+	}
+}
+
 // TestEntryGracefulShutdown covers SIGTERM: the readiness check fails at once, requests in flight finish, and open
 // connections are served and closed with an answer.
 func TestEntryGracefulShutdown(t *testing.T) {
--- a/internal/route/forwarder/delegation.go
+++ b/internal/route/forwarder/delegation.go
@@ -215,6 +215,12 @@
 			d.endGroup(groupCtx, &r)
 		case <-timer.C:
 			timer.Reset(d.wait())
+		case <-d.fwd.ended:
+			d.drain()
+			if len(d.stamps) >= d.route.RequiredShards() {
+				return mergedAnswer(d.records, d.stamps, len(d.route.Shards))
+			}
+			return d.fwd.endedAnswer(d.mayHaveRun || d.running > 0)
 		case <-ctx.Done():
 			return refuse(statusClientClosed, "client disconnected")
 		}
--- a/internal/route/forwarder/fake_test.go
+++ b/internal/route/forwarder/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"net/netip"
@@ -195,6 +196,21 @@
 	return a, time.Since(req.Arrived)
 }
 
+// upload sends a request whose body takes half of the timeout, and calls meanwhile before it is whole.
+func (s *setup) upload(path string, meanwhile func()) Answer {
+	r, w := io.Pipe()
+	go func() {
+		time.Sleep(timeout / 4)
+		meanwhile()
+		time.Sleep(timeout / 4)
+		_, _ = io.WriteString(w, "body")
+		w.Close()
+	}()
+	return s.Handle(s.t.Context(), &Request{
+		ID: "r", Method: http.MethodPost, Host: "h", Path: path, Target: path, Body: r, HasBody: true, ClientTimeout: timeout, Arrived: time.Now(),
+	})
+}
+
 func (s *setup) assertAnswer(a Answer, wantStatus int) {
 	s.t.Helper()
 	if a.Status != wantStatus {
--- a/internal/route/forwarder/fanout.go
+++ b/internal/route/forwarder/fanout.go
@@ -348,6 +348,16 @@
 	return n
 }
 
+// anyInFlight reports whether an attempt is in flight.
+func (f *fanout) anyInFlight() bool {
+	for i := range f.calls {
+		if f.calls[i].inFlight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // giveUp ends call i without an answer.
 func (f *fanout) giveUp(i int) {
 	f.calls[i].done, f.calls[i].failed = true, true
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -87,16 +88,19 @@
 	metrics   *Metrics
 	// logLimiter bounds the rate of log lines about requests.
 	logLimiter *rate.Limiter
-	// gathers counts the queries that this daemon gathers for others now; leaving is true when it accepts no more.
+	// gathers counts the queries that this daemon gathers for others now.
 	gathers atomic.Int64
-	leaving atomic.Bool
+	// leaving, refusing and ended are the phases of a planned stop; ended is closed by End.
+	leaving, refusing atomic.Bool
+	ended             chan struct{}
+	endOnce           sync.Once
 }
 
 // New returns the Forwarder of the daemon self.
 func New(cfg Config, self declarer.Member, views Viewer, p *picker.Picker, ex Exchanger, d Delegator, log hclog.Logger, m *Metrics) *Forwarder {
 	return &Forwarder{
 		cfg: cfg, self: self, views: views, picker: p, exchanger: ex, delegator: d, stats: newStats(cfg), log: log, metrics: m,
-		logLimiter: rate.NewLimiter(logLinesPerSecond, logBurst),
+		logLimiter: rate.NewLimiter(logLinesPerSecond, logBurst), ended: make(chan struct{}),
 	}
 }
 
@@ -117,6 +121,9 @@
 
 // answer returns the name of the matching route, empty when there is none, and the answer.
 func (f *Forwarder) answer(ctx context.Context, req *Request, v *locator.View) (string, Answer) {
+	if f.refusing.Load() {
+		return "", refuseNotRun(f.cfg.RetryAfter, reasonStopping)
+	}
 	if ok, reason := v.Ready(); !ok {
 		return "", refuseNotRun(f.cfg.RetryAfter, reason)
 	}
@@ -136,6 +143,10 @@
 	case err != nil:
 		return rt.Name, refuse(http.StatusBadRequest, "read request body: "+err.Error())
 	}
+	if f.refusing.Load() {
+		// The body may have taken long.
+		return rt.Name, refuseNotRun(f.cfg.RetryAfter, reasonStopping)
+	}
 	timeout := rt.EffectiveTimeout(req.ClientTimeout)
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/internal/route/forwarder/gather.go
+++ b/internal/route/forwarder/gather.go
@@ -20,11 +20,6 @@
 	replyMargin = 4 * time.Millisecond
 )
 
-// SetLeaving makes the Forwarder refuse the queries of other daemons from now on.
-func (f *Forwarder) SetLeaving() {
-	f.leaving.Store(true)
-}
-
 // Gathers returns the number of queries that this daemon gathers for others now.
 func (f *Forwarder) Gathers() int {
 	return int(f.gathers.Load())
--- a/internal/route/forwarder/gather_test.go
+++ b/internal/route/forwarder/gather_test.go
@@ -189,12 +189,14 @@
 type fakeDelegator struct {
 	messages []*exchanger.Gathered
 	result   delegator.Result
+	// pause is an additional time before the first message.
+	pause time.Duration
 }
 
 func (f *fakeDelegator) Reachable([]declarer.Member) bool { return true }
 
 func (f *fakeDelegator) Delegate(_ context.Context, _ []declarer.Member, q *delegator.Query) delegator.Result {
-	time.Sleep(10 * time.Millisecond)
+	time.Sleep(f.pause + 10*time.Millisecond)
 	for _, g := range f.messages {
 		time.Sleep(10 * time.Millisecond)
 		q.OnMessage(g)
--- a/internal/route/forwarder/query.go
+++ b/internal/route/forwarder/query.go
@@ -36,6 +36,8 @@
 	uncovered
 	// expired: too few shards answered before the deadline.
 	expired
+	// ended: the daemon stops.
+	ended
 	// disconnected: nobody waits for the answer any more.
 	disconnected
 )
@@ -125,6 +127,11 @@
 			timer.Reset(q.hedgeAndWait())
 		case <-q.stop:
 			return expired
+		case <-q.fwd.ended:
+			if len(q.parts) >= q.minAnswers {
+				return covered
+			}
+			return ended
 		case <-ctx.Done():
 			return disconnected
 		}
@@ -197,6 +204,8 @@
 		return uncoveredAnswer(q.fwd.cfg.RetryAfter, q.mayHaveRun || q.anyInFlight())
 	case expired:
 		return refuse(http.StatusGatewayTimeout, "too few shards answered in time")
+	case ended:
+		return q.fwd.endedAnswer(q.mayHaveRun || q.anyInFlight())
 	default:
 		return refuse(statusClientClosed, "client disconnected")
 	}
@@ -213,12 +222,3 @@
 	}
 	return refuse(http.StatusBadGateway, "too few shards answered")
 }
-
-func (q *query) anyInFlight() bool {
-	for i := range q.calls {
-		if q.calls[i].inFlight > 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/route/forwarder/single.go
+++ b/internal/route/forwarder/single.go
@@ -57,6 +57,8 @@
 				return refuse(http.StatusGatewayTimeout, "no searcher answered in time")
 			}
 			timer.Reset(f.hedgeAndWaitSingle())
+		case <-f.fwd.ended:
+			return f.fwd.endedAnswer(f.mayHaveRun || f.anyInFlight())
 		case <-ctx.Done():
 			return refuse(statusClientClosed, "client disconnected")
 		}
