assembler: requests that outlast a shutdown are answered with what is known

Evidence: TestShutdownAnswersOverdueQueries (separate processes) failed before with EOF for the query; passes.

--- a/cmd/cornelwood/faults_test.go
+++ b/cmd/cornelwood/faults_test.go
@@ -300,6 +300,32 @@
 	}
 }
 
+// TestShutdownAnswersOverdueQueries stops a daemon with a query and a run in flight that outlast its time for requests in flight.
+// Both are answered with what is known; they were cut off without an answer (issue 29).
+func TestShutdownAnswersOverdueQueries(t *testing.T) {
+	s := withSite(t, siteOptions{fleetFlags: []string{"--mean", "8s", "--warm"}, balancerLag: "10ms", drainLimit: "2s"})
+	stopping := s.daemons[0]
+	ticket := takeTicket(t, stopping)
+	errs := make(chan error, 2)
+	go func() {
+		_, err := stopping.query(t, answerer.Query{Service: "finder", Deadline: &declarer.Duration{Duration: 20 * time.Second}})
+		errs <- err
+	}()
+	go func() {
+		var res answerer.RunResult
+		in := answerer.Run{Ticket: ticket, Service: "roster", Action: json.RawMessage(`{"crew":7}`)}
+		errs <- requester.New("http://"+stopping.caller, httpClient).Do(t.Context(), http.MethodPost, "/v1/run", in, &res)
+	}()
+	eventually(t, startTimeout, func() error { return stopping.checkRunning(t, 1) })
+	stopping.signal(t, syscall.SIGTERM)
+	for range 2 {
+		if err := <-errs; err != nil {
+			t.Errorf("request in flight at the end of the shutdown: %v", err)
+		}
+	}
+	<-stopping.done
+}
+
 // TestDrainedUpstream drains a searcher under load. It gets no new work after removalLimit.
 func TestDrainedUpstream(t *testing.T) {
 	s := withSite(t, siteOptions{})
--- a/cmd/cornelwood/site_test.go
+++ b/cmd/cornelwood/site_test.go
@@ -75,6 +75,8 @@
 	fleetFlags []string
 	// balancerLag is the setting "lag" of the daemons, the load balancer's reaction time.
 	balancerLag string
+	// drainLimit is the setting "drain" of the daemons, the time for requests in flight to finish.
+	drainLimit string
 }
 
 // withSite starts a site of three zones with the services "finder" (4 shards, class search) and "roster" (2 shards,
@@ -87,6 +89,9 @@
 	if o.balancerLag == "" {
 		o.balancerLag = "50ms"
 	}
+	if o.drainLimit == "" {
+		o.drainLimit = "30s"
+	}
 	s := &site{dir: t.TempDir(), options: o}
 	s.platformProcess = startProcess(t, "platform", "standin", "platform")
 	s.platformURL = "http://" + strings.TrimPrefix(s.platformProcess.nextLine(t), "listening ")
@@ -198,8 +203,8 @@
 
 func (s *site) writeSettings(t *testing.T, d *daemon, caller, operator, peer string, seeds []string) {
 	t.Helper()
-	text := fmt.Sprintf("[daemon]\nid = %s\nzone = %s\nregion = r\n[caller]\nlisten = %s\n[operator]\nlisten = %s\n[peer]\nlisten = %s\nseeds = %s\nfaults = true\n[platform]\nurl = %s\n[shutdown]\nlag = %s\n",
-		d.id, d.zone, caller, operator, peer, strings.Join(seeds, ", "), s.platformURL, s.options.balancerLag)
+	text := fmt.Sprintf("[daemon]\nid = %s\nzone = %s\nregion = r\n[caller]\nlisten = %s\n[operator]\nlisten = %s\n[peer]\nlisten = %s\nseeds = %s\nfaults = true\n[platform]\nurl = %s\n[shutdown]\nlag = %s\ndrain = %s\n",
+		d.id, d.zone, caller, operator, peer, strings.Join(seeds, ", "), s.platformURL, s.options.balancerLag, s.options.drainLimit)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -60,6 +60,10 @@
 
 	callers   *server.Server
 	operators *server.Server
+	// callerCtx is the parent of the contexts of callers' requests. endCalls cancels it, so that each is answered with what
+	// is known.
+	callerCtx context.Context
+	endCalls  context.CancelFunc
 	// leaving is true from the start of the shutdown on.
 	leaving atomic.Bool
 	// joined is true once hasJoined has seen admitted work or the end of its time limit.
@@ -76,6 +80,8 @@
 // Serve has returned.
 func New(settings *reader.Settings, log hclog.Logger) (*Daemon, func(), error) {
 	d := &Daemon{settings: settings, log: log, reg: prometheus.NewRegistry(), blocker: blocker.New(), startedAt: time.Now()}
+	d.callerCtx, d.endCalls = context.WithCancel(context.Background())
+	d.onClose(d.endCalls)
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, nil, err
@@ -214,7 +220,9 @@
 	d.onClose(closer)
 	metrics := promhttp.HandlerFor(d.reg, promhttp.HandlerOpts{})
 	callers := receiver.New(recorder.NewQuerier(d.gatherer, d.views, queryRecorder), d.ticketer, healthChecker{d}, metrics)
-	d.callers = server.New("callers", d.listeners.caller, receiver.Server(callers))
+	callerServer := receiver.Server(callers)
+	callerServer.BaseContext = func(net.Listener) context.Context { return d.callerCtx }
+	d.callers = server.New("callers", d.listeners.caller, callerServer)
 	commands := commander.New(store, d.reconciler, d.views, d.log.Named("operator"), commander.NewMetrics(d.reg))
 	operators := queryRecorder.Handler(d.self.ID, commands)
 	if d.settings.Peer.Faults {
