connector: a refused request is not sent again on the connection of its refusal

Cause: answers on a connection are told apart by the request's ID alone. A searcher refused a request, the next attempt of the same request got the same kept connection, and a late second copy of the refusal was taken for its answer while the searcher ran it; the request was then offered once more.

A connection now remembers the requests that were refused on it until their deadlines, and carries none of them again; with more than 32 of them it is closed. It stays in use for other requests, so that refusals under overload cost no handshakes. The same connections serve single requests, queries and queries gathered for other daemons. The dialer of `cornelwood daemon` speaks HTTP/2, where a copy belongs to a stream that has ended.

--- a/internal/route/forwarder/policy.go
+++ b/internal/route/forwarder/policy.go
@@ -32,7 +32,7 @@
 		return failure
 	}
 	switch {
-	case rep.Meta.NotRun || rep.Status == http.StatusMisdirectedRequest:
+	case rep.IsRefusal():
 		return notRun
 	case rep.Meta.Stamp == "":
 		return failure
--- a/internal/upstream/connector/conn.go
+++ b/internal/upstream/connector/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -21,6 +22,8 @@
 	maxHeadBytes = 64 << 10
 	// maxInformational is how many informational answers (1xx) may precede an answer.
 	maxInformational = 4
+	// maxRefusedIDs is how many refused requests a connection remembers. It is closed when there are more.
+	maxRefusedIDs = 32
 	// maxStrayAnswers is how many answers to earlier requests are skipped before the
 	// connection is closed.
 	maxStrayAnswers = 2
@@ -55,11 +58,32 @@
 	idleSince time.Time
 	// maxIdle is Request.MaxIdle of the last request.
 	maxIdle int
+	// refused holds the requests that the searcher has refused on this connection. It carries none of them again: a late
+	// copy of the refusal could not be told from the answer to the new attempt.
+	refused []refusedRequest
 	// keepAlive is how long the searcher keeps the connection open when idle; 0 when it
 	// does not say.
 	keepAlive time.Duration
 }
 
+// refusedRequest is a request that was refused, which may be sent again until its deadline.
+type refusedRequest struct {
+	id       string
+	deadline time.Time
+}
+
+// hasRefused reports whether the searcher has refused the request on this connection.
+func (c *conn) hasRefused(id string) bool {
+	return slices.ContainsFunc(c.refused, func(r refusedRequest) bool { return r.id == id })
+}
+
+// remember records a refused request. It returns false when there are too many to use the connection again.
+func (c *conn) remember(id string, deadline, now time.Time) bool {
+	c.refused = slices.DeleteFunc(c.refused, func(r refusedRequest) bool { return now.After(r.deadline) })
+	c.refused = append(c.refused, refusedRequest{id, deadline})
+	return len(c.refused) <= maxRefusedIDs
+}
+
 func newConn(nc net.Conn) *conn {
 	head := &headReader{Conn: nc}
 	return &conn{Conn: nc, isNew: true, head: head, r: bufio.NewReaderSize(head, readBufferBytes)}
@@ -147,6 +171,9 @@
 	if err != nil {
 		return true, nil, err
 	}
+	if rep.IsRefusal() {
+		rep.reusable = c.remember(req.ID, req.Deadline, time.Now()) && rep.reusable
+	}
 	select {
 	case err := <-written:
 		rep.reusable = rep.reusable && err == nil
--- a/internal/upstream/connector/connector.go
+++ b/internal/upstream/connector/connector.go
@@ -11,6 +11,7 @@
 	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -150,7 +151,7 @@
 // uses no connection that has been idle for longer than Config.MaxFreshIdle. It fails with
 // an *Error.
 func (c *Connector) Do(ctx context.Context, addr netip.AddrPort, req *Request, fresh bool) (*Reply, error) {
-	cn, err := c.acquire(ctx, addr, fresh)
+	cn, err := c.acquire(ctx, addr, req.ID, fresh)
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -192,10 +193,10 @@
 	return c.opened
 }
 
-// acquire returns a usable idle connection, or a new one.
-func (c *Connector) acquire(ctx context.Context, addr netip.AddrPort, fresh bool) (*conn, error) {
+// acquire returns a usable idle connection for a request, or a new one.
+func (c *Connector) acquire(ctx context.Context, addr netip.AddrPort, request string, fresh bool) (*conn, error) {
 	for {
-		cn := c.popIdle(addr)
+		cn := c.popIdle(addr, request)
 		if cn == nil {
 			return c.dial(ctx, addr)
 		}
@@ -242,17 +243,18 @@
 	c.pausedUntil[addr] = time.Now().Add(c.cfg.DialPause)
 }
 
-// popIdle removes and returns the idle connection that was used last, or nil.
-func (c *Connector) popIdle(addr netip.AddrPort) *conn {
+// popIdle removes and returns the idle connection that was used last of those that may carry a request, or nil.
+func (c *Connector) popIdle(addr netip.AddrPort, request string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[addr]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		if cn := conns[i]; !cn.hasRefused(request) {
+			c.idle[addr] = slices.Delete(conns, i, i+1)
+			return cn
+		}
 	}
-	cn := conns[len(conns)-1]
-	c.idle[addr] = conns[:len(conns)-1]
-	return cn
+	return nil
 }
 
 // putIdle makes a connection available to the next exchange.
--- a/internal/upstream/connector/connector_test.go
+++ b/internal/upstream/connector/connector_test.go
@@ -225,6 +225,75 @@
 	})
 }
 
+// TestLateCopyOfRefusal covers a searcher that refuses a request and sends the refusal once more, late, on the connection. The
+// copy bears the ID of the request, and was taken for the answer to its next attempt, which ran (review/1).
+func TestLateCopyOfRefusal(t *testing.T) {
+	refusal := "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, between := range []int{0, 1, 5} {
+		t.Run(fmt.Sprintf("%d requests between", between), func(t *testing.T) {
+			var refused atomic.Bool
+			var copied sync.Map
+			s := newSearcher(t, func(w net.Conn, r *http.Request, _ int) {
+				id := strings.TrimPrefix(r.URL.Path, "/")
+				switch {
+				case refused.CompareAndSwap(false, true):
+					copied.Store(w, true)
+					_, _ = io.WriteString(w, refusal)
+					return
+				case id == "1":
+					if _, late := copied.LoadAndDelete(w); late {
+						_, _ = io.WriteString(w, refusal)
+					}
+				}
+				_, _ = io.WriteString(w, answer(id, "x"))
+			})
+			c := newConnector(t, nil)
+			send := func(id string) (*Reply, error) {
+				req := request(id)
+				req.Target = "/" + id
+				return c.Do(t.Context(), s.addr, req, false)
+			}
+			rep, err := send("1")
+			if err != nil || !rep.Meta.NotRun {
+				t.Fatalf("first attempt: reply %+v, error %v; want a refusal", rep, err)
+			}
+			for i := range between {
+				rep, err := send(fmt.Sprint("between", i))
+				assertAnswered(t, rep, err)
+			}
+			rep, err = send("1")
+			assertAnswered(t, rep, err)
+			// The first connection stays in use for other requests.
+			rep, err = send("2")
+			assertAnswered(t, rep, err)
+			assertConns(t, s, 2)
+		})
+	}
+	t.Run("many refusals", func(t *testing.T) {
+		s := newSearcher(t, func(w net.Conn, r *http.Request, _ int) {
+			_, _ = io.WriteString(w, strings.Replace(refusal, "Id: 1", "Id: "+strings.TrimPrefix(r.URL.Path, "/"), 1))
+		})
+		c := newConnector(t, nil)
+		for i := range 2*(maxRefusedIDs+1) + 1 {
+			req := request(fmt.Sprint(i))
+			req.Target = "/" + req.ID
+			if _, err := c.Do(t.Context(), s.addr, req, false); err != nil {
+				t.Fatal(err)
+			}
+		}
+		assertConns(t, s, 3)
+	})
+	t.Run("past the deadline", func(t *testing.T) {
+		cn := &conn{}
+		now := time.Now()
+		for i := range 2 * maxRefusedIDs {
+			if !cn.remember(fmt.Sprint(i), now.Add(time.Duration(i+1)*time.Second), now.Add(time.Duration(i)*time.Second)) {
+				t.Fatalf("the connection cannot be used again after %d refusals, all but one of them past their deadline", i+1)
+			}
+		}
+	})
+}
+
 func TestIncompleteAnswers(t *testing.T) {
 	writeAndClose := func(text string) script {
 		return func(w net.Conn, _ *http.Request, _ int) {
@@ -415,7 +484,7 @@
 	rep, err := do(t, c, s, "1")
 	assertAnswered(t, rep, err)
 	atLimit.Store(true)
-	idle := c.popIdle(s.addr)
+	idle := c.popIdle(s.addr, "")
 	if _, err := do(t, c, s, "1"); !errors.Is(err, syscall.ECONNRESET) {
 		t.Fatalf("error %v, want a reset", err)
 	}
@@ -429,7 +498,7 @@
 	assertAnswered(t, rep, err)
 	atLimit.Store(false)
 	time.Sleep(pause)
-	c.discard(s.addr, c.popIdle(s.addr))
+	c.discard(s.addr, c.popIdle(s.addr, ""))
 	rep, err = do(t, c, s, "1")
 	assertAnswered(t, rep, err)
 }
--- a/internal/upstream/connector/request.go
+++ b/internal/upstream/connector/request.go
@@ -39,6 +39,11 @@
 	reusable bool
 }
 
+// IsRefusal reports whether the searcher did not run the request, so that it may get it again.
+func (r *Reply) IsRefusal() bool {
+	return r.Meta.NotRun || r.Status == http.StatusMisdirectedRequest
+}
+
 // Meta holds the values of an answer's headers that are specific to searchers.
 type Meta struct {
 	// RequestID is the ID of the request that was answered; empty when not stated.
