watcher: watches that are cut off do not add to the backoff

A call that took longer than its backoff starts the backoff again.

Calls that fail at once back off as before.

--- a/internal/control/watcher/watcher.go
+++ b/internal/control/watcher/watcher.go
@@ -103,8 +103,9 @@
 			w.waitForChange(ctx, changed)
 			continue
 		}
+		began := time.Now()
 		if err := w.step(ctx); err != nil {
-			w.backOff(ctx, err)
+			w.backOff(ctx, err, time.Since(began))
 			continue
 		}
 		w.resetFailures()
@@ -216,9 +217,10 @@
 	return time.Duration(w.listBytes) * time.Second / time.Duration(bytesPerSecond)
 }
 
-// backOff waits after a failed call. The backoff doubles with each consecutive failure,
-// up to maxBackoff.
-func (w *Watcher) backOff(ctx context.Context, err error) {
+// backOff waits after a failed call that took some time. The backoff doubles with each
+// consecutive failure, up to maxBackoff. It starts again after a call that took longer than
+// that: a watch that waited until it was cut off is no burden for the platform.
+func (w *Watcher) backOff(ctx context.Context, err error, took time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -226,8 +228,11 @@
 	if w.failures == 0 {
 		w.log.Warn("platform cannot be reached", "error", err)
 	}
+	pause := min(maxBackoff, minBackoff<<min(w.failures, 8))
 	w.failures++
-	pause := min(maxBackoff, minBackoff<<min(w.failures-1, 8))
+	if took > pause {
+		pause, w.failures = minBackoff, 1
+	}
 	pause = pause/2 + time.Duration(w.rnd.Int64N(int64(pause)))
 	select {
 	case <-ctx.Done():
