--- a/cmd/cornelwood/entry_soak_faults_test.go
+++ b/cmd/cornelwood/entry_soak_faults_test.go
@@ -153,7 +153,7 @@
 	}
 	defer d.claimed.Store(false)
 	d.mu.Lock()
-	d.terminating = true
+	d.terminating, d.terminatedAt = true, time.Now()
 	d.mu.Unlock()
 	d.signal(k.t, syscall.SIGTERM)
 	select {
@@ -428,6 +428,7 @@
 			k.t.Errorf("request %s at %s was refused with %d and ran", a.id, a.daemon, a.status)
 		case a.aborted && a.inShutdown && (n > 0 || a.waited):
 			aborted++
+			k.t.Logf("request %s at %s, sent %s after SIGTERM, ended after %s without an answer; it ran %d times", a.id, a.daemon, a.sinceTerm, a.took, n)
 		}
 		if a.overdue {
 			overdue++
--- a/cmd/cornelwood/entry_soak_test.go
+++ b/cmd/cornelwood/entry_soak_test.go
@@ -91,7 +91,7 @@
 func TestEntrySoakStops(t *testing.T) {
 	for _, gathered := range []bool{false, true} {
 		t.Run(fmt.Sprintf("gathered %t", gathered), func(t *testing.T) {
-			runEntrySoak(t, soakOptions{daemons: *soakDaemons, gathered: gathered, timeout: soakLongTimeout, kinds: (*entrySoak).stopKinds})
+			runEntrySoak(t, soakOptions{daemons: *soakDaemons, gathered: gathered, clients: 4 * soakClients, timeout: soakLongTimeout, kinds: (*entrySoak).stopKinds})
 		})
 	}
 }
@@ -101,6 +101,8 @@
 	daemons int
 	// gathered is true when few daemons gather the queries of the others.
 	gathered bool
+	// clients is the number of clients, soakClients at least.
+	clients int
 	// timeout is that of every route and client.
 	timeout time.Duration
 	// maxAborted is the number of requests that graceful shutdowns may abort.
@@ -120,7 +122,7 @@
 			k := newEntrySoak(t, seed, o)
 			ctx, stop := context.WithCancel(t.Context())
 			var clients sync.WaitGroup
-			for i := range soakClients {
+			for i := range max(soakClients, o.clients) {
 				clients.Go(func() { k.runClient(ctx, i) })
 			}
 			k.injectAll(*soakDuration)
@@ -175,8 +177,9 @@
 	mu sync.Mutex
 	// generation is the number of processes so far.
 	generation int
-	// terminating is true from SIGTERM to the start of the next process.
-	terminating bool
+	// terminating is true from SIGTERM, at terminatedAt, to the start of the next process.
+	terminating  bool
+	terminatedAt time.Time
 	// shownVersion is the newest version that the process has shown, since shownAt.
 	shownVersion int
 	shownAt      time.Time
@@ -201,6 +204,9 @@
 	// aborted is true when the connection ended without a whole answer, waited when that was more than soakLossSlack after
 	// the request was sent.
 	aborted, waited bool
+	// took is the time until the answer or the end of the connection, sinceTerm that from SIGTERM to the request, negative for
+	// one that was sent before.
+	took, sinceTerm time.Duration
 	// inShutdown is true when the daemon was in a graceful shutdown at the end of the request.
 	inShutdown bool
 	// pastTimeout is true when an undisturbed daemon took at least the route's timeout, overdue when it exceeded
@@ -449,6 +455,7 @@
 	d.mu.Lock()
 	undisturbed := d.generation == generation && time.Since(d.disturbedAt) > took
 	a.inShutdown = d.terminating && d.generation == generation
+	a.took, a.sinceTerm = took, sentAt.Sub(d.terminatedAt)
 	d.mu.Unlock()
 	a.pastTimeout, a.overdue = undisturbed && took >= k.options.timeout, undisturbed && took > k.options.timeout+soakAnswerMargin
 	if err != nil {
