platform: an odd entry does not hide the others

Package json then rejects the whole list and each watch with it, so that no change of the searchers was seen any more; after a restart the daemon was never ready.

--- a/cmd/cornelwood/entry_test.go
+++ b/cmd/cornelwood/entry_test.go
@@ -272,6 +272,32 @@
 	awaitStamps("using version 4 after the outage", "b1 b2")
 }
 
+// TestEntryOddEntry leaves an entry among those of the searchers that is nested too deeply for package json. The daemon must go on
+// following the list, also after a restart: no change was seen any more (issue 29).
+func TestEntryOddEntry(t *testing.T) {
+	s := withEntry(t)
+	client := &http.Client{}
+	// The entry itself can be encoded, a list with it exceeds the depth that package json decodes.
+	const depth = 9_998
+	s.store.Set(platform.KindServers, "odd", json.RawMessage(strings.Repeat("[", depth)+strings.Repeat("]", depth)))
+	for range 2 {
+		s.store.Delete(platform.KindServers, "a1")
+		s.eventually("without the removed searcher", entryApplyLimit, func() bool {
+			for range 12 {
+				if s.send(client, http.MethodPost, "/p/1").stamp != "a2" {
+					return false
+				}
+			}
+			return true
+		})
+		s.daemon.signal(t, syscall.SIGTERM)
+		<-s.daemon.done
+		s.addSearcher("a1")
+		s.daemon = startProcess(t, "entry", "cornelwood", "entry", "--settings", s.settings)
+		s.eventually("ready", entryTimeout, func() bool { return s.readyStatus() == http.StatusOK })
+	}
+}
+
 // TestEntryCutWatches removes a searcher's entry while the store cuts off the watches that wait, again and again, and answers
 // every other call. The searcher must get no request after the time for which it serves on: each cut counted as an outage of
 // the store, after which removed entries are kept for a time (review/3).
