--- a/internal/upstream/connector/connector_test.go
+++ b/internal/upstream/connector/connector_test.go
@@ -294,6 +294,40 @@
 	})
 }
 
+// TestAnswersCutAnywhere covers a searcher that closes in the middle of its answer, at each byte of it. No part may pass for a
+// whole answer, but for the end of a body whose length only the end of the connection tells.
+func TestAnswersCutAnywhere(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\n"
+	for _, tt := range []struct {
+		name, text string
+		// isOpen is true when the body ends with the connection, so that any part of it is complete.
+		isOpen bool
+	}{
+		{"length", head + "Content-Length: 16\r\n\r\n0123456789abcdef", false},
+		{"length, last header", strings.Replace(head, "\r\n", "\r\nContent-Length: 12\r\n", 1) + "\r\n0123456789ab", false},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", false},
+		{"no length", head + "\r\nabc", true},
+		{"informational answer", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + "Content-Length: 3\r\n\r\nabc", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			whole := len(tt.text)
+			if tt.isOpen {
+				whole = strings.Index(tt.text, "\r\n\r\n") + len("\r\n\r\n")
+			}
+			for n := range len(tt.text) + 1 {
+				s := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) {
+					_, _ = io.WriteString(w, tt.text[:n])
+					w.Close()
+				})
+				rep, err := do(t, newConnector(t, nil), s, "1")
+				if (err == nil) != (n >= whole) {
+					t.Errorf("%d bytes of %d: reply %+v, error %v", n, len(tt.text), rep, err)
+				}
+			}
+		})
+	}
+}
+
 func TestIncompleteAnswers(t *testing.T) {
 	writeAndClose := func(text string) script {
 		return func(w net.Conn, _ *http.Request, _ int) {
