picker: searchers that say that they leave, or want no requests, get none

The picker keeps what a searcher has said for the lifetime of its process (`born` of its entry, which is decoded now), for an hour after it was last a candidate. Every attempt of every path asks it: single requests, queries, queries gathered for other daemons, retries and hedges. Where all searchers of a service are held, a request is refused at once with the time of the first. `cornelwood daemon` speaks its own protocol with its upstreams, where draining has a status of its own.

Evidence: TestLeavingSearcher, TestHeldSearcher; with separate processes TestEntryLeavingSearchers, TestEntryHeldSearchers and TestEntryWithdrawalOfLifetime, direct and gathered.

--- a/cmd/cornelwood/entry_test.go
+++ b/cmd/cornelwood/entry_test.go
@@ -28,7 +28,9 @@
 	t         *testing.T
 	store     *keeper.MemoryStore
 	searchers map[string]*searcher.Stub
-	daemon    *process
+	// searcherURLs holds the address of each searcher by name.
+	searcherURLs map[string]string
+	daemon       *process
 	// settings is the path of the settings file, settingsText its content.
 	settings, settingsText string
 	callerAddr             string
@@ -47,7 +49,7 @@
 // newEntrySite makes a store, two shards of two searchers each, and the settings of a daemon, which it does not start.
 func newEntrySite(t *testing.T) *entrySite {
 	t.Helper()
-	s := &entrySite{t: t, store: keeper.NewMemoryStore(), searchers: make(map[string]*searcher.Stub)}
+	s := &entrySite{t: t, store: keeper.NewMemoryStore(), searchers: make(map[string]*searcher.Stub), searcherURLs: make(map[string]string)}
 	storeServer := httptest.NewServer(s.store)
 	t.Cleanup(storeServer.Close)
 	for _, name := range []string{"a1", "a2", "b1", "b2"} {
@@ -119,8 +121,8 @@
 	p := searcher.NewStub(name, searchDelay)
 	srv := httptest.NewServer(p)
 	s.t.Cleanup(srv.Close)
-	s.searchers[name] = p
-	s.store.Set(platform.KindServers, name, platform.EncodeSearcher(name[:1], strings.TrimPrefix(srv.URL, "http://"), "z", 3, false))
+	s.searchers[name], s.searcherURLs[name] = p, srv.URL
+	s.register(name, 0)
 }
 
 // declare writes a version of the desired state. target is the JSON field that completes the route "p" of single
--- a/internal/contract/declarer/searcher.go
+++ b/internal/contract/declarer/searcher.go
@@ -17,6 +17,9 @@
 	Draining bool `json:"draining,omitempty"`
 	// ColdFor is the rest of the warm-up time after a cold start.
 	ColdFor time.Duration `json:"cold,omitempty"`
+	// Born is when the process started, in milliseconds of Unix time; 0 means unspecified. A searcher that starts again under
+	// its ID has another one.
+	Born int64 `json:"born,omitempty"`
 }
 
 // Check validates the searcher. It returns every invalid field as joined FieldErrors, or nil.
@@ -34,5 +37,8 @@
 	if s.Slots < 0 || s.ColdFor < 0 {
 		f.addf("slots", "want 0 or more slots and a cold time of 0 or more, got %d and %s", s.Slots, s.ColdFor)
 	}
+	if s.Born < 0 {
+		f.addf("born", "want 0 or more, got %d", s.Born)
+	}
 	return f.join()
 }
--- a/internal/route/forwarder/fanout.go
+++ b/internal/route/forwarder/fanout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -165,6 +166,7 @@
 		MaxIdle:  s.MaxIdleConns,
 	}, !f.route.Idempotent)
 	res := result{call: i, searcher: n, reply: rep, err: err, class: classify(rep, err)}
+	f.fwd.heed(s, rep)
 	exchange.End(pickerOutcome(&res))
 	switch res.class {
 	case success:
@@ -178,6 +180,21 @@
 	f.results <- res
 }
 
+// heed records what a searcher says in an answer of the requests that it wants. An answer of another searcher at the address says
+// nothing about it.
+func (f *Forwarder) heed(s *locator.Searcher, rep *connector.Reply) {
+	if rep == nil || rep.Meta.Instance != "" && rep.Meta.Instance != s.ID {
+		return
+	}
+	if rep.Meta.Leaving && f.picker.Leave(s) {
+		f.log.Info("searcher gets no more requests: it says that it leaves", "searcher", s.ID, "service", s.Service, "request", rep.Meta.RequestID)
+	}
+	held := rep.Status == http.StatusServiceUnavailable && rep.Meta.HoldOff > 0
+	if held && f.picker.Hold(s, rep.Meta.HoldOff) && f.allowLogLine() {
+		f.log.Info("searcher gets no requests for a time: it refused one and says so", "searcher", s.ID, "service", s.Service, "for", rep.Meta.HoldOff, "request", rep.Meta.RequestID)
+	}
+}
+
 // pickerOutcome returns the outcome of a result for the picker. A searcher that resets a new connection is reachable
 // but has more connections than it accepts.
 func pickerOutcome(res *result) picker.Outcome {
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -114,7 +114,7 @@
 	v := f.views.View()
 	f.stats.setFleet(len(v.Members()), v.GathererCount())
 	name, a := f.answer(ctx, req, v)
-	a.RetryAfter = jitterRetryAfter(a.RetryAfter, rand.Float64())
+	a.RetryAfter = a.heldFor + jitterRetryAfter(a.RetryAfter, rand.Float64())
 	f.recordAnswer(req, name, v, &a)
 	return a
 }
--- a/internal/route/forwarder/request.go
+++ b/internal/route/forwarder/request.go
@@ -37,6 +37,8 @@
 	Missing int
 	// RetryAfter is the time after which a refused client may retry; 0 when none is set.
 	RetryAfter time.Duration
+	// heldFor is the time before which no searcher wants the request; it adds to RetryAfter.
+	heldFor time.Duration
 	// Gatherers are the IDs of the daemons that gathered the answer for this one.
 	Gatherers []string
 	// SubRequests is the number of requests sent to searchers.
--- a/internal/route/forwarder/single.go
+++ b/internal/route/forwarder/single.go
@@ -14,7 +14,9 @@
 func (f *Forwarder) single(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
 	fo := f.newFanout(req, body, rt, v, f.budgets(sender), []string{targetService(rt, rand.Float64())}, 1, deadline)
 	if !fo.send(0) {
-		return refuseNotRun(f.cfg.RetryAfter, "no searcher is available")
+		a := refuseNotRun(f.cfg.RetryAfter, "no searcher is available")
+		a.heldFor = f.picker.HeldFor(fo.calls[0].searchers)
+		return a
 	}
 	a := fo.runSingle(ctx)
 	a.SubRequests = len(fo.cancels)
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -5,6 +5,7 @@
 //   - Searchers that pause for a moment or turn slow for seconds: new requests go elsewhere as soon as an exchange in
 //     flight takes longer than average, before it has ended.
 //   - Searchers that fail while they report good health: their failure rate adds the cost of a second attempt.
+//   - Searchers that say in their answers that they leave, or want no request for a time: they get none.
 //   - Searchers that are unreachable: they get no request during a growing backoff, and then a single one as a probe.
 //   - Uneven load of zones: a searcher of another zone is chosen when those of the own zone have more in flight.
 package picker
@@ -47,6 +48,8 @@
 
 	mu     sync.Mutex
 	health map[string]*health
+	// withdrawals holds what searchers have said in their answers, by ID.
+	withdrawals map[string]*withdrawal
 	// observations holds what the next call of Drain returns.
 	observations map[string]*exchanger.Observation
 	nextSweep    time.Time
@@ -54,7 +57,7 @@
 
 // New returns a Picker of a daemon in zone; now is its clock.
 func New(zone string, now func() time.Time) *Picker {
-	return &Picker{zone: zone, now: now, health: make(map[string]*health), observations: make(map[string]*exchanger.Observation)}
+	return &Picker{zone: zone, now: now, health: make(map[string]*health), withdrawals: make(map[string]*withdrawal), observations: make(map[string]*exchanger.Observation)}
 }
 
 // Exchange is an exchange with a searcher from Pick to End.
@@ -109,6 +112,9 @@
 
 // cost returns the expected cost of a request to the searcher, and false when the searcher is not available.
 func (p *Picker) cost(s *locator.Searcher, average time.Duration, now time.Time) (float64, bool) {
+	if p.isWithdrawn(s, now) {
+		return 0, false
+	}
 	cost := 1.0
 	if h := p.health[s.ID]; h != nil {
 		if h.probing || now.Before(h.backoffUntil) {
@@ -173,6 +179,7 @@
 		return
 	}
 	p.nextSweep = now.Add(healthRetention)
+	p.sweepWithdrawals(now)
 	for id, h := range p.health {
 		last := h.sampledAt
 		if h.outcomeAt.After(last) {
--- a/internal/standin/searcher/stub.go
+++ b/internal/standin/searcher/stub.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,8 +19,12 @@
 	mu       sync.Mutex
 	delay    time.Duration
 	shedding bool
+	leaving  bool
+	holdOff  time.Duration
 	runs     map[string]int
 	lastRun  time.Time
+	// refusals holds the times of the requests that were refused while shedding.
+	refusals []time.Time
 }
 
 // NewStub returns a Stub whose service time is delay.
@@ -41,6 +46,27 @@
 	s.shedding = shedding
 }
 
+// SetLeaving makes every answer say that the searcher leaves, or none.
+func (s *Stub) SetLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+// SetHoldOff makes the refusals of a searcher that sheds say that it wants no request for d.
+func (s *Stub) SetHoldOff(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holdOff = d
+}
+
+// Refusals returns the times of the requests that were refused while shedding, in their order.
+func (s *Stub) Refusals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.refusals)
+}
+
 // Runs returns the number of runs of each request, keyed by request ID.
 func (s *Stub) Runs() map[string]int {
 	s.mu.Lock()
@@ -72,7 +98,12 @@
 	meta := connector.Meta{RequestID: req.RequestID, Instance: s.name}
 	s.mu.Lock()
 	delay, shedding := s.delay, s.shedding
+	meta.Leaving = s.leaving
 	misdirected := req.Instance != "" && req.Instance != s.name
+	if shedding && !misdirected {
+		meta.HoldOff = s.holdOff
+		s.refusals = append(s.refusals, time.Now())
+	}
 	if !shedding && !misdirected {
 		s.runs[req.RequestID]++
 		s.lastRun = time.Now()
--- a/internal/upstream/connector/request.go
+++ b/internal/upstream/connector/request.go
@@ -54,6 +54,11 @@
 	NotRun bool
 	// Instance is the searcher that answered; empty when not stated.
 	Instance string
+	// Leaving is true when the searcher is about to stop and wants no new request.
+	Leaving bool
+	// HoldOff is how long the searcher wants no request from this daemon, 0 when not stated. It counts in an answer with
+	// status 503.
+	HoldOff time.Duration
 }
 
 // Codec writes the headers of a request that are specific to searchers, and reads those of
