forwarder: attempts choose from the searchers of their moment

Cause: the view was taken when a request's head had arrived. The first attempt, after the body, and every later retry or hedge chose from the searchers of that view, on every path; so did a daemon that sent to shards which others could not reach.

A request with a body is now matched again, against the current view, once the body is there; attempts after the first, and a late gathering of shards, take the current searchers. Searchers are told apart by their IDs, not by their places in a list.

--- a/cmd/cornelwood/entry_test.go
+++ b/cmd/cornelwood/entry_test.go
@@ -181,8 +181,13 @@
 
 // send sends a request over the client's connections. A POST has a body of one byte, a GET has none.
 func (s *entrySite) send(client *http.Client, method, path string) response {
+	return s.sendBody(client, method, path, strings.NewReader(strings.Repeat("x", len(method)-3)))
+}
+
+// sendBody sends a request with a body.
+func (s *entrySite) sendBody(client *http.Client, method, path string, body io.Reader) response {
 	id := fmt.Sprintf("r%d", s.requestCount.Add(1))
-	r, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+s.callerAddr+path, strings.NewReader(strings.Repeat("x", len(method)-3)))
+	r, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+s.callerAddr+path, body)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -193,8 +198,8 @@
 		return response{id: id, err: err}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	out := response{id: id, status: resp.StatusCode, stamp: platform.ReadStamp(resp.Header), closing: resp.Close, body: string(body), err: err}
+	text, err := io.ReadAll(resp.Body)
+	out := response{id: id, status: resp.StatusCode, stamp: platform.ReadStamp(resp.Header), closing: resp.Close, body: string(text), err: err}
 	out.stamps, out.missing = platform.ReadParts(resp.Header)
 	return out
 }
@@ -274,6 +279,35 @@
 	awaitStamps("using version 4 after the outage", "b1 b2")
 }
 
+// TestEntrySlowUpload replaces the searchers of a service while a client sends a body over a slow connection. The request must go to
+// the new one: it went to those of the moment at which its head had arrived, after they had drained (review/4).
+func TestEntrySlowUpload(t *testing.T) {
+	const pieces = 18
+	s := withEntry(t)
+	r, w := io.Pipe()
+	go func() {
+		defer w.Close()
+		for range pieces {
+			time.Sleep(100 * time.Millisecond)
+			// The daemon may have answered.
+			_, _ = io.WriteString(w, strings.Repeat("x", 1000))
+		}
+	}()
+	answered := make(chan response, 1)
+	go func() { answered <- s.sendBody(&http.Client{}, http.MethodPost, "/p/1", r) }()
+	time.Sleep(200 * time.Millisecond)
+	s.addSearcher("a3")
+	for _, name := range []string{"a1", "a2"} {
+		addr := strings.TrimPrefix(s.searcherURLs[name], "http://")
+		s.store.Set(platform.KindServers, name, platform.EncodeSearcher("a", addr, "z", 3, true))
+	}
+	a := <-answered
+	s.assertStatus(a, http.StatusOK)
+	if diff := cmp.Diff("a3", a.stamp); diff != "" {
+		t.Errorf("searcher (-want +got):\n%s", diff)
+	}
+}
+
 // TestEntryOddEntry leaves an entry among those of the searchers that is nested too deeply for package json. The daemon must go on
 // following the list, also after a restart: no change was seen any more (issue 29).
 func TestEntryOddEntry(t *testing.T) {
--- a/internal/route/forwarder/delegation.go
+++ b/internal/route/forwarder/delegation.go
@@ -170,7 +170,7 @@
 func (d *delegation) gatherHere(ctx context.Context, shards []int, attempts int, budgets budgetFunc, repeated bool) {
 	rt := *d.route
 	rt.Attempts = attempts
-	j := d.fwd.newGatherJob(d.req, d.body, &rt, d.view, budgets, shards, d.neededOf(len(shards)), d.cutoffAt, d.deadline)
+	j := d.fwd.newGatherJob(d.req, d.body, &rt, d.fwd.views.View(), budgets, shards, d.neededOf(len(shards)), d.cutoffAt, d.deadline)
 	if repeated {
 		for i := range j.calls {
 			j.calls[i].refusals = 1
--- a/internal/route/forwarder/fake_test.go
+++ b/internal/route/forwarder/fake_test.go
@@ -99,6 +99,12 @@
 	}
 }
 
+// failedReply is a searcher's failure, and replacementAddr the address of a searcher that is registered later.
+var (
+	failedReply     = connector.Reply{Status: http.StatusInternalServerError, Meta: connector.Meta{Stamp: "st"}}
+	replacementAddr = netip.MustParseAddrPort("10.0.0.9:80")
+)
+
 // never is a delay longer than any test.
 const never = time.Hour
 
--- a/internal/route/forwarder/fanout.go
+++ b/internal/route/forwarder/fanout.go
@@ -50,9 +50,9 @@
 	service   string
 	searchers []locator.Searcher
 	budget    *hedger.Budget
-	// tried holds the indexes of the searchers whose attempt is in flight or may have run the request, notRun those
-	// of the searchers that are certain not to have run it.
-	tried, notRun []int
+	// tried holds the IDs of the searchers whose attempt is in flight or may have run the request, notRun those of the
+	// searchers that are certain not to have run it.
+	tried, notRun []string
 	// attempts counts the attempts that are in flight or may have run the request.
 	attempts int
 	// refusals counts the attempts that a searcher refused without running the request, unsent those that did not
@@ -70,12 +70,14 @@
 	awaitsPermit bool
 }
 
-// result is the result of one attempt; call and searcher are indexes.
+// result is the result of one attempt.
 type result struct {
-	call, searcher int
-	reply          *connector.Reply
-	err            error
-	class          resultClass
+	// call is the index of the call, searcher the ID of the searcher.
+	call     int
+	searcher string
+	reply    *connector.Reply
+	err      error
+	class    resultClass
 }
 
 const (
@@ -112,11 +114,19 @@
 	fo.permitted.Store(int32(rt.Attempts))
 	for i, s := range services {
 		c := &fo.calls[i]
-		c.service, c.searchers, c.budget = s, v.Searchers(s), budgets(s)
+		c.service, c.searchers, c.budget = s, readySearchers(v, s), budgets(s)
 	}
 	return fo
 }
 
+// readySearchers returns the searchers of a service, none while the view is not ready.
+func readySearchers(v *locator.View, service string) []locator.Searcher {
+	if ok, _ := v.Ready(); !ok {
+		return nil
+	}
+	return v.Searchers(service)
+}
+
 // allow permits n attempts for each call. Any goroutine may call it.
 func (f *fanout) allow(n int) {
 	f.permitted.Store(int32(n))
@@ -127,9 +137,13 @@
 }
 
 // send starts an attempt of call i at a searcher that has not been tried, or else at one that did not run an earlier
-// attempt. It returns false when no searcher is available.
+// attempt. It returns false when no searcher is available. Attempts after the first choose from the searchers of now: those
+// of the start may have left.
 func (f *fanout) send(i int) bool {
 	c := &f.calls[i]
+	if len(c.tried)+len(c.notRun) > 0 {
+		c.searchers = readySearchers(f.fwd.views.View(), c.service)
+	}
 	average := time.Duration(f.latency.average.Load())
 	n, exchange := f.fwd.picker.Pick(c.searchers, slices.Concat(c.tried, c.notRun), average)
 	if n < 0 && len(c.notRun) > 0 {
@@ -138,19 +152,20 @@
 	if n < 0 {
 		return false
 	}
-	c.notRun = slices.DeleteFunc(c.notRun, func(k int) bool { return k == n })
-	c.tried = append(c.tried, n)
+	s := &c.searchers[n]
+	c.notRun = slices.DeleteFunc(c.notRun, func(id string) bool { return id == s.ID })
+	c.tried = append(c.tried, s.ID)
 	c.attempts++
 	c.inFlight++
 	c.lastSentAt = time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), f.deadline)
 	f.cancels = append(f.cancels, cancel)
-	go f.attempt(ctx, cancel, i, n, &c.searchers[n], exchange)
+	go f.attempt(ctx, cancel, i, s, exchange)
 	return true
 }
 
-// attempt carries out one exchange of call i with searcher n, reports its outcome to the picker and sends the result.
-func (f *fanout) attempt(ctx context.Context, cancel context.CancelFunc, i, n int, s *locator.Searcher, exchange *picker.Exchange) {
+// attempt carries out one exchange of call i with a searcher, reports its outcome to the picker and sends the result.
+func (f *fanout) attempt(ctx context.Context, cancel context.CancelFunc, i int, s *locator.Searcher, exchange *picker.Exchange) {
 	defer cancel()
 	start := time.Now()
 	rep, err := f.fwd.exchanger.Do(ctx, s.Addr, &connector.Request{
@@ -165,7 +180,7 @@
 		Deadline: f.deadline,
 		MaxIdle:  s.MaxIdleConns,
 	}, !f.route.Idempotent)
-	res := result{call: i, searcher: n, reply: rep, err: err, class: classify(rep, err)}
+	res := result{call: i, searcher: s.ID, reply: rep, err: err, class: classify(rep, err)}
 	f.fwd.heed(s, rep)
 	exchange.End(pickerOutcome(&res))
 	switch res.class {
@@ -294,9 +309,9 @@
 }
 
 // markNotRun removes an attempt at a searcher that is certain not to have run it.
-func (c *serviceCall) markNotRun(searcher int) {
+func (c *serviceCall) markNotRun(searcher string) {
 	c.attempts--
-	c.tried = slices.DeleteFunc(c.tried, func(k int) bool { return k == searcher })
+	c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return id == searcher })
 	c.notRun = append(c.notRun, searcher)
 }
 
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -119,6 +119,9 @@
 	return a
 }
 
+// reasonNoRoute is the reason of an answer to a request that no route matches.
+const reasonNoRoute = "no route matches the host and path"
+
 // answer returns the name of the matching route, empty when there is none, and the answer.
 func (f *Forwarder) answer(ctx context.Context, req *Request, v *locator.View) (string, Answer) {
 	if f.refusing.Load() {
@@ -129,7 +132,7 @@
 	}
 	rt := v.Matcher.Match(req.Host, req.Path)
 	if rt == nil {
-		return "", refuse(http.StatusNotFound, "no route matches the host and path")
+		return "", refuse(http.StatusNotFound, reasonNoRoute)
 	}
 	limit := v.Matcher.Routing().Limits.BodyBytes
 	if limit <= 0 {
@@ -143,9 +146,18 @@
 	case err != nil:
 		return rt.Name, refuse(http.StatusBadRequest, "read request body: "+err.Error())
 	}
-	if f.refusing.Load() {
-		// The body may have taken long.
-		return rt.Name, refuseNotRun(f.cfg.RetryAfter, reasonStopping)
+	if req.HasBody {
+		// The body may have taken long: the route may have changed, searchers may have left, and the daemon may be stopping.
+		v = f.views.View()
+		if ok, reason := v.Ready(); !ok {
+			return rt.Name, refuseNotRun(f.cfg.RetryAfter, reason)
+		}
+		if rt = v.Matcher.Match(req.Host, req.Path); rt == nil {
+			return "", refuse(http.StatusNotFound, reasonNoRoute)
+		}
+		if f.refusing.Load() {
+			return rt.Name, refuseNotRun(f.cfg.RetryAfter, reasonStopping)
+		}
 	}
 	timeout := rt.EffectiveTimeout(req.ClientTimeout)
 	if timeout <= 0 {
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -71,14 +71,14 @@
 }
 
 // Pick starts an exchange with the searcher of the lowest cost and returns its index, or -1 and nil when no searcher
-// is available. It leaves out the searchers whose indexes are in tried. average is the average latency of the route.
-func (p *Picker) Pick(searchers []locator.Searcher, tried []int, average time.Duration) (int, *Exchange) {
+// is available. It leaves out the searchers whose IDs are in tried. average is the average latency of the route.
+func (p *Picker) Pick(searchers []locator.Searcher, tried []string, average time.Duration) (int, *Exchange) {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, bestCost := -1, 0.0
 	for i := range searchers {
-		if slices.Contains(tried, i) {
+		if slices.Contains(tried, searchers[i].ID) {
 			continue
 		}
 		cost, ok := p.cost(&searchers[i], average, now)
--- a/internal/route/picker/picker_test.go
+++ b/internal/route/picker/picker_test.go
@@ -51,7 +51,11 @@
 // assertPick checks which searcher is picked, those in tried left out.
 func (s *setup) assertPick(want int, tried ...int) {
 	s.t.Helper()
-	i, exchange := s.Pick(s.searchers, tried, average)
+	var ids []string
+	for _, i := range tried {
+		ids = append(ids, s.searchers[i].ID)
+	}
+	i, exchange := s.Pick(s.searchers, ids, average)
 	if i != want {
 		s.t.Errorf("picked %d, want %d", i, want)
 	}
@@ -67,7 +71,7 @@
 func TestZone(t *testing.T) {
 	s := newSetup(t, "other", "own", "other")
 	s.assertPick(1)
-	if i, _ := s.Pick(s.searchers, []int{1}, average); i == 1 {
+	if i, _ := s.Pick(s.searchers, []string{"b"}, average); i == 1 {
 		t.Error("picked a searcher that has been tried")
 	}
 	s.assertPick(-1, 0, 1, 2)
@@ -76,7 +80,7 @@
 // TestStall checks that requests avoid a searcher while an exchange with it hangs, before that exchange has ended.
 func TestStall(t *testing.T) {
 	s := newSetup(t, "own", "own")
-	_, hanging := s.Pick(s.searchers, []int{1}, average)
+	_, hanging := s.Pick(s.searchers, []string{"b"}, average)
 	s.now = s.now.Add(100 * time.Millisecond)
 	s.assertPick(1)
 	hanging.End(Abandoned)
@@ -141,7 +145,7 @@
 		t.Errorf("probed %d times in 10 s, want 3 to 9", probes)
 	}
 	s.now = s.now.Add(maxBackoff)
-	_, probe := s.Pick(s.searchers, []int{1}, average)
+	_, probe := s.Pick(s.searchers, []string{"b"}, average)
 	s.assertPick(1)
 	s.assertPick(-1, 1)
 	probe.End(Answered)
@@ -150,7 +154,7 @@
 
 func TestUsable(t *testing.T) {
 	s := newSetup(t, "own", "own")
-	_, exchange := s.Pick(s.searchers, []int{1}, average)
+	_, exchange := s.Pick(s.searchers, []string{"b"}, average)
 	exchange.End(Unreachable)
 	if n := s.Usable(s.searchers); n != 1 {
 		t.Errorf("%d searchers usable, want 1", n)
