locator: a zone that is brought back is cold until its searchers are known

Cause: each kind of objects is followed by itself, with a pause after each change. The end of the evacuation came by a watch at once, the second of two entries written before it after the pause. The views combined the two without regard to their revisions.

A zone that is brought back now remembers the store's revision of its return. Until the searchers are known up to it, those of services with a bound for cold searchers get no more than that bound allows. The caches report the revision up to which they are known, also without a change and when a peer relays it. A zone is used at once all the same, and services without a bound notice nothing. `cornelwood daemon` is not affected: an upstream's owner lowers its limit by load pages and lost connections.

--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -23,6 +23,9 @@
 	Replace(items []follower.Item[T], revision uint64)
 	// Apply receives the changes since the previous call, up to a revision.
 	Apply(changes []follower.Change[T], revision uint64)
+	// Confirm is called when the state is known up to a revision, after its changes have been
+	// passed on.
+	Confirm(revision uint64)
 	// Lost is called when the store stops answering.
 	Lost(err error)
 	// Regained is called when the store answers again, with the length of the outage.
@@ -118,6 +121,7 @@
 		c.compactedRevision = revision
 		c.confirm(revision, age)
 		c.sink.Replace(items, revision)
+		c.sink.Confirm(c.revision)
 		c.changed.raise()
 		return
 	}
@@ -157,6 +161,7 @@
 		c.sink.Apply(applied, revision)
 		c.changed.raise()
 	}
+	c.sink.Confirm(c.revision)
 }
 
 // applyChange applies one change if it is newer than the cached state, and reports
--- a/internal/control/relayer/cache_test.go
+++ b/internal/control/relayer/cache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -17,6 +18,8 @@
 type memorySink struct {
 	values map[string]string
 	isLost bool
+	// confirmed holds the revisions that were confirmed, each with the number of values at that moment.
+	confirmed []string
 }
 
 func (m *memorySink) Replace(items []follower.Item[string], _ uint64) {
@@ -36,6 +39,10 @@
 	}
 }
 
+func (m *memorySink) Confirm(revision uint64) {
+	m.confirmed = append(m.confirmed, fmt.Sprintf("%d:%d", revision, len(m.values)))
+}
+
 func (m *memorySink) Lost(error)             { m.isLost = true }
 func (m *memorySink) Regained(time.Duration) { m.isLost = false }
 
@@ -68,6 +75,18 @@
 	}
 }
 
+// TestConfirm checks that the sink learns up to which revision the state is known, also without a change, and after the changes.
+func TestConfirm(t *testing.T) {
+	c, m := newTestCache()
+	c.Replace([]follower.Item[string]{item("a", 1, "x")}, 3)
+	c.Apply(nil, 5)
+	c.Apply([]follower.Change[string]{changed("b", 7, "y")}, 8)
+	c.Apply(nil, 4)
+	if diff := cmp.Diff([]string{"3:1", "5:1", "8:2", "8:2"}, m.confirmed); diff != "" {
+		t.Errorf("confirmed revisions (-want +got):\n%s", diff)
+	}
+}
+
 func TestCacheChangeOrder(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/internal/route/locator/cold.go
+++ b/internal/route/locator/cold.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,6 +19,42 @@
 	coldSendersPerRate = 0.5
 )
 
+// opening is the return of an availability zone after an operator had taken it out.
+type opening struct {
+	// revision is the store's revision up to which the searchers must be known, at is when the return became known.
+	revision uint64
+	at       time.Time
+}
+
+// unconfirmedColdTime is how long a searcher may count as cold because it is not known whether it is: longer than any outage of
+// the store.
+const unconfirmedColdTime = time.Hour
+
+// warmAt returns the end of a searcher's warm-up. In a zone that was brought back it counts as cold until the searchers are known
+// as of that moment: they may have turned cold while they got no requests, and said so before.
+//
+// Load pattern: the load of a whole zone returns at one moment to searchers that have restarted meanwhile.
+func (l *Locator) warmAt(e *entry) time.Time {
+	if o, ok := l.openings[e.Zone]; ok {
+		return o.at.Add(unconfirmedColdTime)
+	}
+	return e.warmAt
+}
+
+// open records that zones were brought back as of a revision.
+func (l *Locator) open(zones []string, revision uint64) {
+	for _, zone := range zones {
+		l.openings[zone] = opening{revision: revision, at: time.Now()}
+	}
+	l.awaitsSearchers.Store(len(l.openings) > 0)
+}
+
+// confirmSearchers records that the searchers are known up to a revision.
+func (l *Locator) confirmSearchers(revision uint64) {
+	maps.DeleteFunc(l.openings, func(_ string, o opening) bool { return o.revision <= revision })
+	l.awaitsSearchers.Store(len(l.openings) > 0)
+}
+
 // coldShare returns this daemon's share of the rate, in requests per second, that all daemons together may send to a
 // cold searcher; members are those that send to its service. It is 0 for the daemons that rank last when the members are
 // ordered by a hash with the searcher's ID, and for those that are no members.
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -37,8 +37,12 @@
 	searchers   map[string]*entry
 	closedZones map[string]bool
 	members     map[string]declarer.Member
-	listed      bool
-	revision    uint64
+	// openings holds the zones that were brought back, until the searchers are known as of then. awaitsSearchers is true
+	// while there is one.
+	openings        map[string]opening
+	awaitsSearchers atomic.Bool
+	listed          bool
+	revision        uint64
 	// graceUntil is when removals of entries take effect at once again after an outage of the store.
 	graceUntil time.Time
 	storeDown  bool
@@ -61,6 +65,7 @@
 		updates:     make(chan func(), updateQueueLength),
 		searchers:   make(map[string]*entry),
 		closedZones: make(map[string]bool),
+		openings:    make(map[string]opening),
 		members:     make(map[string]declarer.Member),
 	}
 	l.view.Store(&View{})
@@ -160,6 +165,7 @@
 				senders = byID(v.gatherers)
 			}
 			s.ColdLimited, s.ColdRate = true, coldShare(limit.ColdRate, e.ID, l.self.ID, senders)
+			s.WarmAt = l.warmAt(e)
 		}
 		v.services[e.Service] = append(v.services[e.Service], s)
 	}
--- a/internal/route/locator/locator_test.go
+++ b/internal/route/locator/locator_test.go
@@ -67,6 +67,57 @@
 	}
 }
 
+// TestZoneReturnsCold covers a zone that is brought back after its searchers have turned cold, which their entries said before. The
+// return may become known first, since each kind of objects is followed by itself: a searcher then got full load (review/5). Until
+// the searchers are known as of the return, they count as cold.
+func TestZoneReturnsCold(t *testing.T) {
+	const rate = 8
+	withLocator(t, func(l *Locator) {
+		bounded := routing(4)
+		bounded.Value.Services = []declarer.ServiceLimits{{Name: "svc", ColdRate: rate}}
+		l.Routings().Replace([]follower.Item[*declarer.Routing]{bounded}, 3)
+		l.Closures().Apply(change(follower.Item[string]{Name: "a", Revision: 10}, false), 10)
+		assertSearchers(t, l, "s2")
+		cold := func() string {
+			synctest.Wait()
+			var ids []string
+			for _, s := range l.View().Searchers("svc") {
+				if s.ColdLimited && s.ColdRate > 0 && time.Now().Before(s.WarmAt) {
+					ids = append(ids, s.ID)
+				}
+			}
+			slices.Sort(ids)
+			return strings.Join(ids, " ")
+		}
+		l.Closures().Apply(change(follower.Item[string]{Name: "a", Revision: 20}, true), 20)
+		assertSearchers(t, l, "s1 s2")
+		got := []string{cold()}
+		// The state of the searchers is known as of before the return.
+		l.Searchers().Confirm(19)
+		got = append(got, cold())
+		turned := searcher("s1", "a")
+		turned.Value.ColdFor = 3 * time.Second
+		l.Searchers().Apply(change(turned, false), 20)
+		l.Searchers().Confirm(20)
+		got = append(got, cold())
+		time.Sleep(3 * time.Second)
+		got = append(got, cold())
+		// A zone that is taken out again before it was confirmed.
+		l.Closures().Apply(change(follower.Item[string]{Name: "b", Revision: 30}, false), 30)
+		l.Closures().Apply(change(follower.Item[string]{Name: "b", Revision: 31}, true), 31)
+		got = append(got, cold())
+		l.Closures().Apply(change(follower.Item[string]{Name: "b", Revision: 32}, false), 32)
+		l.Closures().Apply(change(follower.Item[string]{Name: "b", Revision: 40}, true), 40)
+		l.Searchers().Confirm(35)
+		got = append(got, cold())
+		l.Searchers().Confirm(41)
+		got = append(got, cold())
+		if diff := cmp.Diff([]string{"s1", "s1", "s1", "", "s2", "s2", ""}, got); diff != "" {
+			t.Errorf("cold searchers (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestReady(t *testing.T) {
 	l := New(declarer.Member{ID: "a", Zone: "z"}, hclog.NewNullLogger())
 	if ok, reason := l.View().Ready(); ok || reason == "" {
--- a/internal/route/locator/sink.go
+++ b/internal/route/locator/sink.go
@@ -33,6 +33,9 @@
 	})
 }
 
+// Confirm does nothing: a desired state has a version of its own.
+func (s *routingSink) Confirm(uint64) {}
+
 // Lost logs the start of an outage of the store.
 func (s *routingSink) Lost(err error) {
 	s.l.log.Warn("store unreachable", "kind", "routing", "error", err)
@@ -103,6 +106,13 @@
 	})
 }
 
+// Confirm records that the searchers are known up to a revision, if a zone waits for that.
+func (s *searcherSink) Confirm(revision uint64) {
+	if s.l.awaitsSearchers.Load() {
+		s.l.enqueue(func() { s.l.confirmSearchers(revision) })
+	}
+}
+
 // Lost records the start of an outage of the store: entries removed from now on may belong to running searchers.
 func (s *searcherSink) Lost(err error) {
 	s.l.enqueue(func() {
@@ -181,8 +191,8 @@
 	})
 }
 
-// Apply closes and reopens zones.
-func (s *closureSink) Apply(changes []follower.Change[string], _ uint64) {
+// Apply closes and reopens zones, as of a revision.
+func (s *closureSink) Apply(changes []follower.Change[string], revision uint64) {
 	if len(changes) == 0 {
 		return
 	}
@@ -191,17 +201,23 @@
 		for zone := range s.l.closedZones {
 			closed[zone] = true
 		}
+		var opened []string
 		for _, c := range changes {
 			if c.Removed {
 				delete(closed, c.Name)
+				opened = append(opened, c.Name)
 				continue
 			}
 			closed[c.Name] = true
 		}
 		s.l.setClosedZones(closed)
+		s.l.open(opened, revision)
 	})
 }
 
+// Confirm does nothing: zones count as closed or open by the last change.
+func (s *closureSink) Confirm(uint64) {}
+
 // Lost logs the start of an outage of the store.
 func (s *closureSink) Lost(err error) {
 	s.l.log.Warn("store unreachable", "kind", "closures", "error", err)
@@ -254,6 +270,9 @@
 	})
 }
 
+// Confirm does nothing.
+func (s *memberSink) Confirm(uint64) {}
+
 // Lost does nothing: a daemon that fails during an outage of the store is detected because it stops responding.
 func (s *memberSink) Lost(error) {}
 
