--- a/cmd/cornelwood/entry_soak_faults_test.go
+++ b/cmd/cornelwood/entry_soak_faults_test.go
@@ -47,6 +47,12 @@
 			k.store.SetDown(false)
 		},
 		"store compacts": func(*soakFault) { k.store.Compact() },
+		"store cuts watches": func(f *soakFault) {
+			const interval = 300 * time.Millisecond
+			for end := time.Now().Add(f.duration); time.Now().Before(end); time.Sleep(interval) {
+				k.store.CutWatches()
+			}
+		},
 		"store slow":     func(f *soakFault) { k.disturbStorePaths(f, false, false, 300*time.Millisecond) },
 		"store silent":   func(f *soakFault) { k.disturbStorePaths(f, true, true, 0) },
 		"store answers lost": func(f *soakFault) {
@@ -61,6 +67,12 @@
 		"searchers shed": func(f *soakFault) {
 			k.changeSearchers(f, func(s *soakSearcher, on bool) { s.SetShedding(on) })
 		},
+		"searchers hold off": func(f *soakFault) {
+			k.changeSearchers(f, func(s *soakSearcher, on bool) {
+				s.SetHoldOff(f.duration / 2)
+				s.SetShedding(on)
+			})
+		},
 		"searchers slow": func(f *soakFault) {
 			k.changeSearchers(f, func(s *soakSearcher, on bool) {
 				s.SetDelay(searchDelay)
