forwarder: an answer of another searcher says nothing of the one that was asked

Status 421 comes from another searcher at the address, also where the answer names none. With Server-Leaving it took the one that was asked out of use.

--- a/internal/route/forwarder/withdrawal_test.go
+++ b/internal/route/forwarder/withdrawal_test.go
@@ -88,16 +88,18 @@
 			}
 		})
 	})
-	t.Run("another searcher at the address", func(t *testing.T) {
-		withForwarder(t, 1, func(s *setup) {
-			s.behaviors["1a"] = replyFrom("1a", "other", http.StatusMisdirectedRequest, leaving)
-			s.sendMany("/post/x", 1)
-			s.behaviors["1a"] = nil
-			if a, _ := s.sendMany("/post/x", 20); a == 0 {
-				t.Error("no request reached the searcher, although another one has said that it leaves")
-			}
+	for _, instance := range []string{"other", ""} {
+		t.Run("another searcher at the address, named "+instance, func(t *testing.T) {
+			withForwarder(t, 1, func(s *setup) {
+				s.behaviors["1a"] = replyFrom("1a", instance, http.StatusMisdirectedRequest, leaving)
+				s.sendMany("/post/x", 1)
+				s.behaviors["1a"] = nil
+				if a, _ := s.sendMany("/post/x", 20); a == 0 {
+					t.Error("no request reached the searcher, although another one has said that it leaves")
+				}
+			})
 		})
-	})
+	}
 }
 
 // TestHeldSearcher covers a searcher that turns a request away and wants none for a time.
