--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -83,17 +83,42 @@
 
 // fakeSink records the last revision and the number of calls of Lost.
 type fakeSink struct {
+	mu       sync.Mutex
 	revision uint64
 	known    bool
 	losses   int
 }
 
-func (s *fakeSink) Revision() (uint64, bool) { return s.revision, s.known }
+func (s *fakeSink) Revision() (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, s.known
+}
+
 func (s *fakeSink) Replace(_ []Item[string], revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.revision, s.known = revision, true
 }
-func (s *fakeSink) Apply(_ []Change[string], revision uint64) { s.revision = revision }
-func (s *fakeSink) Lost(error)                                { s.losses++ }
+
+func (s *fakeSink) Apply(_ []Change[string], revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = revision
+}
+
+func (s *fakeSink) Lost(error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losses++
+}
+
+// lossCount returns the number of calls of Lost so far.
+func (s *fakeSink) lossCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.losses
+}
 
 // testGate is a Gate that a test opens.
 type testGate struct {
@@ -178,8 +203,8 @@
 			time.Sleep(10 * time.Second)
 			feed.update(func() { feed.revision = 8 })
 			time.Sleep(feed.cutAfter + feed.cutAfter/2)
-			if sink.revision != 8 {
-				t.Errorf("revision %d, want 8 by the check after the cut", sink.revision)
+			if revision, _ := sink.Revision(); revision != 8 {
+				t.Errorf("revision %d, want 8 by the check after the cut", revision)
 			}
 		})
 		if sink.losses != 0 {
@@ -196,8 +221,8 @@
 			feed.update(func() { feed.hang = true })
 			cfg := Default()
 			time.Sleep(2*cfg.WatchWait + 2*cfg.CallMargin + cfg.WatchPause*5/4)
-			if sink.losses != 1 {
-				t.Errorf("Lost was called %d times, want 1", sink.losses)
+			if n := sink.lossCount(); n != 1 {
+				t.Errorf("Lost was called %d times, want 1", n)
 			}
 		})
 	})
