forwarder: a test waits for attempts that have just started before it counts them

TestQueryFails, "not run while its searchers are unreachable", failed once in a run of the package: 6 requests to searchers, want 5.

A query that fails returns while attempts at its other shards have been started and not yet counted, so the number before the refused query was sometimes read too early.

--- a/internal/route/forwarder/query_test.go
+++ b/internal/route/forwarder/query_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -92,6 +93,8 @@
 			for range 8 {
 				s.request(s.t.Context(), "/q/x", "")
 			}
+			// A query that fails leaves attempts behind that have just started.
+			synctest.Wait()
 			sent := s.total()
 			a, took := s.request(s.t.Context(), "/q/x", "")
 			s.assertAnswer(a, http.StatusServiceUnavailable)
