--- a/internal/daemon/router/shutdown.go
+++ b/internal/daemon/router/shutdown.go
@@ -41,7 +41,7 @@
 	time.Sleep(time.Until(at(acceptFraction)))
 	r.forwarder.Refuse()
 	r.log.Info("requests are refused from now on", "running", r.running())
-	r.awaitIdle(at(endFraction), idleBeforeExit)
+	r.awaitIdle(at(endFraction))
 	if n := r.running(); n > 0 {
 		r.log.Warn("requests still in flight near the end of the grace period get their final answers now", "running", n)
 	}
@@ -54,12 +54,12 @@
 	return r.active.count() + r.forwarder.Gathers()
 }
 
-// awaitIdle waits until no request has been in flight for d, at most until the deadline.
-func (r *Router) awaitIdle(deadline time.Time, d time.Duration) {
+// awaitIdle waits until no request has been in flight for idleBeforeExit, at most until the deadline.
+func (r *Router) awaitIdle(deadline time.Time) {
 	for idleSince := time.Now(); time.Now().Before(deadline); time.Sleep(idlePollInterval) {
 		if r.running() > 0 {
 			idleSince = time.Now()
-		} else if time.Since(idleSince) >= d {
+		} else if time.Since(idleSince) >= idleBeforeExit {
 			return
 		}
 	}
--- a/internal/route/forwarder/fanout.go
+++ b/internal/route/forwarder/fanout.go
@@ -198,8 +198,7 @@
 // heed records what a searcher says in an answer of the requests that it wants. An answer of another searcher at the address says
 // nothing about it.
 func (f *Forwarder) heed(s *locator.Searcher, rep *connector.Reply) {
-	isOther := rep != nil && (rep.Status == http.StatusMisdirectedRequest || rep.Meta.Instance != "" && rep.Meta.Instance != s.ID)
-	if rep == nil || isOther {
+	if rep == nil || rep.Status == http.StatusMisdirectedRequest || rep.Meta.Instance != "" && rep.Meta.Instance != s.ID {
 		return
 	}
 	if rep.Meta.Leaving && f.picker.Leave(s) {
--- a/internal/route/picker/withdrawal.go
+++ b/internal/route/picker/withdrawal.go
@@ -51,8 +51,8 @@
 	defer p.mu.Unlock()
 	var first time.Duration
 	for i := range searchers {
-		w := p.withdrawals[searchers[i].ID]
-		if w == nil || w.born != searchers[i].Born || w.leaving {
+		w := p.findWithdrawal(&searchers[i])
+		if w == nil || w.leaving {
 			continue
 		}
 		if left := w.heldUntil.Sub(now); left > 0 && (first == 0 || left < first) {
@@ -62,10 +62,19 @@
 	return first
 }
 
-// withdrawalOf returns the withdrawal of a searcher's lifetime, and creates it when there is none.
-func (p *Picker) withdrawalOf(s *locator.Searcher) *withdrawal {
+// findWithdrawal returns the withdrawal of a searcher's lifetime, nil when there is none.
+func (p *Picker) findWithdrawal(s *locator.Searcher) *withdrawal {
 	w := p.withdrawals[s.ID]
 	if w == nil || w.born != s.Born {
+		return nil
+	}
+	return w
+}
+
+// withdrawalOf returns the withdrawal of a searcher's lifetime, and creates it when there is none.
+func (p *Picker) withdrawalOf(s *locator.Searcher) *withdrawal {
+	w := p.findWithdrawal(s)
+	if w == nil {
 		w = &withdrawal{born: s.Born}
 		p.withdrawals[s.ID] = w
 	}
@@ -75,8 +84,8 @@
 
 // isWithdrawn reports whether a searcher wants no requests.
 func (p *Picker) isWithdrawn(s *locator.Searcher, now time.Time) bool {
-	w := p.withdrawals[s.ID]
-	if w == nil || w.born != s.Born {
+	w := p.findWithdrawal(s)
+	if w == nil {
 		return false
 	}
 	w.seenAt = now
