--- a/internal/upstream/connector/connector_test.go
+++ b/internal/upstream/connector/connector_test.go
@@ -225,8 +225,8 @@
 	})
 }
 
-// TestLateCopyOfRefusal covers a searcher that refuses a request and sends the refusal once more, late, on the connection. The
-// copy bears the ID of the request, and was taken for the answer to its next attempt, which ran (review/1).
+// TestLateCopyOfRefusal covers a searcher that refuses a request and later sends a duplicate of the refusal on the same connection.
+// The duplicate has the ID of the request and was accepted as the response to its next attempt, which the searcher ran (review/1).
 func TestLateCopyOfRefusal(t *testing.T) {
 	refusal := "HTTP/1.1 503 Full\r\nId: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	for _, between := range []int{0, 1, 5} {
