--- a/internal/contract/declarer/routing.go
+++ b/internal/contract/declarer/routing.go
@@ -20,6 +20,9 @@
 	Routes   []Route         `json:"routes"`
 	Services []ServiceLimits `json:"services,omitempty"`
 	Limits   RequestLimits   `json:"limits"`
+	// Accounts are the client accounts. When there is at least one, a request needs the key of one of them unless its
+	// route is public.
+	Accounts []Account `json:"accounts,omitempty"`
 }
 
 // Route declares the requests of one host below one path prefix. Exactly one of
@@ -39,6 +42,8 @@
 	Attempts int `json:"attempts"`
 	// Priority is the rank of the route; requests of rank 0 are served first.
 	Priority int `json:"priority"`
+	// Public is true when requests need no key.
+	Public bool `json:"public,omitempty"`
 	// Targets are the services among which single requests are divided.
 	Targets []Target `json:"targets,omitempty"`
 	// Shards are the services that each hold one part of the answer to a query.
--- a/internal/contract/declarer/searcher.go
+++ b/internal/contract/declarer/searcher.go
@@ -11,6 +11,8 @@
 	Service string         `json:"service"`
 	Addr    netip.AddrPort `json:"addr"`
 	Zone    string         `json:"zone"`
+	// Version is the version of the searcher's software; empty means unspecified.
+	Version string `json:"version,omitempty"`
 	// Slots is the number of requests that the searcher runs at once; 0 means unspecified.
 	Slots int `json:"slots,omitempty"`
 	// Draining is true while the searcher finishes its running requests and accepts no new ones.
--- a/internal/settings/reader/entry.go
+++ b/internal/settings/reader/entry.go
@@ -9,13 +9,16 @@
 
 // EntrySettings holds the settings of an entry daemon, which answers clients' requests according to declared routes.
 type EntrySettings struct {
-	Daemon   Daemon
-	Log      Log
-	Caller   EntryCaller
-	Store    Store
-	Process  Process
-	Shutdown EntryShutdown
-	Extra    RetryBudget
+	Daemon    Daemon
+	Log       Log
+	Caller    EntryCaller
+	Store     Store
+	Process   Process
+	Shutdown  EntryShutdown
+	Extra     RetryBudget
+	Account   AccountKeys
+	Allotment Allotment
+	Rollout   Rollout
 }
 
 // EntryCaller holds the addresses on which an entry daemon listens.
@@ -39,6 +42,8 @@
 type Process struct {
 	// MemoryMB is the memory use in MB at which the process is killed; 0 means no limit.
 	MemoryMB int
+	// Descriptors is the number of files and sockets that the process may have open; 0 means not known.
+	Descriptors int
 	// Share is the part of a processor core that the process gets; 0 means unspecified.
 	Share float64
 }
@@ -59,6 +64,36 @@
 	Window time.Duration
 }
 
+// AccountKeys holds the settings of client accounts' keys.
+type AccountKeys struct {
+	// Strict is true when a key counts only while the desired state is known to be current.
+	Strict bool
+	// Revoke is the time after its withdrawal from which no daemon may use a key; 0 means unspecified.
+	Revoke time.Duration
+}
+
+// Allotment holds the tolerance of client accounts' limits. In each window all daemons together may exceed an account's
+// limit by Overage, a share of it, and Slack requests.
+type Allotment struct {
+	// Window is the time over which requests are counted; 0 means that limits are not enforced.
+	Window  time.Duration
+	Overage float64
+	Slack   int
+}
+
+// Rollout holds the limits of roll-outs of a service's version.
+type Rollout struct {
+	// Share is the largest share of a service's requests for a version under test; 0 means that there are no roll-outs.
+	Share float64
+	// Slack is the number of requests above Share that all daemons together may send.
+	Slack int
+	// Rollback is the time after a version's 50th bad answer from which it must get no request.
+	Rollback time.Duration
+}
+
+// maxDescriptors is the highest value of the descriptors setting.
+const maxDescriptors = 1 << 24
+
 // maxMemoryMB is the highest value of the memory setting, in MB.
 const maxMemoryMB = 1 << 20
 
@@ -106,8 +141,23 @@
 		}},
 		{"process", "process limits", []field{
 			{key: "memory", defaultValue: "0", help: "memory use in MB at which the process is killed; 0 for no limit", parse: integer(&s.Process.MemoryMB, 0, maxMemoryMB)},
+			{key: "descriptors", defaultValue: "0", help: "files and sockets that the process may have open; 0 if not known", parse: integer(&s.Process.Descriptors, 0, maxDescriptors)},
 			{key: "share", defaultValue: "0", help: "part of a processor core that the process gets, by which daemons are chosen to gather queries; 0 if not known", parse: number(&s.Process.Share, 0, maxShare)},
 		}},
+		{"account", "keys of client accounts", []field{
+			{key: "strict", defaultValue: "false", help: "true when a key counts only while the desired state is known to be current", parse: boolean(&s.Account.Strict)},
+			{key: "revoke", defaultValue: "0s", help: "time after its withdrawal from which no daemon may use a key; 0 if not specified", parse: duration(&s.Account.Revoke, 0)},
+		}},
+		{"allotment", "tolerance of the accounts' limits, which hold for all daemons together", []field{
+			{key: "window", defaultValue: "0s", help: "time over which an account's requests are counted; 0 to enforce no limits", parse: duration(&s.Allotment.Window, 0)},
+			{key: "overage", defaultValue: "0", help: "share of a limit by which it may be exceeded in a window", parse: fraction(&s.Allotment.Overage)},
+			{key: "slack", defaultValue: "0", help: "requests by which a limit may be exceeded in a window in addition", parse: integer(&s.Allotment.Slack, 0, maxQueries)},
+		}},
+		{"rollout", "roll-outs of a service's version", []field{
+			{key: "share", defaultValue: "0", help: "largest share of a service's requests for a version under test; 0 for no roll-outs", parse: fraction(&s.Rollout.Share)},
+			{key: "slack", defaultValue: "0", help: "requests above the share that all daemons together may send in case of failures", parse: integer(&s.Rollout.Slack, 0, maxQueries)},
+			{key: "rollback", defaultValue: "0s", help: "time after a version's 50th bad answer from which it must get no request", parse: duration(&s.Rollout.Rollback, 0)},
+		}},
 		{"shutdown", "graceful shutdown", []field{
 			{key: "grace", defaultValue: "6s", help: "time from SIGTERM until the process is killed", parse: duration(&s.Shutdown.Grace, 0)},
 		}},
--- a/internal/settings/reader/entry_test.go
+++ b/internal/settings/reader/entry_test.go
@@ -63,7 +63,16 @@
 		"{{listen.front_addr}}", "10.1.0.39:8226", "{{listen.ready_addr}}", "10.1.0.39:8227",
 		"{{ip}}:{{port_range.0}}", "10.1.0.39:7740", "{{platform.address}}", "10.200.1.7:8229",
 		"{{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}}", "true", "{{limits.memory_mb}}", "284", "{{limits.cpu_share}}", "0.4", "{{bounds.grace_s}}", "6", "{{bounds.retry_budget_ratio}}", "0.2",
-		"{{bounds.retry_slack}}", "56", "{{bounds.budget_window_s}}", "10",
+		"{{bounds.retry_slack}}", "56", "{{bounds.budget_window_s}}", "10", "{{limits.max_fds}}", "4100",
+		"{{#bounds.strict_revoke}}strict = true{{/bounds.strict_revoke}}", "strict = true",
+		"{{#bounds.revoke_ms}}revoke = {{bounds.revoke_ms}}ms{{/bounds.revoke_ms}}", "revoke = 5000ms",
+		"{{#bounds.quota_window_s}}window = {{bounds.quota_window_s}}s{{/bounds.quota_window_s}}", "window = 5s",
+		"{{#bounds.quota_overage}}overage = {{bounds.quota_overage}}{{/bounds.quota_overage}}", "overage = 0.1",
+		"{{#bounds.quota_slack}}slack = {{bounds.quota_slack}}{{/bounds.quota_slack}}", "slack = 20",
+		// A placeholder without a value leaves an empty line.
+		"{{#bounds.canary_share}}share = {{bounds.canary_share}}{{/bounds.canary_share}}", "",
+		"{{#bounds.canary_slack}}slack = {{bounds.canary_slack}}{{/bounds.canary_slack}}", "",
+		"{{#bounds.rollback_ms}}rollback = {{bounds.rollback_ms}}ms{{/bounds.rollback_ms}}", "",
 	).Replace(string(text))
 	path := writeFile(t, filled)
 	set, err := ReadEntrySettings(path)
@@ -77,7 +86,16 @@
 	if diff := cmp.Diff(want, set.Extra); diff != "" {
 		t.Errorf("retry budget (-want +got):\n%s", diff)
 	}
-	if set.Shutdown.Grace != 6*time.Second || set.Process.MemoryMB != 284 || set.Process.Share != 0.4 || !set.Store.Bootstrap || !set.Log.JSON {
+	if diff := cmp.Diff(AccountKeys{Strict: true, Revoke: 5 * time.Second}, set.Account); diff != "" {
+		t.Errorf("keys of client accounts (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(Allotment{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, set.Allotment); diff != "" {
+		t.Errorf("allotment (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(Rollout{}, set.Rollout); diff != "" {
+		t.Errorf("roll-outs (-want +got):\n%s", diff)
+	}
+	if set.Process.Descriptors != 4100 || set.Shutdown.Grace != 6*time.Second || set.Process.MemoryMB != 284 || set.Process.Share != 0.4 || !set.Store.Bootstrap || !set.Log.JSON {
 		t.Errorf("settings %+v", set)
 	}
 }
