estimator, picker: learn the speed and the limit of searchers, and see their queue by all daemons

Servers of one service differ in speed and some slow down before their slots are full; a daemon saw only its own requests in flight, so that many daemons filled a searcher that each of them took for idle.

--- a/internal/control/relayer/observations.go
+++ b/internal/control/relayer/observations.go
@@ -60,13 +60,16 @@
 	// that were slower than the moving average by this factor over this many answers.
 	otherZoneMinSlowness = 1.7
 	otherZoneMinAnswers  = 4
+	// They also get the load of searchers that are busy: about one request in flight at all times between two polls. Less
+	// does not bring any searcher near its limit.
+	otherZoneMinBusy = 400 * time.Millisecond
 )
 
 // filterForOtherZones returns the observations that peers of other zones get: those of
-// searchers that failed or were unusually slow. It overwrites its argument.
+// searchers that failed, were unusually slow or busy. It overwrites its argument.
 func filterForOtherZones(observations []exchanger.Observation) []exchanger.Observation {
 	return slices.DeleteFunc(observations, func(ob exchanger.Observation) bool {
-		return ob.Failures == 0 && (ob.Answers < otherZoneMinAnswers || ob.Slowness < otherZoneMinSlowness)
+		return ob.Failures == 0 && ob.Busy < otherZoneMinBusy && (ob.Answers < otherZoneMinAnswers || ob.Slowness < otherZoneMinSlowness)
 	})
 }
 
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -129,6 +129,9 @@
 	r.closers = append(r.closers, closer)
 	r.locator = locator.New(selfMember(settings), r.log.Named("control"))
 	r.picker = picker.New(settings.Daemon.Zone, time.Now)
+	r.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "cornelwood_searchers_full", Help: "Searchers with as many requests in flight, of all daemons, as they handle well.",
+	}, func() float64 { return float64(r.picker.Full()) }))
 	r.buildControl(settings)
 	r.conns, closer = connector.New(connector.Default(), platform.Codec{})
 	r.closers = append(r.closers, closer)
--- a/internal/route/picker/health.go
+++ b/internal/route/picker/health.go
@@ -55,6 +55,8 @@
 	failureRate float64
 	outcomeAt   time.Time
 	inFlight    map[*Exchange]struct{}
+	// slots is the number of requests that the searcher declares to run at once.
+	slots int
 	// dialFailures counts consecutive failures to connect; no request is sent before backoffUntil.
 	dialFailures int
 	backoffUntil time.Time
@@ -124,6 +126,14 @@
 	return 1 + (h.slowness-1)*decay(now.Sub(h.sampledAt), slownessHalfLife)
 }
 
+// learnedShare returns how far the slowness has decayed towards the searcher's learned speed, 0 to 1.
+func (h *health) learnedShare(now time.Time) float64 {
+	if h.sampledAt.IsZero() {
+		return 1
+	}
+	return 1 - decay(now.Sub(h.sampledAt), slownessHalfLife)
+}
+
 // failureRateAt returns the failure rate, which decays towards 0 with the time since the last outcome.
 func (h *health) failureRateAt(now time.Time) float64 {
 	return h.failureRate * decay(now.Sub(h.outcomeAt), failureHalfLife)
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -7,6 +7,7 @@
 //   - Searchers that fail while they report good health: their failure rate adds the cost of a second attempt.
 //   - Searchers that say in their answers that they leave, or want no request for a time: they get none.
 //   - Searchers that are unreachable: they get no request during a growing backoff, and then a single one as a probe.
+//   - Searchers with more requests in flight, from all daemons, than they handle well: others are chosen.
 //   - Uneven load of zones: a searcher of another zone is chosen when those of the own zone have more in flight.
 package picker
 
@@ -17,6 +18,7 @@
 	"time"
 
 	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/route/estimator"
 	"cornelwood.example/internal/route/locator"
 )
 
@@ -30,6 +32,9 @@
 	inFlightCost = 0.35
 	// failureCost is the cost of a failed attempt.
 	failureCost = 8
+	// queueCost is the cost of a searcher's queue, relative to the requests that it handles well at once: with as many
+	// again in flight, a request waits as long as it runs.
+	queueCost = 1
 	// coldCost is the additional cost of a searcher during its warm-up.
 	coldCost = 1
 	// stallThreshold is the relative latency above which an exchange in flight counts as the searcher's slowness.
@@ -52,12 +57,19 @@
 	withdrawals map[string]*withdrawal
 	// observations holds what the next call of Drain returns.
 	observations map[string]*exchanger.Observation
-	nextSweep    time.Time
+	// drainedAt is when Drain was last called.
+	drainedAt time.Time
+	// estimator holds the speed and the limit of searchers, and the load by other daemons.
+	estimator *estimator.Estimator
+	nextSweep time.Time
 }
 
 // New returns a Picker of a daemon in zone; now is its clock.
 func New(zone string, now func() time.Time) *Picker {
-	return &Picker{zone: zone, now: now, health: make(map[string]*health), withdrawals: make(map[string]*withdrawal), observations: make(map[string]*exchanger.Observation)}
+	return &Picker{
+		zone: zone, now: now, health: make(map[string]*health), withdrawals: make(map[string]*withdrawal),
+		observations: make(map[string]*exchanger.Observation), drainedAt: now(), estimator: estimator.New(now),
+	}
 }
 
 // Exchange is an exchange with a searcher from Pick to End.
@@ -93,7 +105,7 @@
 	if s := &searchers[best]; s.ColdLimited && now.Before(s.WarmAt) {
 		p.healthOf(s.ID).coldTokens--
 	}
-	return best, p.start(searchers[best].ID, average, now)
+	return best, p.start(&searchers[best], average, now)
 }
 
 // Usable returns the number of searchers that are available for a request now.
@@ -120,13 +132,16 @@
 		if h.probing || now.Before(h.backoffUntil) {
 			return 0, false
 		}
-		cost = h.slownessAt(now)
+		cost = h.slownessAt(now) + h.learnedShare(now)*(1/p.estimator.Speed(s.ID)-1)
 		if slowest := h.slowestInFlight(now); slowest > stallThreshold {
 			cost = max(cost, slowest)
 		}
 		cost *= 1 + inFlightCost*float64(len(h.inFlight))
 		cost += failureCost * h.failureRateAt(now)
 	}
+	if load, limit := p.load(s); limit > 0 {
+		cost += queueCost * max(0, load+1-limit) / limit
+	}
 	if s.Zone != p.zone {
 		cost += crossZoneCost + relativeLatency(crossZoneDelay, average)
 	}
@@ -139,11 +154,59 @@
 	return cost, true
 }
 
-func (p *Picker) start(id string, average time.Duration, now time.Time) *Exchange {
-	h := p.healthOf(id)
+// load returns the number of requests in flight to a searcher, of all daemons, and the number that it handles well, 0 when
+// it has no limit.
+func (p *Picker) load(s *locator.Searcher) (load, limit float64) {
+	limit, _ = p.estimator.Limit(s.ID, s.Slots)
+	load = p.estimator.Load(s.ID)
+	if h := p.health[s.ID]; h != nil {
+		load += float64(len(h.inFlight))
+	}
+	return load, limit
+}
+
+// Load returns the load of the least loaded of the searchers that are available, relative to what it handles well, and
+// false when none is available.
+func (p *Picker) Load(searchers []locator.Searcher) (float64, bool) {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lowest, found := 0.0, false
+	for i := range searchers {
+		if _, ok := p.cost(&searchers[i], time.Millisecond, now); !ok {
+			continue
+		}
+		relative := 0.0
+		if load, limit := p.load(&searchers[i]); limit > 0 {
+			relative = load / limit
+		}
+		if !found || relative < lowest {
+			lowest, found = relative, true
+		}
+	}
+	return lowest, found
+}
+
+// Full returns the number of searchers with as many requests in flight as they handle well.
+func (p *Picker) Full() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for id, h := range p.health {
+		limit, _ := p.estimator.Limit(id, h.slots)
+		if limit > 0 && p.estimator.Load(id)+float64(len(h.inFlight)) >= limit {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Picker) start(s *locator.Searcher, average time.Duration, now time.Time) *Exchange {
+	h := p.healthOf(s.ID)
+	h.slots = s.Slots
 	// The first request after a backoff is a probe.
 	h.probing = h.dialFailures > 0
-	e := &Exchange{picker: p, searcher: id, health: h, start: now, average: average}
+	e := &Exchange{picker: p, searcher: s.ID, health: h, start: now, average: average}
 	h.inFlight[e] = struct{}{}
 	p.sweep(now)
 	return e
@@ -167,10 +230,25 @@
 		return
 	}
 	e.ended = true
-	delete(e.health.inFlight, e)
 	took := now.Sub(e.start)
+	e.picker.estimate(e, o, relativeLatency(took, e.average))
+	delete(e.health.inFlight, e)
 	e.health.record(o, took, e.average, now)
-	e.picker.observe(e.searcher, o, relativeLatency(took, e.average))
+	e.picker.observe(e, o, relativeLatency(took, e.average), now)
+}
+
+// estimate adds an exchange that ends to the searcher's estimates. One that was abandoned says nothing of its speed.
+func (p *Picker) estimate(e *Exchange, o Outcome, slowness float64) {
+	s := estimator.Sample{InFlight: len(e.health.inFlight), Slots: e.health.slots}
+	switch o {
+	case Answered:
+		s.Answers, s.Slowness = 1, slowness
+	case NotRun:
+		s.Refusals = 1
+	case Failed, ConnectionLimit, Unreachable, Abandoned:
+		return
+	}
+	p.estimator.Observe(e.searcher, s)
 }
 
 // sweep deletes the health of searchers without recent results.
--- a/internal/route/picker/picker_test.go
+++ b/internal/route/picker/picker_test.go
@@ -228,3 +228,46 @@
 		t.Errorf("%d of 10 requests after the warm-up, want all", counts[0])
 	}
 }
+
+// TestFullSearcher guards against requests that queue at a searcher that the requests of other daemons fill, while another
+// one has room, and against a load that is counted by its own daemon twice.
+func TestFullSearcher(t *testing.T) {
+	s, other := newSetup(t, "own", "other"), newSetup(t, "own", "other")
+	for i := range s.searchers {
+		s.searchers[i].Slots = 2
+	}
+	s.assertPick(0)
+	for range 6 {
+		other.Pick(other.searchers, []string{"b"}, average)
+	}
+	for range 10 {
+		s.now, other.now = s.now.Add(300*time.Millisecond), other.now.Add(300*time.Millisecond)
+		s.Merge(other.Drain())
+	}
+	s.assertPick(1)
+	full, _ := s.Load(s.searchers[:1])
+	free, _ := s.Load(s.searchers)
+	if full < 2 || full > 4 || free != 0 {
+		t.Errorf("load %.1f of the full searcher and %.1f of the least loaded, want about 3 and 0", full, free)
+	}
+	if _, ok := s.Load(nil); ok {
+		t.Error("load of no searcher")
+	}
+}
+
+// TestFasterSearcher guards against searchers of different speed that get equal load once the last answer is some seconds old.
+func TestFasterSearcher(t *testing.T) {
+	s := newSetup(t, "own", "own")
+	latencies := []time.Duration{average * 13 / 10, average * 8 / 10}
+	for range 200 {
+		for i, id := range []string{"b", "a"} {
+			_, e := s.Pick(s.searchers, []string{id}, average)
+			s.now = s.now.Add(latencies[i])
+			e.End(Answered)
+		}
+	}
+	s.now = s.now.Add(4 * time.Second)
+	for range 20 {
+		s.assertPick(1)
+	}
+}
--- a/internal/route/picker/share.go
+++ b/internal/route/picker/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cornelwood.example/internal/contract/exchanger"
+	"cornelwood.example/internal/route/estimator"
 )
 
 const (
@@ -14,13 +15,19 @@
 	maxPeerWeight = 0.85
 )
 
-// observe adds an outcome to the observations.
-func (p *Picker) observe(id string, o Outcome, slowness float64) {
+func (p *Picker) observationOf(id string) *exchanger.Observation {
 	ob := p.observations[id]
 	if ob == nil {
 		ob = &exchanger.Observation{Searcher: id}
 		p.observations[id] = ob
 	}
+	return ob
+}
+
+// observe adds an exchange that has ended to the observations.
+func (p *Picker) observe(e *Exchange, o Outcome, slowness float64, now time.Time) {
+	ob := p.observationOf(e.searcher)
+	ob.Busy += e.busySince(p.drainedAt, now)
 	switch o {
 	case Answered, Abandoned:
 		ob.Add(&exchanger.Observation{Answers: 1, Slowness: slowness})
@@ -40,8 +47,15 @@
 // Load pattern: many daemons that each send few requests to a searcher, too few to detect a bad one in time without
 // the observations of the others.
 func (p *Picker) Drain() []exchanger.Observation {
+	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for id, h := range p.health {
+		for e := range h.inFlight {
+			p.observationOf(id).Busy += e.busySince(p.drainedAt, now)
+		}
+	}
+	p.drainedAt = now
 	out := make([]exchanger.Observation, 0, len(p.observations))
 	for _, ob := range p.observations {
 		out = append(out, *ob)
@@ -50,13 +64,26 @@
 	return out
 }
 
+// busySince returns for how long the exchange was in flight between two times.
+func (e *Exchange) busySince(from, to time.Time) time.Duration {
+	if e.start.After(from) {
+		from = e.start
+	}
+	return max(0, to.Sub(from))
+}
+
 // Merge adds the observations of other daemons.
 func (p *Picker) Merge(observed []exchanger.Observation) {
 	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range observed {
-		p.healthOf(observed[i].Searcher).merge(&observed[i], now)
+		ob := &observed[i]
+		h := p.healthOf(ob.Searcher)
+		h.merge(ob, now)
+		p.estimator.Observe(ob.Searcher, estimator.Sample{
+			Answers: ob.Answers, Slowness: min(maxSlowness, ob.Slowness), InFlight: len(h.inFlight), Slots: h.slots, Busy: ob.Busy,
+		})
 	}
 }
 
