admitter: decide which requests are sent, wait, or are refused

Above the searchers' capacity nothing waited in a daemon: the searchers' queues filled and every answer was late.

--- /dev/null
+++ b/internal/route/admitter/admitter.go
@@ -0,0 +1,358 @@
+// Package admitter decides which requests may be sent to the searchers now, which wait, and which are refused. It is pure: it
+// learns the load of searchers from its caller, and takes an injected clock.
+//
+// It handles these load patterns:
+//   - Load beyond what the searchers handle well: what has no room waits for a short time or is refused before it has run,
+//     so that the requests that are sent are answered in their time.
+//   - A burst of the least urgent kind while searchers are lost: more urgent kinds have room beyond that of less urgent ones.
+//   - A flood of an urgent kind: a less urgent one keeps a tenth of what is sent.
+//   - An account at many times its rate: it is refused from a lower load on than the others.
+//   - Clients that all return at once: the time after which a refused one may return grows with their number.
+package admitter
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxWaiting bounds the requests that wait in a daemon: a waiting one holds its body, and each poll looks at all.
+	maxWaiting = 64
+	// PollInterval is the time between two looks at the requests that wait: a fraction of the work of any request.
+	PollInterval = 3 * time.Millisecond
+	// window is the time over which admissions and refusals are counted: longer than a wait, shorter than a burst.
+	window = time.Second
+	// overShare is the multiple of the fair share from which an account has less room, and overShareRoom its part of
+	// the room.
+	overShare     = 1.5
+	overShareRoom = 0.8
+	// minShare is the share of the work sent that a less urgent kind keeps.
+	minShare = 0.1
+	// minCounted is the work below which shares say nothing.
+	minCounted = 4
+	// maxAccounts bounds the accounts that are counted for one group of searchers.
+	maxAccounts = 512
+	// minCount is the count below which an account or a group is forgotten.
+	minCount = 0.01
+	// minRetryAfter and maxRetryAfter bound the time after which a refused client may return.
+	minRetryAfter = 30 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// rooms holds, by priority, the load up to which requests are sent, relative to what the searchers handle well: there they
+// are in use all the time, and a request waits about as long as it runs. The most urgent kind has half as much again, so
+// that it is answered in its time while less urgent ones fill their part.
+var rooms = [...]float64{1.5, 1.25, 1}
+
+// Request is what is known of a request that asks for admission.
+type Request struct {
+	// Group names the searchers that the request is for: requests to the same ones have the same Group.
+	Group string
+	// Priority is the effective priority; 0 is the most urgent.
+	Priority int
+	// Account is the client account, empty when there is none.
+	Account string
+	// Work is the number of searchers that run the request.
+	Work float64
+	// Load returns the load of the searchers, relative to what they handle well: for a query, that of the most loaded
+	// shard that its answer needs.
+	Load func() float64
+	// Latency is the usual time until the searchers have answered.
+	Latency time.Duration
+	// WaitUntil is the time until which the request may wait to be answered in its time.
+	WaitUntil time.Time
+}
+
+// Refusal says why a request was refused.
+type Refusal struct {
+	// RetryAfter is the time after which there will be room.
+	RetryAfter time.Duration
+	// Load and Room are the load at the decision and the load up to which the request is sent.
+	Load, Room float64
+	// Waiting is the number of requests that waited, Waited the time that this one did.
+	Waiting int
+	Waited  time.Duration
+}
+
+// Ticket is a request from Offer until it is decided.
+type Ticket struct {
+	req       Request
+	offeredAt time.Time
+	done      chan struct{}
+	refusal   *Refusal
+}
+
+// Done is closed once the request is decided.
+func (t *Ticket) Done() <-chan struct{} {
+	return t.done
+}
+
+// Refusal returns the refusal of a decided request, nil when it is admitted.
+func (t *Ticket) Refusal() *Refusal {
+	return t.refusal
+}
+
+// Admitter decides on requests. It is safe for concurrent use.
+type Admitter struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	waiting  []*Ticket
+	groups   map[string]*group
+	polledAt time.Time
+}
+
+// group holds what was sent to one group of searchers. Its counts decay over the window.
+type group struct {
+	at time.Time
+	// sent is the work sent by priority, and accounts that by account.
+	sent     [len(rooms)]float64
+	accounts map[string]float64
+	// admitted and refused count the requests.
+	admitted, refused float64
+}
+
+// New returns an Admitter; now is its clock.
+func New(now func() time.Time) *Admitter {
+	return &Admitter{now: now, groups: make(map[string]*group)}
+}
+
+// Waiting returns the number of requests that wait.
+func (a *Admitter) Waiting() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.waiting)
+}
+
+// Offer asks for the admission of a request. It is decided at once if there is room or if it cannot wait; otherwise by a later
+// Poll.
+func (a *Admitter) Offer(req *Request) *Ticket {
+	now := a.now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := &Ticket{req: *req, offeredAt: now, done: make(chan struct{})}
+	g := a.groupOf(req.Group, now)
+	ahead := a.countAhead(t, g)
+	load := req.Load()
+	switch {
+	case ahead == 0 && load < g.room(req):
+		a.admit(t, g)
+	case now.Add(g.expectedWait(req, load, ahead)).After(req.WaitUntil):
+		a.refuse(t, g, load, now)
+	default:
+		a.wait(t, g, load, now)
+	}
+	return t
+}
+
+// wait adds a ticket to those that wait. If there are too many, the one that would be sent last is refused.
+func (a *Admitter) wait(t *Ticket, g *group, load float64, now time.Time) {
+	a.waiting = append(a.waiting, t)
+	if len(a.waiting) <= maxWaiting {
+		return
+	}
+	a.sort(now)
+	last := a.waiting[maxWaiting]
+	a.waiting = a.waiting[:maxWaiting]
+	if last != t {
+		g, load = a.groupOf(last.req.Group, now), last.req.Load()
+	}
+	a.refuse(last, g, load, now)
+}
+
+// Poll decides on the requests that wait: it admits some for each group of searchers that has room, and refuses those that
+// can wait no longer.
+func (a *Admitter) Poll() {
+	now := a.now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.polledAt) < PollInterval/2 {
+		return
+	}
+	a.polledAt = now
+	a.sort(now)
+	admitted := make(map[string]int)
+	a.waiting = slices.DeleteFunc(a.waiting, func(t *Ticket) bool {
+		g := a.groupOf(t.req.Group, now)
+		mayAdmit := admitted[t.req.Group] < g.maxAtOnce()
+		if now.Before(t.req.WaitUntil) && !mayAdmit {
+			return false
+		}
+		load := t.req.Load()
+		switch {
+		case mayAdmit && load < g.room(&t.req):
+			admitted[t.req.Group]++
+			a.admit(t, g)
+			return true
+		case !now.Before(t.req.WaitUntil):
+			a.refuse(t, g, load, now)
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+// Cancel stops the wait of a request whose client does not wait any more.
+func (a *Admitter) Cancel(t *Ticket) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiting = slices.DeleteFunc(a.waiting, func(w *Ticket) bool { return w == t })
+}
+
+func (a *Admitter) admit(t *Ticket, g *group) {
+	g.sent[class(t.req.Priority)] += t.req.Work
+	if _, known := g.accounts[t.req.Account]; known || len(g.accounts) < maxAccounts {
+		g.accounts[t.req.Account] += t.req.Work
+	}
+	g.admitted++
+	close(t.done)
+}
+
+func (a *Admitter) refuse(t *Ticket, g *group, load float64, now time.Time) {
+	g.refused++
+	t.refusal = &Refusal{
+		RetryAfter: g.retryAfter(&t.req, load), Load: load, Room: g.room(&t.req), Waiting: len(a.waiting), Waited: now.Sub(t.offeredAt),
+	}
+	close(t.done)
+}
+
+// sort orders the requests that wait: less urgent kinds that get too little of the work first, then by priority, by the work
+// of the account, and by the time that is left.
+func (a *Admitter) sort(now time.Time) {
+	slices.SortStableFunc(a.waiting, func(x, y *Ticket) int {
+		return compare(x, a.groupOf(x.req.Group, now), y, a.groupOf(y.req.Group, now))
+	})
+}
+
+func compare(x *Ticket, gx *group, y *Ticket, gy *group) int {
+	return cmp.Or(
+		cmp.Compare(gx.rank(&x.req), gy.rank(&y.req)),
+		cmp.Compare(gx.accounts[x.req.Account], gy.accounts[y.req.Account]),
+		x.req.WaitUntil.Compare(y.req.WaitUntil),
+	)
+}
+
+// countAhead returns the number of waiting requests to the same searchers that are sent before t.
+func (a *Admitter) countAhead(t *Ticket, g *group) int {
+	n := 0
+	for _, w := range a.waiting {
+		if w.req.Group == t.req.Group && compare(w, g, t, g) <= 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// groupOf returns a group with its counts as of now. It forgets the others that were not used for a time.
+func (a *Admitter) groupOf(name string, now time.Time) *group {
+	g := a.groups[name]
+	if g == nil {
+		for other, old := range a.groups {
+			if now.Sub(old.at) > 60*window {
+				delete(a.groups, other)
+			}
+		}
+		g = &group{at: now, accounts: make(map[string]float64)}
+		a.groups[name] = g
+	}
+	if now.After(g.at) {
+		g.decay(math.Exp(-float64(now.Sub(g.at)) / float64(window)))
+		g.at = now
+	}
+	return g
+}
+
+func (g *group) decay(left float64) {
+	g.admitted *= left
+	g.refused *= left
+	for i := range g.sent {
+		g.sent[i] *= left
+	}
+	for name, work := range g.accounts {
+		if work *= left; work < minCount {
+			delete(g.accounts, name)
+			continue
+		}
+		g.accounts[name] = work
+	}
+}
+
+// class returns the index of a priority's room.
+func class(priority int) int {
+	return min(max(0, priority), len(rooms)-1)
+}
+
+// room returns the load up to which a request is sent.
+func (g *group) room(req *Request) float64 {
+	room := rooms[class(req.Priority)]
+	if g.isStarved(req) {
+		room = rooms[0]
+	}
+	if g.isOverShare(req) {
+		room *= overShareRoom
+	}
+	return room
+}
+
+// rank returns the priority by which a request waits.
+func (g *group) rank(req *Request) int {
+	if g.isStarved(req) {
+		return -1
+	}
+	return class(req.Priority)
+}
+
+// isStarved reports whether a less urgent kind gets too little of the work.
+func (g *group) isStarved(req *Request) bool {
+	c := class(req.Priority)
+	total := g.totalSent()
+	return c > 0 && total >= minCounted*req.Work && g.sent[c] < minShare*total
+}
+
+// isOverShare reports whether the request's account has had clearly more than its fair share of the work.
+func (g *group) isOverShare(req *Request) bool {
+	total := g.totalSent()
+	return len(g.accounts) > 1 && total >= minCounted*req.Work && g.accounts[req.Account] > overShare*total/float64(len(g.accounts))
+}
+
+func (g *group) totalSent() float64 {
+	total := 0.0
+	for _, s := range g.sent {
+		total += s
+	}
+	return total
+}
+
+// maxAtOnce returns the number of waiting requests that one Poll may admit: about twice those of the time between two, since
+// the load shows them only when they have been sent.
+func (g *group) maxAtOnce() int {
+	return 1 + int(2*g.admitted*float64(PollInterval)/float64(window))
+}
+
+// expectedWait returns the time until a request with ahead others before it is sent: at least that in which the searchers run
+// what is beyond the room, and that in which the others are sent, by the rate of the last second.
+func (g *group) expectedWait(req *Request, load float64, ahead int) time.Duration {
+	wait := g.excessTime(req, load)
+	if g.admitted >= 1 {
+		wait = max(wait, time.Duration(float64(ahead+1)/g.admitted*float64(window)))
+	}
+	return wait
+}
+
+// excessTime returns the time in which the searchers run what is beyond the room: as many requests as they handle well take
+// about the usual latency.
+func (g *group) excessTime(req *Request, load float64) time.Duration {
+	return time.Duration(min(float64(maxRetryAfter), max(0, load-g.room(req))*float64(req.Latency)))
+}
+
+// retryAfter returns the time after which there will be room: that of the load beyond the room and of one request, and as much
+// again for each refused request to one that is sent, since those return as well.
+func (g *group) retryAfter(req *Request, load float64) time.Duration {
+	after := max(minRetryAfter, req.Latency) + g.excessTime(req, load)
+	crowd := 1 + g.refused/max(1, g.admitted)
+	return time.Duration(min(float64(maxRetryAfter), float64(after)*crowd))
+}
