forwarder, delegator, exchanger: requests without room at the searchers wait or are refused

Single requests, queries that a daemon sends itself and queries that it gathers, for others or for itself, ask the admitter before anything is sent.

--- a/internal/contract/exchanger/gather.go
+++ b/internal/contract/exchanger/gather.go
@@ -87,6 +87,8 @@
 	// Accepted is true in the first message. Refused is the reason for a refusal: nothing was run.
 	Accepted bool       `json:"accepted,omitempty"`
 	Refused  GatherCode `json:"refused,omitempty"`
+	// RetryAfter is the time after which there will be room, with the code Overloaded.
+	RetryAfter time.Duration `json:"retry,omitempty"`
 
 	// Parts are the shards whose answers are merged into Records, none of them in an earlier
 	// message: their indexes in the route and the searchers' signatures.
@@ -115,8 +117,17 @@
 	Leaving GatherCode = "leaving"
 	// Busy: the daemon gathers too many queries already.
 	Busy GatherCode = "busy"
+	// Overloaded: the searchers have no room for the query.
+	Overloaded GatherCode = "overloaded"
 )
 
+// Refusal is the reason for which a daemon refuses to gather, and with the code Overloaded the time after which there will be
+// room. An empty code means no refusal.
+type Refusal struct {
+	Code       GatherCode
+	RetryAfter time.Duration
+}
+
 // Part is one shard's part of a merged answer.
 type Part struct {
 	Shard int    `json:"s"`
@@ -131,6 +142,9 @@
 
 // Check validates the message. It returns the first error, or nil.
 func (g *Gathered) Check() error {
+	if g.RetryAfter < 0 {
+		return &declarer.FieldError{Field: "retry", Reason: fmt.Sprintf("want a time of 0 or more, got %s", g.RetryAfter)}
+	}
 	seen := make(map[int]bool, len(g.Parts)+len(g.Missing))
 	for _, p := range g.Parts {
 		if p.Shard < 0 || seen[p.Shard] || p.Stamp == "" {
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -159,6 +159,9 @@
 	r.selector = selector.New(self.Zone, peers, r.log.Named("route"), time.Now)
 	d := delegator.New(delegator.Default(), peers, r.selector, peers)
 	r.forwarder = forwarder.New(forwarderConfig(settings), self, r.pauses, r.picker, r.conns, d, r.log.Named("route"), forwarder.NewMetrics(r.reg))
+	r.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "cornelwood_requests_waiting", Help: "Requests that wait for room at the searchers.",
+	}, func() float64 { return float64(r.forwarder.Waiting()) }))
 	srv := delegator.NewServer(r.forwarder)
 	r.linker.HandleStream(gatherStream, func(ctx context.Context, s *linker.Stream) error { return srv.Serve(ctx, s) })
 	r.linker.Handle(probeCall, func(context.Context, netip.AddrPort, []byte) (any, error) {
--- a/internal/route/delegator/delegator.go
+++ b/internal/route/delegator/delegator.go
@@ -157,7 +157,7 @@
 
 // RefusedError means that a daemon refused to gather.
 type RefusedError struct {
-	Code exchanger.GatherCode
+	exchanger.Refusal
 }
 
 // Error returns the code.
@@ -191,7 +191,8 @@
 		call.End(a.outcome())
 		res.Final, res.Err = a.final, a.err
 		switch {
-		case a.final:
+		case a.final || isOverloaded(a.err):
+			// The searchers have no room for the queries of the other daemons either.
 			return res
 		case a.accepted || ctx.Err() != nil:
 			// What the daemon has run is not known: no attempt is left.
@@ -218,6 +219,11 @@
 	abandoned bool
 }
 
+func isOverloaded(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Code == exchanger.Overloaded
+}
+
 // outcome returns the outcome for the Selector.
 func (a *asking) outcome() selector.Outcome {
 	var refused *RefusedError
@@ -226,6 +232,9 @@
 		return selector.Answered
 	case a.abandoned:
 		return selector.Abandoned
+	case isOverloaded(a.err):
+		// The searchers have no room; that says nothing of the daemon.
+		return selector.Abandoned
 	case errors.As(a.err, &refused):
 		return selector.Refused
 	default:
@@ -295,7 +304,7 @@
 	}
 	if first.Refused != "" || !first.Accepted {
 		a.sent, complete = false, true
-		return &RefusedError{Code: first.Refused}
+		return &RefusedError{exchanger.Refusal{Code: first.Refused, RetryAfter: first.RetryAfter}}
 	}
 	a.accepted = true
 	if now := time.Now(); exchange != nil {
--- a/internal/route/delegator/delegator_test.go
+++ b/internal/route/delegator/delegator_test.go
@@ -77,16 +77,16 @@
 }
 
 // Admit returns the job of a query.
-func (f *fakeDaemon) Admit(in *exchanger.Gather) (Job, exchanger.GatherCode) {
+func (f *fakeDaemon) Admit(_ context.Context, in *exchanger.Gather) (Job, exchanger.Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.got = append(f.got, *in)
 	f.permitted = 1
 	f.stop = make(chan struct{})
 	if f.refuse == "" && in.Definition == nil && in.Version != f.version {
-		return nil, exchanger.WrongVersion
+		return nil, exchanger.Refusal{Code: exchanger.WrongVersion}
 	}
-	return f, f.refuse
+	return f, exchanger.Refusal{Code: f.refuse}
 }
 
 func (f *fakeDaemon) Allow(n int) {
@@ -217,6 +217,7 @@
 		{"lacks the version", func(d *fakeDaemon) { d.version = 6 }, false, outcome{"first", 2, false, [2]int{2, 0}}, 55 * time.Millisecond},
 		{"is dead", func(d *fakeDaemon) { d.isDead = true }, false, outcome{"second", 2, false, [2]int{0, 2}}, 50 * time.Millisecond},
 		{"leaves", func(d *fakeDaemon) { d.refuse = exchanger.Leaving }, false, outcome{"second", 2, false, [2]int{1, 2}}, 55 * time.Millisecond},
+		{"has no room", func(d *fakeDaemon) { d.refuse = exchanger.Overloaded }, false, outcome{"", 2, false, [2]int{1, 0}}, 5 * time.Millisecond},
 		{"is cut off", func(d *fakeDaemon) { d.cutsRequests.Store(true); d.cutsAnswers.Store(true) }, false, outcome{"second", 1, true, [2]int{0, 1}}, 80 * time.Millisecond},
 		{"receives only", func(d *fakeDaemon) { d.cutsAnswers.Store(true) }, false, outcome{"second", 1, true, [2]int{1, 1}}, 80 * time.Millisecond},
 		{"receives only, without budget", func(d *fakeDaemon) { d.cutsAnswers.Store(true) }, true, outcome{"", 1, true, [2]int{1, 0}}, 40 * time.Millisecond},
--- a/internal/route/delegator/server.go
+++ b/internal/route/delegator/server.go
@@ -19,8 +19,9 @@
 
 // Gatherer gathers queries for other daemons.
 type Gatherer interface {
-	// Admit returns the job of a query, or the reason for which it is refused.
-	Admit(in *exchanger.Gather) (Job, exchanger.GatherCode)
+	// Admit returns the job of a query, or the reason for which it is refused. It decides early enough for
+	// Config.AcceptTimeout. ctx ends with the stream.
+	Admit(ctx context.Context, in *exchanger.Gather) (Job, exchanger.Refusal)
 }
 
 // Server serves the queries of other daemons with a Gatherer.
@@ -39,9 +40,9 @@
 	if err := stream.Recv(&in); err != nil {
 		return err
 	}
-	job, refused := s.gatherer.Admit(&in)
-	if refused != "" {
-		return stream.Send(&exchanger.Gathered{Refused: refused})
+	job, refused := s.gatherer.Admit(ctx, &in)
+	if refused.Code != "" {
+		return stream.Send(&exchanger.Gathered{Refused: refused.Code, RetryAfter: refused.RetryAfter})
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/route/forwarder/delegation.go
+++ b/internal/route/forwarder/delegation.go
@@ -51,8 +51,12 @@
 	// groups is the number of groups started, running that of those that have not ended.
 	groups, running int
 	mayHaveRun      bool
-	sends           int
-	daemons         []string
+	// isOverloaded is true when a group was refused because the searchers have no room; roomAfter is the time after which
+	// they will have.
+	isOverloaded bool
+	roomAfter    time.Duration
+	sends        int
+	daemons      []string
 }
 
 // groupResult is how a group ended.
@@ -166,18 +170,31 @@
 	return d.budget
 }
 
-// gatherHere sends the query to shards itself. repeated is true when another daemon has sent to them, or tried to.
+// gatherHere sends the query to shards itself. repeated is true when another daemon has sent to them, or tried to. A query
+// that has not been sent to any searcher yet needs admission.
 func (d *delegation) gatherHere(ctx context.Context, shards []int, attempts int, budgets budgetFunc, repeated bool) {
 	rt := *d.route
 	rt.Attempts = attempts
-	j := d.fwd.newGatherJob(d.req, d.body, &rt, d.fwd.views.View(), budgets, shards, d.neededOf(len(shards)), d.cutoffAt.Add(-handoverTime), d.deadline)
-	if repeated {
-		for i := range j.calls {
-			j.calls[i].refusals = 1
-		}
-	}
 	group := d.openGroup(shards)
+	needsAdmission := !repeated && !d.mayHaveRun
 	go func() {
+		loads := shardLoads{needed: d.neededOf(len(shards))}
+		if needsAdmission {
+			refused, ok := d.fwd.enterGather(ctx, d.req, &rt, d.fwd.views.View(), shardsOf(&rt, shards), &loads, time.Until(d.cutoffAt))
+			if !ok {
+				d.results <- groupResult{group, delegator.Result{Err: &delegator.RefusedError{Refusal: refused}}}
+				return
+			}
+		}
+		j := d.fwd.newGatherJob(d.req, d.body, &rt, d.fwd.views.View(), budgets, shards, loads.needed, d.cutoffAt.Add(-handoverTime), d.deadline)
+		if needsAdmission {
+			j.skipped = loads.skipped()
+		}
+		if repeated {
+			for i := range j.calls {
+				j.calls[i].refusals = 1
+			}
+		}
 		stop := make(chan struct{})
 		defer close(stop)
 		go func() {
@@ -294,13 +311,16 @@
 			rest = append(rest, i)
 		}
 	}
-	if !r.Final {
+	refused, isOverloaded := asOverloaded(r.Err)
+	if isOverloaded {
+		d.isOverloaded, d.roomAfter = true, max(d.roomAfter, refused.RetryAfter)
+	} else if !r.Final {
 		d.fwd.recordUndelegated(d.req, &r.Result)
 	}
 	if len(rest) == 0 {
 		return
 	}
-	if !r.Final && r.Attempts > 0 && (!r.MayHaveRun || d.budget.Take()) {
+	if !r.Final && !isOverloaded && r.Attempts > 0 && (!r.MayHaveRun || d.budget.Take()) {
 		d.gatherHere(ctx, rest, r.Attempts, d.shardBudget, false)
 		return
 	}
@@ -319,6 +339,9 @@
 	switch {
 	case answered >= required && (len(d.open) == 0 || !now.Before(d.cutoffAt)):
 		return mergedAnswer(d.records, d.stamps, total), true
+	case answered+len(d.open) < required && d.isOverloaded && !d.mayHaveRun && d.running == 0:
+		d.fwd.stats.withdrawFirst(d.budget)
+		return refuseNotRun(d.roomAfter, reasonNoRoom), true
 	case answered+len(d.open) < required:
 		return uncoveredAnswer(d.fwd.cfg.RetryAfter, d.mayHaveRun || d.running > 0), true
 	case !now.Before(d.deadline):
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"golang.org/x/time/rate"
 
 	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/route/admitter"
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
 	"cornelwood.example/internal/time/sampler"
@@ -90,8 +91,9 @@
 	// logLimiter bounds the rate of log lines about requests.
 	logLimiter *rate.Limiter
 	// lateness holds how late timers fire; probing is true while one is pending.
-	lateness *sampler.Window
-	probing  atomic.Bool
+	lateness, medianLateness *sampler.Window
+	probing                  atomic.Bool
+	admitter                 *admitter.Admitter
 	// gathers counts the queries that this daemon gathers for others now.
 	gathers atomic.Int64
 	// leaving, refusing and ended are the phases of a planned stop; ended is closed by End.
@@ -104,7 +106,8 @@
 func New(cfg Config, self declarer.Member, views Viewer, p *picker.Picker, ex Exchanger, d Delegator, log hclog.Logger, m *Metrics) *Forwarder {
 	return &Forwarder{
 		cfg: cfg, self: self, views: views, picker: p, exchanger: ex, delegator: d, stats: newStats(cfg), log: log, metrics: m,
-		logLimiter: rate.NewLimiter(logLinesPerSecond, logBurst), ended: make(chan struct{}), lateness: sampler.NewWindow(queueingQuantile),
+		logLimiter: rate.NewLimiter(logLinesPerSecond, logBurst), ended: make(chan struct{}), lateness: sampler.NewWindow(queueingQuantile), medianLateness: sampler.NewWindow(0.5),
+		admitter: admitter.New(time.Now),
 	}
 }
 
--- a/internal/route/forwarder/gather.go
+++ b/internal/route/forwarder/gather.go
@@ -44,26 +44,26 @@
 // Admit returns the job of another daemon's query, or the reason for which it is refused. The job must be run.
 //
 // Load pattern: the queries of a whole zone at few daemons, some of which start, leave or have more than they can do;
-// the asking daemon learns at once that it must ask another one.
-func (f *Forwarder) Admit(in *exchanger.Gather) (delegator.Job, exchanger.GatherCode) {
+// the asking daemon learns at once that it must ask another one, or that the searchers have no room.
+func (f *Forwarder) Admit(ctx context.Context, in *exchanger.Gather) (delegator.Job, exchanger.Refusal) {
+	now := time.Now()
 	v := f.views.View()
 	if ready, _ := v.Ready(); !ready {
-		return nil, exchanger.NotReady
+		return nil, exchanger.Refusal{Code: exchanger.NotReady}
 	}
 	if f.leaving.Load() {
-		return nil, exchanger.Leaving
+		return nil, exchanger.Refusal{Code: exchanger.Leaving}
 	}
 	rt := routeToGather(v, in)
 	if rt == nil {
-		return nil, exchanger.WrongVersion
+		return nil, exchanger.Refusal{Code: exchanger.WrongVersion}
 	}
-	if f.gathers.Add(1) > maxGathers {
+	f.probeProcessor()
+	if f.gathers.Add(1) > maxGathers || f.isSwamped(now) {
 		f.gathers.Add(-1)
-		return nil, exchanger.Busy
+		return nil, exchanger.Refusal{Code: exchanger.Busy}
 	}
 	f.stats.setFleet(len(v.Members()), v.GathererCount())
-	f.probeProcessor()
-	now := time.Now()
 	req := &Request{
 		ID: in.Request, Method: in.Method, Host: in.Host, Target: in.Target, Header: in.Header, HasBody: in.HasBody,
 		ClientTimeout: in.Remaining, Arrived: now,
@@ -72,12 +72,18 @@
 	if len(indexes) == 0 {
 		indexes = allIndexes(len(rt.Shards))
 	}
+	loads := shardLoads{needed: min(max(1, in.Needed), len(indexes))}
+	if refused, ok := f.enterGather(ctx, req, rt, v, shardsOf(rt, indexes), &loads, in.Goal); !ok {
+		f.gathers.Add(-1)
+		return nil, refused
+	}
 	limited := *rt
 	limited.Attempts = min(in.Attempts, rt.Attempts)
 	j := f.newGatherJob(req, in.Body, &limited, v, f.budgets(gatherer), indexes, in.Needed, now.Add(in.Goal-f.gatherReserve(in.Goal, now)), now.Add(in.Remaining))
 	j.isCounted = true
+	j.skipped = loads.skipped()
 	j.permitted.Store(1)
-	return j, ""
+	return j, exchanger.Refusal{}
 }
 
 // gatherReserve returns the time reserved of another daemon's goal, which leaves out the way between the daemons.
@@ -103,10 +109,7 @@
 
 // newGatherJob returns a job for the shards of a route with these indexes.
 func (f *Forwarder) newGatherJob(req *Request, body []byte, rt *declarer.Route, v *locator.View, budgets budgetFunc, indexes []int, needed int, cutoffAt, deadline time.Time) *gatherJob {
-	shards := make([]string, len(indexes))
-	for i, n := range indexes {
-		shards[i] = rt.Shards[n]
-	}
+	shards := shardsOf(rt, indexes)
 	j := &gatherJob{query: f.newQuery(req, body, rt, v, budgets, shards, min(needed, len(shards)), cutoffAt, deadline), indexes: indexes}
 	j.job = j
 	j.stop = make(chan struct{})
--- a/internal/route/forwarder/gather_test.go
+++ b/internal/route/forwarder/gather_test.go
@@ -27,9 +27,9 @@
 // with its parts as a text: shard indexes, and those missing with their attempts.
 func (s *setup) gatherFor(ctx context.Context, in *exchanger.Gather, permitAfter time.Duration) (*exchanger.Gathered, string) {
 	s.t.Helper()
-	job, refused := s.Admit(in)
-	if refused != "" {
-		s.t.Fatalf("refused: %s", refused)
+	job, refused := s.Admit(ctx, in)
+	if refused.Code != "" {
+		s.t.Fatalf("refused: %s", refused.Code)
 	}
 	if permitAfter == 0 {
 		job.Allow(2)
@@ -152,11 +152,11 @@
 			withForwarder(t, 4, func(s *setup) {
 				tt.prepare(s)
 				before := s.Gathers()
-				job, refused := s.Admit(tt.in)
-				if refused != tt.want {
-					t.Errorf("refused %q, want %q", refused, tt.want)
+				job, refused := s.Admit(s.t.Context(), tt.in)
+				if refused.Code != tt.want {
+					t.Errorf("refused %q, want %q", refused.Code, tt.want)
 				}
-				if refused == "" {
+				if refused.Code == "" {
 					_ = job.Run(s.t.Context(), func(*exchanger.Gathered) error { return nil })
 				}
 				if n := s.Gathers(); n != before {
--- a/internal/route/forwarder/metrics.go
+++ b/internal/route/forwarder/metrics.go
@@ -8,6 +8,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/route/admitter"
 	"cornelwood.example/internal/route/delegator"
 	"cornelwood.example/internal/route/locator"
 )
@@ -20,6 +22,8 @@
 	gathers  *prometheus.CounterVec
 	unlogged prometheus.Counter
 	lateness prometheus.Histogram
+	// admissions counts requests by what the admitter decided.
+	admissions *prometheus.CounterVec
 }
 
 // NewMetrics returns Metrics registered with reg.
@@ -46,7 +50,10 @@
 		Name: "cornelwood_processor_queue_seconds", Help: "Time by which timers fire late during queries.",
 		Buckets: prometheus.ExponentialBuckets(0.0001, 3, 8),
 	})
-	reg.MustRegister(m.requests, m.latency, m.failures, m.gathers, m.unlogged, m.lateness)
+	m.admissions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cornelwood_admissions_total", Help: "Requests to searchers of this daemon, by route and by whether they were admitted at once, after a wait, or refused.",
+	}, []string{"route", "result"})
+	reg.MustRegister(m.requests, m.latency, m.failures, m.gathers, m.unlogged, m.lateness, m.admissions)
 	return m
 }
 
@@ -84,6 +91,16 @@
 		"shards", len(j.calls), "sends", len(j.cancels), "took", time.Since(j.req.Arrived), "cutoff", j.cutoffAt.Sub(j.req.Arrived))
 }
 
+// recordRefusal counts a request for which the searchers have no room, and logs what was decided by.
+func (f *Forwarder) recordRefusal(req *Request, rt *declarer.Route, group string, r *admitter.Refusal) {
+	f.metrics.admissions.WithLabelValues(rt.Name, "refused").Inc()
+	if !f.allowLogLine() {
+		return
+	}
+	f.log.Info("request refused: the searchers have no room", "request", req.ID, "route", rt.Name, "priority", rt.Priority, "service", group,
+		"load", r.Load, "room", r.Room, "waiting", r.Waiting, "waited", r.Waited, "after", r.RetryAfter)
+}
+
 // recordUndelegated logs that no other daemon gathered a query.
 func (f *Forwarder) recordUndelegated(req *Request, res *delegator.Result) {
 	if !f.allowLogLine() {
--- a/internal/route/forwarder/query.go
+++ b/internal/route/forwarder/query.go
@@ -22,6 +22,8 @@
 	job *gatherJob
 	// stop is closed when no more parts are needed; nil when that cannot be known.
 	stop chan struct{}
+	// skipped is true for the calls that are left out because of the load, nil when there is none.
+	skipped []bool
 	// cutoffAt is the time from which the answer goes out without the missing shards once it covers enough of them.
 	cutoffAt time.Time
 }
@@ -53,10 +55,16 @@
 
 // gatherAll sends a query to every shard of its route.
 func (f *Forwarder) gatherAll(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
-	q := f.newQuery(req, body, rt, v, f.budgets(sender), rt.Shards, rt.RequiredShards(), f.clientCutoff(req, rt, deadline), deadline)
-	if f.available(v, rt.Shards) < q.minAnswers {
+	loads := shardLoads{needed: rt.RequiredShards()}
+	if f.available(v, rt.Shards) < loads.needed {
 		return refuseNotRun(f.cfg.RetryAfter, reasonUnavailable)
 	}
+	v, refused, ok := f.enterOwn(ctx, req, rt, v, rt.Shards[0], len(rt.Shards), func() float64 { return loads.measure(f, v, rt.Shards) }, deadline)
+	if !ok {
+		return refused
+	}
+	q := f.newQuery(req, body, rt, v, f.budgets(sender), rt.Shards, loads.needed, f.clientCutoff(req, rt, deadline), deadline)
+	q.skipped = loads.skipped()
 	a := q.answer(q.gather(ctx), len(rt.Shards))
 	a.SubRequests = len(q.cancels)
 	return a
@@ -85,6 +93,7 @@
 	time.AfterFunc(probeDelay, func() {
 		now := time.Now()
 		f.lateness.Record(now.Sub(due), now)
+		f.medianLateness.Record(now.Sub(due), now)
 		f.metrics.lateness.Observe(now.Sub(due).Seconds())
 		f.probing.Store(false)
 	})
@@ -123,7 +132,7 @@
 // or later, or too few can still arrive.
 func (q *query) gather(ctx context.Context) queryEnd {
 	for i := range q.calls {
-		if !q.start(i) {
+		if q.skipped != nil && q.skipped[i] || !q.start(i) {
 			q.giveUp(i)
 		}
 	}
--- a/internal/route/forwarder/single.go
+++ b/internal/route/forwarder/single.go
@@ -12,7 +12,16 @@
 
 // single answers a request that one searcher runs.
 func (f *Forwarder) single(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
-	fo := f.newFanout(req, body, rt, v, f.budgets(sender), []string{targetService(rt, rand.Float64())}, 1, deadline)
+	service := targetService(rt, rand.Float64())
+	measure := func() float64 {
+		load, _ := f.picker.Load(v.Searchers(service))
+		return load
+	}
+	v, refused, ok := f.enterOwn(ctx, req, rt, v, service, 1, measure, deadline)
+	if !ok {
+		return refused
+	}
+	fo := f.newFanout(req, body, rt, v, f.budgets(sender), []string{service}, 1, deadline)
 	if !fo.send(0) {
 		a := refuseNotRun(f.cfg.RetryAfter, "no searcher is available")
 		a.heldFor = f.picker.HeldFor(fo.calls[0].searchers)
--- a/internal/route/forwarder/stats.go
+++ b/internal/route/forwarder/stats.go
@@ -189,6 +189,11 @@
 	return s.budget("ask/"+rt.Shards[0], asker, now)
 }
 
+// withdrawFirst takes back what the budget of askerBudget was granted for a query that was not sent to any searcher.
+func (s *stats) withdrawFirst(b *hedger.Budget) {
+	b.AddTokens(-float64(s.partOf(asker).percent) / 100)
+}
+
 // setPercent sets the percentage of every budget.
 func (s *stats) setPercent(percent int) {
 	s.percent.Store(int64(percent))
