admitter, picker: one poll looks at the load of a group once; a searcher of one slot may have one request waiting

It now stops at the first one of a group that has no room. A searcher with one slot counted as full while it ran one request, so that requests of lower priority waited under normal load.

--- a/internal/route/admitter/admitter.go
+++ b/internal/route/admitter/admitter.go
@@ -174,28 +174,37 @@
 	}
 	a.polledAt = now
 	a.sort(now)
-	admitted := make(map[string]int)
+	polls := make(map[string]*poll)
 	a.waiting = slices.DeleteFunc(a.waiting, func(t *Ticket) bool {
-		g := a.groupOf(t.req.Group, now)
-		mayAdmit := admitted[t.req.Group] < g.maxAtOnce()
-		if now.Before(t.req.WaitUntil) && !mayAdmit {
-			return false
+		g, p := a.groupOf(t.req.Group, now), polls[t.req.Group]
+		if p == nil {
+			p = &poll{left: g.maxAtOnce()}
+			polls[t.req.Group] = p
+		}
+		if p.left > 0 {
+			p.load = t.req.Load()
+			if p.load < g.room(&t.req) {
+				p.left--
+				a.admit(t, g)
+				return true
+			}
+			// The ones behind have no more room than the first one, and looking at the load takes time.
+			p.left = 0
 		}
-		load := t.req.Load()
-		switch {
-		case mayAdmit && load < g.room(&t.req):
-			admitted[t.req.Group]++
-			a.admit(t, g)
-			return true
-		case !now.Before(t.req.WaitUntil):
-			a.refuse(t, g, load, now)
-			return true
-		default:
+		if now.Before(t.req.WaitUntil) {
 			return false
 		}
+		a.refuse(t, g, p.load, now)
+		return true
 	})
 }
 
+// poll is what one Poll knows of a group: the number of requests that it may still admit, and the load.
+type poll struct {
+	left int
+	load float64
+}
+
 // Cancel stops the wait of a request whose client does not wait any more.
 func (a *Admitter) Cancel(t *Ticket) {
 	a.mu.Lock()
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -165,8 +165,9 @@
 	return load, limit
 }
 
-// Load returns the load of the least loaded of the searchers that are available, relative to what it handles well, and
-// false when none is available.
+// Load returns the load of the least loaded of the searchers that are available, relative to what it handles well and one
+// request that waits, and false when none is available. Without that one a searcher with a single slot would be full while it
+// runs one request.
 func (p *Picker) Load(searchers []locator.Searcher) (float64, bool) {
 	now := p.now()
 	p.mu.Lock()
@@ -178,7 +179,7 @@
 		}
 		relative := 0.0
 		if load, limit := p.load(&searchers[i]); limit > 0 {
-			relative = load / limit
+			relative = load / (limit + 1)
 		}
 		if !found || relative < lowest {
 			lowest, found = relative, true
