connector, platform: an answer with an invalid status is no answer

Answers with status 600 and above were passed on, and those below 100 skipped as informational, so that a body that looks like an answer passed for one. The store's client took such an answer to a write for a refusal.

An answer now has a status of 200 to 599; any other fails the exchange as one that may have run.

--- a/internal/upstream/connector/conn.go
+++ b/internal/upstream/connector/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -22,6 +23,8 @@
 	maxHeadBytes = 64 << 10
 	// maxInformational is how many informational answers (1xx) may precede an answer.
 	maxInformational = 4
+	// maxStatus is the highest status of an answer.
+	maxStatus = 599
 	// maxRefusedIDs is how many refused requests a connection remembers. It is closed when there are more.
 	maxRefusedIDs = 32
 	// maxStrayAnswers is how many answers to earlier requests are skipped before the
@@ -36,6 +39,26 @@
 	errInformational = errors.New("too many informational answers")
 )
 
+// InvalidStatusError means that an answer has a status that the protocol does not define, or one that the request cannot get,
+// so that what it carries is no answer.
+type InvalidStatusError struct {
+	Status string
+}
+
+// Error returns the message with the status as it was received.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("answer has the status %q, want 200 to 599", e.Status)
+}
+
+// checkStatus returns an *InvalidStatusError for an answer that is neither final (200 to 599) nor informational. 101 is not
+// valid either: no request asks to switch protocols.
+func checkStatus(resp *http.Response) error {
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols {
+		return &InvalidStatusError{Status: resp.Status}
+	}
+	return nil
+}
+
 // errNoRequestID means that an answer on a connection that carried another one before does not
 // say which request it belongs to: it may be a late copy of an earlier one.
 var errNoRequestID = errors.New("answer on a connection in use again has no request ID")
@@ -208,6 +231,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkStatus(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
