--- a/cmd/cornelwood/entry_test.go
+++ b/cmd/cornelwood/entry_test.go
@@ -177,6 +177,8 @@
 	closing bool
 	body    string
 	err     error
+	// retryAfter is the time that a refusal asks to wait, as sent.
+	retryAfter string
 }
 
 // send sends a request over the client's connections. A POST has a body of one byte, a GET has none.
@@ -199,7 +201,7 @@
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	out := response{id: id, status: resp.StatusCode, stamp: platform.ReadStamp(resp.Header), closing: resp.Close, body: string(text), err: err}
+	out := response{id: id, status: resp.StatusCode, stamp: platform.ReadStamp(resp.Header), closing: resp.Close, body: string(text), err: err, retryAfter: resp.Header.Get("Retry-After")}
 	out.stamps, out.missing = platform.ReadParts(resp.Header)
 	return out
 }
--- a/internal/control/relayer/relayer_test.go
+++ b/internal/control/relayer/relayer_test.go
@@ -303,10 +303,10 @@
 		f := newFleet(t, "a", "a", "b")
 		f.run(func() {
 			time.Sleep(2 * time.Second)
-			f.observers[0].observe(exchanger.Observation{Searcher: "s", Answers: 2, Slowness: 1}, exchanger.Observation{Searcher: "bad", Failures: 1})
+			f.observers[0].observe(exchanger.Observation{Searcher: "s", Answers: 2, Slowness: 1}, exchanger.Observation{Searcher: "bad", Failures: 1}, exchanger.Observation{Searcher: "full", Busy: time.Second})
 			time.Sleep(2 * time.Second)
 		})
-		all := []exchanger.Observation{{Searcher: "s", Answers: 2, Slowness: 1}, {Searcher: "bad", Failures: 1}}
+		all := []exchanger.Observation{{Searcher: "s", Answers: 2, Slowness: 1}, {Searcher: "bad", Failures: 1}, {Searcher: "full", Busy: time.Second}}
 		if diff := cmp.Diff(all, f.observers[1].merged); diff != "" {
 			t.Errorf("observations relayed within the zone (-want +got):\n%s", diff)
 		}
