admitter: the room of a kind follows from the more urgent kinds sent to the same searchers

Priorities counted by their number: a service whose only kind has priority 2 had the least room, and priorities from 2 on were not told apart.

--- a/internal/route/admitter/admitter.go
+++ b/internal/route/admitter/admitter.go
@@ -33,16 +33,17 @@
 	minShare = 0.1
 	// minCounted is the work below which shares say nothing.
 	minCounted = 4
-	// maxAccounts bounds the accounts that are counted for one group of searchers.
+	// maxAccounts and maxKinds bound the accounts and the priorities that are counted for one group of searchers.
 	maxAccounts = 512
-	// minCount is the count below which an account or a group is forgotten.
+	maxKinds    = 16
+	// minCount is the count below which an account or a kind is forgotten: some seconds after its last request.
 	minCount = 0.01
 	// minRetryAfter and maxRetryAfter bound the time after which a refused client may return.
 	minRetryAfter = 30 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 )
 
-// rooms holds, by priority, the load up to which requests are sent, relative to what the searchers handle well: there they
+// rooms holds, by the number of more urgent kinds of request to the same searchers, the load up to which requests are sent, relative to what the searchers handle well: there they
 // are in use all the time, and a request waits about as long as it runs. The most urgent kind has half as much again, so
 // that it is answered in its time while less urgent ones fill their part.
 var rooms = [...]float64{1.5, 1.25, 1}
@@ -51,7 +52,7 @@
 type Request struct {
 	// Group names the searchers that the request is for: requests to the same ones have the same Group.
 	Group string
-	// Priority is the effective priority; 0 is the most urgent.
+	// Priority is the effective priority; the lowest is the most urgent.
 	Priority int
 	// Account is the client account, empty when there is none.
 	Account string
@@ -108,13 +109,20 @@
 // group holds what was sent to one group of searchers. Its counts decay over the window.
 type group struct {
 	at time.Time
-	// sent is the work sent by priority, and accounts that by account.
-	sent     [len(rooms)]float64
+	// sent is the work sent in all, and accounts that by account.
+	sent     float64
 	accounts map[string]float64
+	// kinds holds what was offered and sent by priority.
+	kinds map[int]kindCount
 	// admitted and refused count the requests.
 	admitted, refused float64
 }
 
+// kindCount is the number of requests of one priority that were offered, and their work that was sent.
+type kindCount struct {
+	offered, sent float64
+}
+
 // New returns an Admitter; now is its clock.
 func New(now func() time.Time) *Admitter {
 	return &Admitter{now: now, groups: make(map[string]*group)}
@@ -135,6 +143,7 @@
 	defer a.mu.Unlock()
 	t := &Ticket{req: *req, offeredAt: now, done: make(chan struct{})}
 	g := a.groupOf(req.Group, now)
+	g.countOffer(req.Priority)
 	ahead := a.countAhead(t, g)
 	load := req.Load()
 	switch {
@@ -213,7 +222,11 @@
 }
 
 func (a *Admitter) admit(t *Ticket, g *group) {
-	g.sent[class(t.req.Priority)] += t.req.Work
+	g.sent += t.req.Work
+	if k, known := g.kinds[t.req.Priority]; known {
+		k.sent += t.req.Work
+		g.kinds[t.req.Priority] = k
+	}
 	if _, known := g.accounts[t.req.Account]; known || len(g.accounts) < maxAccounts {
 		g.accounts[t.req.Account] += t.req.Work
 	}
@@ -239,12 +252,25 @@
 
 func compare(x *Ticket, gx *group, y *Ticket, gy *group) int {
 	return cmp.Or(
-		cmp.Compare(gx.rank(&x.req), gy.rank(&y.req)),
+		compareStarved(gx.isStarved(&x.req), gy.isStarved(&y.req)),
+		cmp.Compare(x.req.Priority, y.req.Priority),
 		cmp.Compare(gx.accounts[x.req.Account], gy.accounts[y.req.Account]),
 		x.req.WaitUntil.Compare(y.req.WaitUntil),
 	)
 }
 
+// compareStarved puts a starved request before one that is not.
+func compareStarved(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // countAhead returns the number of waiting requests to the same searchers that are sent before t.
 func (a *Admitter) countAhead(t *Ticket, g *group) int {
 	n := 0
@@ -265,7 +291,7 @@
 				delete(a.groups, other)
 			}
 		}
-		g = &group{at: now, accounts: make(map[string]float64)}
+		g = &group{at: now, accounts: make(map[string]float64), kinds: make(map[int]kindCount)}
 		a.groups[name] = g
 	}
 	if now.After(g.at) {
@@ -278,8 +304,13 @@
 func (g *group) decay(left float64) {
 	g.admitted *= left
 	g.refused *= left
-	for i := range g.sent {
-		g.sent[i] *= left
+	g.sent *= left
+	for priority, k := range g.kinds {
+		if k = (kindCount{k.offered * left, k.sent * left}); k.offered < minCount {
+			delete(g.kinds, priority)
+			continue
+		}
+		g.kinds[priority] = k
 	}
 	for name, work := range g.accounts {
 		if work *= left; work < minCount {
@@ -290,14 +321,29 @@
 	}
 }
 
-// class returns the index of a priority's room.
-func class(priority int) int {
-	return min(max(0, priority), len(rooms)-1)
+func (g *group) countOffer(priority int) {
+	k, known := g.kinds[priority]
+	if !known && len(g.kinds) >= maxKinds {
+		return
+	}
+	k.offered++
+	g.kinds[priority] = k
+}
+
+// class returns the number of more urgent kinds of request to the same searchers, as far as rooms has them.
+func (g *group) class(priority int) int {
+	n := 0
+	for other := range g.kinds {
+		if other < priority {
+			n++
+		}
+	}
+	return min(n, len(rooms)-1)
 }
 
 // room returns the load up to which a request is sent.
 func (g *group) room(req *Request) float64 {
-	room := rooms[class(req.Priority)]
+	room := rooms[g.class(req.Priority)]
 	if g.isStarved(req) {
 		room = rooms[0]
 	}
@@ -307,33 +353,15 @@
 	return room
 }
 
-// rank returns the priority by which a request waits.
-func (g *group) rank(req *Request) int {
-	if g.isStarved(req) {
-		return -1
-	}
-	return class(req.Priority)
-}
-
 // isStarved reports whether a less urgent kind gets too little of the work.
 func (g *group) isStarved(req *Request) bool {
-	c := class(req.Priority)
-	total := g.totalSent()
-	return c > 0 && total >= minCounted*req.Work && g.sent[c] < minShare*total
+	k, known := g.kinds[req.Priority]
+	return g.class(req.Priority) > 0 && known && g.sent >= minCounted*req.Work && k.sent < minShare*g.sent
 }
 
 // isOverShare reports whether the request's account has had clearly more than its fair share of the work.
 func (g *group) isOverShare(req *Request) bool {
-	total := g.totalSent()
-	return len(g.accounts) > 1 && total >= minCounted*req.Work && g.accounts[req.Account] > overShare*total/float64(len(g.accounts))
-}
-
-func (g *group) totalSent() float64 {
-	total := 0.0
-	for _, s := range g.sent {
-		total += s
-	}
-	return total
+	return len(g.accounts) > 1 && g.sent >= minCounted*req.Work && g.accounts[req.Account] > overShare*g.sent/float64(len(g.accounts))
 }
 
 // maxAtOnce returns the number of waiting requests that one Poll may admit: about twice those of the time between two, since
--- a/internal/route/admitter/admitter_test.go
+++ b/internal/route/admitter/admitter_test.go
@@ -380,3 +380,29 @@
 		return false
 	}
 }
+
+// TestRoomsOfKinds guards against priorities that count by their number, not by what else is sent to the same searchers.
+func TestRoomsOfKinds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := New(func() time.Time { return now })
+	room := func(priority int) float64 {
+		a.Offer(&Request{Group: "g", Priority: priority, Work: 1, Load: func() float64 { return 0 }})
+		return a.groups["g"].room(&Request{Priority: priority, Work: 1})
+	}
+	if got := room(7); got != rooms[0] {
+		t.Errorf("room %g of the only kind, want %g", got, rooms[0])
+	}
+	if first, second := room(5), room(7); first != rooms[0] || second != rooms[1] {
+		t.Errorf("rooms %g and %g of two kinds, want %g and %g", first, second, rooms[0], rooms[1])
+	}
+	now = now.Add(time.Minute)
+	if got := room(7); got != rooms[0] {
+		t.Errorf("room %g a minute after the other kind, want %g", got, rooms[0])
+	}
+	for i := range 2 * maxKinds {
+		room(i)
+	}
+	if n := len(a.groups["g"].kinds); n > maxKinds {
+		t.Errorf("%d kinds counted, want %d at most", n, maxKinds)
+	}
+}
--- a/internal/route/forwarder/admission.go
+++ b/internal/route/forwarder/admission.go
@@ -22,7 +22,7 @@
 	// maxGatherWait and gatherWaitShare bound the wait of another daemon's query: it must be accepted or refused within
 	// 30 ms, and its client be refused within a quarter of the goal.
 	maxGatherWait   = 15 * time.Millisecond
-	gatherWaitShare = 0.125
+	gatherWaitShare = 0.1
 	// skipLoad is the load, relative to what its searchers handle well, from which a shard that the answer can do without
 	// is left out: its answer would come after the cutoff, and delay later queries.
 	skipLoad = 3
