forwarder: at most 0.15 of the goal is reserved for the processor's queue

On a processor that is stopped for tens of milliseconds at times, half of a goal of 80 ms could be reserved, which costs every query shards for the sake of the one in twenty that is late.

--- a/internal/route/forwarder/gather.go
+++ b/internal/route/forwarder/gather.go
@@ -88,7 +88,7 @@
 
 // gatherReserve returns the time reserved of another daemon's goal, which leaves out the way between the daemons.
 func (f *Forwarder) gatherReserve(goal time.Duration, now time.Time) time.Duration {
-	return min(handoverTime+f.queueing(now), time.Duration(float64(goal)*maxReserveShare))
+	return min(handoverTime+queueingReserve(goal, f.queueing(now)), time.Duration(float64(goal)*maxReserveShare))
 }
 
 // routeToGather returns the route of another daemon's query: that of the version that it names, or its definition of it;
--- a/internal/route/forwarder/policy.go
+++ b/internal/route/forwarder/policy.go
@@ -67,6 +67,9 @@
 	// measured.
 	minQueueing     = time.Millisecond
 	unknownQueueing = 3 * time.Millisecond
+	// maxQueueingShare bounds the part of the goal that is reserved for the processor's queue. On a processor that is stopped
+	// for tens of milliseconds at times, a reserve for that costs each query shards, to save few answers from being late.
+	maxQueueingShare = 0.15
 	// maxReserveShare bounds the reserve: the searchers need the rest.
 	maxReserveShare = 0.5
 	// queueingQuantile is the quantile of the processor's queue that is reserved. A late answer loses two thirds of its
@@ -83,11 +86,16 @@
 func cutoff(goal time.Duration, tr gauger.Transit, queueing time.Duration) time.Duration {
 	reserve := max(minUnknownReserve, time.Duration(float64(goal)*unknownReserveShare)) + tr.Waited
 	if tr.Known() {
-		reserve = tr.Elapsed() + tr.Return() + mergeTime + max(minQueueing, queueing)
+		reserve = tr.Elapsed() + tr.Return() + mergeTime + queueingReserve(goal, queueing)
 	}
 	return goal - min(reserve, time.Duration(float64(goal)*maxReserveShare))
 }
 
+// queueingReserve returns the part of a goal that is reserved for the processor's queue.
+func queueingReserve(goal, queueing time.Duration) time.Duration {
+	return max(minQueueing, min(queueing, time.Duration(float64(goal)*maxQueueingShare)))
+}
+
 // hedgeNeeded reports whether the answer depends on a hedge of one of the pending calls; optional is the number of
 // pending calls that it can do without. A hedge that is not needed adds at most one shard to an answer that covers
 // enough without it.
--- a/internal/route/forwarder/single_test.go
+++ b/internal/route/forwarder/single_test.go
@@ -175,6 +175,7 @@
 		{"clients 3 ms away", 80 * ms, gauger.Transit{RoundTrip: 6 * ms}, 3 * ms, 69 * ms},
 		{"clients 3 ms away that connect first", 80 * ms, gauger.Transit{RoundTrip: 6 * ms, Connected: true}, 3 * ms, 63 * ms},
 		{"busy processor", 80 * ms, gauger.Transit{RoundTrip: 6 * ms, Waited: 5 * ms}, 9 * ms, 58 * ms},
+		{"processor stopped at times", 80 * ms, gauger.Transit{RoundTrip: 2 * ms}, 60 * ms, 64 * ms},
 		{"reserve beyond the bound", 80 * ms, gauger.Transit{RoundTrip: 200 * ms}, 0, 40 * ms},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
