estimator: a daemon with a request now and then sees the whole load of the others

A daemon without requests in flight took the others to have none, however few it has on average, so that hundreds of small daemons could each send one to a full searcher.

--- a/internal/route/estimator/estimator.go
+++ b/internal/route/estimator/estimator.go
@@ -48,6 +48,9 @@
 	// loadWindow is the time over which the load by other daemons is averaged: their observations come each 0.3 s from
 	// the own zone and each 0.6 s from others.
 	loadWindow = time.Second
+	// tellingAverage is the average number of own requests in flight from which fewer of them now say that the others have
+	// fewer as well: a daemon with a request now and then has none most of the time.
+	tellingAverage = 0.5
 	// retention is how long a searcher without samples is kept.
 	retention = time.Minute
 )
@@ -150,7 +153,7 @@
 	now := e.now()
 	others := st.loadAtTime(now)
 	if average := st.averageAt(now); others > 0 && st.own < average {
-		return st.own + others*st.own/average
+		others *= 1 - min(1, average/tellingAverage)*(1-st.own/average)
 	}
 	return st.own + others
 }
--- a/internal/route/estimator/estimator_test.go
+++ b/internal/route/estimator/estimator_test.go
@@ -154,4 +154,12 @@
 			t.Errorf("%d own requests: %.1f in flight, want %g to %g", tt.own, got, tt.low, tt.high)
 		}
 	}
+	// A daemon that had one request for 50 ms.
+	s.Observe("b", Sample{Busy: 6 * time.Second})
+	s.Count("b", 1)
+	s.now = s.now.Add(50 * time.Millisecond)
+	s.Count("b", 0)
+	if got := s.InFlight("b"); got < 5 {
+		t.Errorf("%.1f in flight for a daemon that has a request now and then, want those of the others, about 5.5", got)
+	}
 }
