forwarder: a query for which the daemons that gather have no room is refused, not gathered by the asking daemon

When the daemons that gather were busy, each asking daemon sent to all shards itself: with new connections, on a fraction of a core, at the moment of the highest load. It answers 503 now if nothing ran; after a daemon that may have sent the query it still tries.

--- a/internal/route/forwarder/admission.go
+++ b/internal/route/forwarder/admission.go
@@ -164,13 +164,26 @@
 	return ok && d > maxQueueing
 }
 
-// asOverloaded returns the refusal when a daemon refused a query because the searchers have no room.
-func asOverloaded(err error) (exchanger.Refusal, bool) {
+// asOverloaded returns the refusal when a daemon refused a query because the searchers have no room, or when the daemons that
+// gather have none. This daemon does not gather it in their place: it has fewer connections to the searchers and a smaller
+// processor, and the searchers have no more room for it.
+//
+// Load pattern: the queries of a whole zone beyond what its daemons that gather can do.
+func (f *Forwarder) asOverloaded(err error) (exchanger.Refusal, bool) {
 	var refused *delegator.RefusedError
-	if errors.As(err, &refused) && refused.Code == exchanger.Overloaded {
+	if !errors.As(err, &refused) {
+		return exchanger.Refusal{}, false
+	}
+	switch refused.Code {
+	case exchanger.Overloaded:
 		return refused.Refusal, true
+	case exchanger.Busy:
+		return exchanger.Refusal{Code: exchanger.Busy, RetryAfter: f.cfg.RetryAfter}, true
+	case exchanger.WrongVersion, exchanger.NotReady, exchanger.Leaving:
+		return exchanger.Refusal{}, false
+	default:
+		return exchanger.Refusal{}, false
 	}
-	return exchanger.Refusal{}, false
 }
 
 // shardsOf returns the services of the shards with these indexes.
--- a/internal/route/forwarder/admission_test.go
+++ b/internal/route/forwarder/admission_test.go
@@ -199,6 +199,25 @@
 			}
 		})
 	})
+	t.Run("daemons busy", func(t *testing.T) {
+		withForwarder(t, 4, func(s *setup) {
+			s.gatherElsewhere()
+			busy := &delegator.RefusedError{Refusal: exchanger.Refusal{Code: exchanger.Busy}}
+			s.delegator = &fakeDelegator{result: delegator.Result{Attempts: 2, Err: busy}}
+			a, took := s.request(s.t.Context(), "/q/x", "")
+			s.assertRefused(&a, took)
+		})
+	})
+	t.Run("after a silent daemon", func(t *testing.T) {
+		withForwarder(t, 4, func(s *setup) {
+			s.gatherElsewhere()
+			s.stats.cfg.ExtraSlack = 1000
+			s.stats.askerBudget(&testRouting(4).Routes[0], time.Now()).AddTokens(1)
+			s.delegator = &fakeDelegator{result: delegator.Result{Attempts: 1, MayHaveRun: true, Err: full.Err}}
+			a, _ := s.request(s.t.Context(), "/q/x", "")
+			s.assertAnswer(a, http.StatusOK)
+		})
+	})
 	t.Run("a part ran", func(t *testing.T) {
 		withForwarder(t, 4, func(s *setup) {
 			s.gatherElsewhere()
--- a/internal/route/forwarder/delegation.go
+++ b/internal/route/forwarder/delegation.go
@@ -311,16 +311,18 @@
 			rest = append(rest, i)
 		}
 	}
-	refused, isOverloaded := asOverloaded(r.Err)
+	refused, isOverloaded := d.fwd.asOverloaded(r.Err)
 	if isOverloaded {
 		d.isOverloaded, d.roomAfter = true, max(d.roomAfter, refused.RetryAfter)
-	} else if !r.Final {
+	}
+	if !r.Final && refused.Code != exchanger.Overloaded {
 		d.fwd.recordUndelegated(d.req, &r.Result)
 	}
 	if len(rest) == 0 {
 		return
 	}
-	if !r.Final && !isOverloaded && r.Attempts > 0 && (!r.MayHaveRun || d.budget.Take()) {
+	// When another daemon may have sent the query, a refusal cannot say "not run": this daemon tries to answer it.
+	if !r.Final && (!isOverloaded || r.MayHaveRun) && r.Attempts > 0 && (!r.MayHaveRun || d.budget.Take()) {
 		d.gatherHere(ctx, rest, r.Attempts, d.shardBudget, false)
 		return
 	}
