--- a/cmd/cornelwood/entry_soak_test.go
+++ b/cmd/cornelwood/entry_soak_test.go
@@ -98,7 +98,9 @@
 
 // soakOptions holds what differs between the soaks.
 type soakOptions struct {
-	daemons int
+	// settings is the text of further sections of the daemons' settings.
+	settings string
+	daemons  int
 	// gathered is true when few daemons gather the queries of the others.
 	gathered bool
 	// clients is the number of clients, soakClients at least.
@@ -330,7 +332,7 @@
 		settings: filepath.Join(k.dir, id+".ini"), storeProxy: startProxy(k.t, store),
 	}
 	text := fmt.Sprintf("[daemon]\nid = %s\nzone = %s\nregion = r\n[log]\njson = true\n[caller]\nlisten = %s\nchecks = %s\npeers = %s:%s\n"+
-		"[process]\nshare = %g\n[store]\naddress = %s\n[shutdown]\ngrace = %s\n", id, zone, d.callerAddr, d.checkAddr, host, ports[2], share, d.storeProxy.addr(), soakGracePeriod)
+		"[process]\nshare = %g\n[store]\naddress = %s\n[shutdown]\ngrace = %s\n%s", id, zone, d.callerAddr, d.checkAddr, host, ports[2], share, d.storeProxy.addr(), soakGracePeriod, k.options.settings)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		k.t.Fatal(err)
 	}
--- a/internal/contract/declarer/account.go
+++ b/internal/contract/declarer/account.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"strings"
+	"unicode"
 )
 
 // Account is a client account: who may send requests, and how many.
@@ -29,6 +31,10 @@
 		if a.Name == "" || names[a.Name] {
 			f.addf(path+".name", "want a name that no other account has, got %q", a.Name)
 		}
+		if strings.ContainsFunc(a.Name, unicode.IsControl) {
+			// Searchers get the name in a header.
+			f.addf(path+".name", "want a name without control characters, got %q", a.Name)
+		}
 		names[a.Name] = true
 		for j, key := range a.Keys {
 			if key == "" || keys[key] {
--- a/internal/contract/exchanger/gather.go
+++ b/internal/contract/exchanger/gather.go
@@ -33,8 +33,12 @@
 	Host    string      `json:"host"`
 	Target  string      `json:"target"`
 	Header  http.Header `json:"header,omitempty"`
-	Body    []byte      `json:"body,omitempty"`
-	HasBody bool        `json:"hasbody,omitempty"`
+	// Account is the name of the client account, empty when there is none. Priority is the account's; nil means the
+	// route's.
+	Account  string `json:"account,omitempty"`
+	Priority *int   `json:"priority,omitempty"`
+	Body     []byte `json:"body,omitempty"`
+	HasBody  bool   `json:"hasbody,omitempty"`
 }
 
 // Check validates the request. It returns the first error, or nil.
--- a/internal/route/forwarder/delegation.go
+++ b/internal/route/forwarder/delegation.go
@@ -149,7 +149,12 @@
 
 // message returns the message for a group, without its times and attempts.
 func (d *delegation) message(shards []int) exchanger.Gather {
+	var priority *int
+	if d.req.Account != nil {
+		priority = d.req.Account.Priority
+	}
 	return exchanger.Gather{
+		Account: d.req.accountName(), Priority: priority,
 		Version: d.view.Version(), Route: d.route.Name, Shards: shards, Needed: d.neededOf(len(shards)),
 		Request: d.req.ID, Method: d.req.Method, Host: d.req.Host, Target: d.req.Target, Header: d.req.Header,
 		Body: d.body, HasBody: d.req.HasBody,
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"golang.org/x/time/rate"
 
 	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/route/authorizer"
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
 	"cornelwood.example/internal/upstream/connector"
@@ -124,15 +125,12 @@
 
 // answer returns the name of the matching route, empty when there is none, and the answer.
 func (f *Forwarder) answer(ctx context.Context, req *Request, v *locator.View) (string, Answer) {
-	if f.refusing.Load() {
-		return "", refuseNotRun(f.cfg.RetryAfter, reasonStopping)
-	}
-	if ok, reason := v.Ready(); !ok {
-		return "", refuseNotRun(f.cfg.RetryAfter, reason)
-	}
-	rt := v.Matcher.Match(req.Host, req.Path)
-	if rt == nil {
-		return "", refuse(http.StatusNotFound, reasonNoRoute)
+	rt, refusal := f.accept(req, v)
+	switch {
+	case rt == nil:
+		return "", *refusal
+	case refusal != nil:
+		return rt.Name, *refusal
 	}
 	limit := v.Matcher.Routing().Limits.BodyBytes
 	if limit <= 0 {
@@ -147,16 +145,12 @@
 		return rt.Name, refuse(http.StatusBadRequest, "read request body: "+err.Error())
 	}
 	if req.HasBody {
-		// The body may have taken long: the route may have changed, searchers may have left, and the daemon may be stopping.
+		// The body may have taken long: the route may have changed, the key may have been withdrawn, searchers may have left,
+		// and the daemon may be stopping.
 		v = f.views.View()
-		if ok, reason := v.Ready(); !ok {
-			return rt.Name, refuseNotRun(f.cfg.RetryAfter, reason)
-		}
-		if rt = v.Matcher.Match(req.Host, req.Path); rt == nil {
-			return "", refuse(http.StatusNotFound, reasonNoRoute)
-		}
-		if f.refusing.Load() {
-			return rt.Name, refuseNotRun(f.cfg.RetryAfter, reasonStopping)
+		name := rt.Name
+		if rt, refusal = f.accept(req, v); refusal != nil {
+			return name, *refusal
 		}
 	}
 	timeout := rt.EffectiveTimeout(req.ClientTimeout)
@@ -170,6 +164,33 @@
 	return rt.Name, f.single(ctx, req, body, rt, v, deadline)
 }
 
+// accept finds the route of a request and authorizes it; call it again after the request has waited. It returns the route,
+// nil when none was found, and the answer to a request that is not served, nil for one that is.
+func (f *Forwarder) accept(req *Request, v *locator.View) (*declarer.Route, *Answer) {
+	var a Answer
+	if f.refusing.Load() {
+		a = refuseNotRun(f.cfg.RetryAfter, reasonStopping)
+		return nil, &a
+	}
+	if ok, reason := v.Ready(); !ok {
+		a = refuseNotRun(f.cfg.RetryAfter, reason)
+		return nil, &a
+	}
+	rt := v.Matcher.Match(req.Host, req.Path)
+	if rt == nil {
+		a = refuse(http.StatusNotFound, reasonNoRoute)
+		return nil, &a
+	}
+	account, refusal := v.Authorizer.Authorize(rt, req.Key)
+	if refusal != authorizer.Allowed {
+		f.recordRefusal(req, rt, v, refusal)
+		a = unauthorizedAnswer(f.cfg.RetryAfter, refusal)
+		return rt, &a
+	}
+	req.setAccount(account, rt)
+	return rt, nil
+}
+
 // readBody reads a body of at most limit bytes; a longer one is an *http.MaxBytesError.
 func readBody(r io.Reader, limit int64) ([]byte, error) {
 	if r == nil {
--- a/internal/route/forwarder/gather.go
+++ b/internal/route/forwarder/gather.go
@@ -67,6 +67,12 @@
 		ID: in.Request, Method: in.Method, Host: in.Host, Target: in.Target, Header: in.Header, HasBody: in.HasBody,
 		ClientTimeout: in.Remaining, Arrived: now,
 	}
+	// The asking daemon has authorized the request.
+	var account *declarer.Account
+	if in.Account != "" {
+		account = &declarer.Account{Name: in.Account, Priority: in.Priority}
+	}
+	req.setAccount(account, rt)
 	indexes := in.Shards
 	if len(indexes) == 0 {
 		indexes = allIndexes(len(rt.Shards))
--- a/internal/route/forwarder/metrics.go
+++ b/internal/route/forwarder/metrics.go
@@ -8,6 +8,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/route/authorizer"
 	"cornelwood.example/internal/route/delegator"
 	"cornelwood.example/internal/route/locator"
 )
@@ -18,6 +20,7 @@
 	latency  *prometheus.HistogramVec
 	failures *prometheus.CounterVec
 	gathers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
 	unlogged prometheus.Counter
 }
 
@@ -38,10 +41,13 @@
 	m.gathers = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cornelwood_gathers_total", Help: "Queries gathered for other daemons, by route and whether all shards answered.",
 	}, []string{"route", "complete"})
+	m.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cornelwood_authorization_refusals_total", Help: "Requests that were not authorized, by route and reason.",
+	}, []string{"route", "reason"})
 	m.unlogged = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cornelwood_log_lines_withheld_total", Help: "Lines about requests beyond the bound on their rate.",
 	})
-	reg.MustRegister(m.requests, m.latency, m.failures, m.gathers, m.unlogged)
+	reg.MustRegister(m.requests, m.latency, m.failures, m.gathers, m.refusals, m.unlogged)
 	return m
 }
 
@@ -64,10 +70,21 @@
 	if isComplete && f.logLimiter.Tokens() < logBurst*reservedLogShare || !f.allowLogLine() {
 		return
 	}
-	f.log.Info("request answered", "request", req.ID, "route", route, "status", a.Status, "reason", a.Reason,
+	f.log.Info("request answered", "request", req.ID, "route", route, "account", req.accountName(), "status", a.Status, "reason", a.Reason,
 		"missing", a.Missing, "sends", a.SubRequests, "gatherers", a.Gatherers, "took", took, "patience", req.ClientTimeout, "version", v.Version(), "revision", v.Revision())
 }
 
+// recordRefusal counts a request that is not authorized and logs why, with the version that withdrew its key if that is known.
+func (f *Forwarder) recordRefusal(req *Request, rt *declarer.Route, v *locator.View, refusal authorizer.Refusal) {
+	f.metrics.refusals.WithLabelValues(rt.Name, refusal.String()).Inc()
+	if !f.allowLogLine() {
+		return
+	}
+	w, _ := v.Authorizer.Withdrawal(req.Key)
+	f.log.Info("request not authorized", "request", req.ID, "route", rt.Name, "reason", refusal, "haskey", req.Key != "",
+		"version", v.Version(), "withdrawnfrom", w.Account, "withdrawnwith", w.Version)
+}
+
 // recordGather counts a query that this daemon gathered for another one, and logs an incomplete one.
 func (f *Forwarder) recordGather(j *gatherJob) {
 	missing := len(j.calls) - len(j.parts)
--- a/internal/route/forwarder/policy.go
+++ b/internal/route/forwarder/policy.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"cornelwood.example/internal/route/authorizer"
 	"cornelwood.example/internal/upstream/connector"
 )
 
@@ -45,6 +46,18 @@
 	}
 }
 
+// unauthorizedAnswer returns the answer to a request that is not authorized.
+func unauthorizedAnswer(retryAfter time.Duration, refusal authorizer.Refusal) Answer {
+	switch refusal {
+	case authorizer.NoKey:
+		return refuse(http.StatusUnauthorized, "the route needs the key of an account")
+	case authorizer.UnknownKey:
+		return refuse(http.StatusUnauthorized, "no account has this key")
+	default:
+		return refuseNotRun(retryAfter, "the desired state may be too old to tell whether a key is valid")
+	}
+}
+
 // isNotRunStatus reports whether a client takes the status to mean that its request was not run.
 func isNotRunStatus(status int) bool {
 	switch status {
--- a/internal/route/forwarder/request.go
+++ b/internal/route/forwarder/request.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"cornelwood.example/internal/contract/declarer"
 )
 
 // Request is one client request.
@@ -17,7 +19,13 @@
 	Target string
 	// Header holds the headers to pass on.
 	Header http.Header
-	Body   io.Reader
+	// Key is the secret key of the client's account, empty when there is none. It must not be logged or sent anywhere.
+	Key string
+	// Account is the account of the key, nil when there is none, and Priority the rank of the request: the account's, or
+	// else the route's. Both are set when the request is authorized.
+	Account  *declarer.Account
+	Priority int
+	Body     io.Reader
 	// HasBody distinguishes an empty body from none.
 	HasBody bool
 	// ClientTimeout is how long the client waits from when it sent the request; 0 when it does not say.
@@ -25,6 +33,22 @@
 	Arrived       time.Time
 }
 
+// accountName returns the name of the request's account, empty when there is none.
+func (r *Request) accountName() string {
+	if r.Account == nil {
+		return ""
+	}
+	return r.Account.Name
+}
+
+// setAccount sets the account, and the priority that follows from it and the route.
+func (r *Request) setAccount(account *declarer.Account, rt *declarer.Route) {
+	r.Account, r.Priority = account, rt.Priority
+	if account != nil && account.Priority != nil {
+		r.Priority = *account.Priority
+	}
+}
+
 // Answer is the final answer to a request.
 type Answer struct {
 	Status int
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -16,6 +16,7 @@
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/relayer"
+	"cornelwood.example/internal/route/authorizer"
 	"cornelwood.example/internal/route/matcher"
 )
 
@@ -34,6 +35,7 @@
 	view    atomic.Pointer[View]
 
 	matcher     *matcher.Matcher
+	authorizer  *authorizer.Authorizer
 	searchers   map[string]*entry
 	closedZones map[string]bool
 	members     map[string]declarer.Member
@@ -125,9 +127,10 @@
 // publish replaces the view by one of the current state.
 func (l *Locator) publish() {
 	v := &View{
-		Matcher:  l.matcher,
-		services: make(map[string][]Searcher),
-		listed:   l.listed,
+		Matcher:    l.matcher,
+		Authorizer: l.authorizer,
+		services:   make(map[string][]Searcher),
+		listed:     l.listed,
 
 		selfSufficient: &sync.Map{},
 		revision:       l.revision,
--- a/internal/route/locator/sink.go
+++ b/internal/route/locator/sink.go
@@ -5,6 +5,7 @@
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/follower"
+	"cornelwood.example/internal/route/authorizer"
 	"cornelwood.example/internal/route/matcher"
 )
 
@@ -62,7 +63,11 @@
 		}
 	}
 	l.matcher = matcher.New(it.Value)
-	l.log.Info("desired state applied", "version", it.Value.Version, "routes", len(it.Value.Routes), "revision", it.Revision)
+	l.authorizer = authorizer.New(it.Value, l.authorizer)
+	l.log.Info("desired state applied", "version", it.Value.Version, "routes", len(it.Value.Routes), "accounts", len(it.Value.Accounts), "revision", it.Revision)
+	for account, n := range l.authorizer.Withdrawals(it.Value.Version) {
+		l.log.Info("account lost keys", "account", account, "keys", n, "version", it.Value.Version, "revision", it.Revision)
+	}
 }
 
 // searcherSink receives searchers.
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/route/authorizer"
 	"cornelwood.example/internal/route/matcher"
 )
 
@@ -12,6 +13,8 @@
 type View struct {
 	// Matcher finds routes; nil before the first desired state has been received.
 	Matcher *matcher.Matcher
+	// Authorizer decides by the same desired state which account a request belongs to; nil while Matcher is.
+	Authorizer *authorizer.Authorizer
 	// services holds the searchers that may get new requests, by service.
 	services map[string][]Searcher
 	// revision is the store's revision of the last change of the searchers.
--- a/internal/standin/searcher/stub.go
+++ b/internal/standin/searcher/stub.go
@@ -22,6 +22,9 @@
 	leaving  bool
 	holdOff  time.Duration
 	runs     map[string]int
+	// accounts holds the accounts of the requests that ran, by request ID, and keys the number of requests with a key.
+	accounts map[string]string
+	keys     int
 	lastRun  time.Time
 	// refusals holds the times of the requests that were refused while shedding.
 	refusals []time.Time
@@ -29,7 +32,7 @@
 
 // NewStub returns a Stub whose service time is delay.
 func NewStub(name string, delay time.Duration) *Stub {
-	return &Stub{name: name, delay: delay, runs: make(map[string]int)}
+	return &Stub{name: name, delay: delay, runs: make(map[string]int), accounts: make(map[string]string)}
 }
 
 // SetDelay changes the service time of each request.
@@ -78,6 +81,21 @@
 	return out
 }
 
+// Account returns the name of the account of a request that ran, and false when the request did not run.
+func (s *Stub) Account(id string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name, ok := s.accounts[id]
+	return name, ok
+}
+
+// Keys returns the number of requests that contained the key of an account.
+func (s *Stub) Keys() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keys
+}
+
 // LastRun returns when a request last started to run; the zero time when none has.
 func (s *Stub) LastRun() time.Time {
 	s.mu.Lock()
@@ -106,8 +124,12 @@
 	}
 	if !shedding && !misdirected {
 		s.runs[req.RequestID]++
+		s.accounts[req.RequestID] = req.Account
 		s.lastRun = time.Now()
 	}
+	if req.HasKey {
+		s.keys++
+	}
 	s.mu.Unlock()
 	switch {
 	case misdirected:
--- a/internal/upstream/connector/request.go
+++ b/internal/upstream/connector/request.go
@@ -22,6 +22,8 @@
 	ID string
 	// Instance is the searcher that must run the request; any other refuses it.
 	Instance string
+	// Account is the name of the client account; empty means none.
+	Account string
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	// MaxIdle is the number of idle connections to the searcher that stay open for
