relayer, follower, router: keys are used only while the desired state is known to be current

With [account] strict, a key withdrawn in the store must be used by no daemon after [account] revoke. The age of cached state counted from the store's answer, the way of a peer's answer was not counted, and a daemon out of reach of the store served on.

The follower tells its sink when each call was sent, by the boot clock of time/sentry. A cache with a limit is dated by that; a peer's answer carries the age of its state and for how long the poll was held, and the receiver dates the state by sending + hold - age. Without an age the date stays, and the peer counts as stale. The locator's goroutine takes the date after the changes up to it, so that a view is never dated later than its state. The daemon goes on gathering for others, which authorize their own requests. Without the setting nothing is dated and the calls to the store are as before. strict without a time is an invalid setting.

--- a/cmd/cornelwood/entry_account_test.go
+++ b/cmd/cornelwood/entry_account_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,22 +19,18 @@
 	withdrawnKey = "withdrawn-0123456789"
 )
 
-// declareAccounts writes the next version of the desired state: the routes of declareVersion, of which "p" is public, and an account
-// with the keys that are given.
-func (k *entrySoak) declareAccounts(keys ...string) {
-	k.declareVersion()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	ob, _ := k.store.Get(platform.KindConfig, platform.ConfigName)
-	k.latestVersion++
-	spec := strings.Replace(string(ob.Spec), fmt.Sprintf(`"version":%d`, k.latestVersion-1), fmt.Sprintf(`"version":%d`, k.latestVersion), 1)
-	spec = strings.Replace(spec, `"name":"p",`, `"name":"p","public":true,`, 1)
+// declareAccounts writes the next version of the desired state, with one account that has these keys. It returns when the store has
+// confirmed it.
+func (k *entrySoak) declareAccounts(keys ...string) time.Time {
 	text, err := json.Marshal(keys)
 	if err != nil {
 		k.t.Fatal(err)
 	}
-	spec = strings.TrimSuffix(spec, "}") + fmt.Sprintf(`,"tenants":[{"name":"one","api_keys":%s}]}`, text)
-	k.store.Set(platform.KindConfig, platform.ConfigName, json.RawMessage(spec))
+	k.mu.Lock()
+	k.accounts = fmt.Sprintf(`{"name":"one","api_keys":%s}`, text)
+	k.mu.Unlock()
+	k.declareVersion()
+	return time.Now()
 }
 
 // accountAnswer is the answer to a request with or without a key.
@@ -149,3 +147,169 @@
 		})
 	}
 }
+
+const (
+	// testRevoke is the time after its withdrawal from which no key may be used, in these tests. It is below the time after which a
+	// pause of the process makes all cached state count as outdated.
+	testRevoke = 2 * time.Second
+	// revokeTestTime is how long the tests go on after a withdrawal.
+	revokeTestTime = testRevoke + 1500*time.Millisecond
+)
+
+// withStrictKeys makes a site of three daemons with the bound, an account with two keys, and daemons that know it.
+func withStrictKeys(t *testing.T) *entrySoak {
+	t.Helper()
+	k := newEntrySoak(t, 1, soakOptions{
+		daemons: 3, timeout: soakRouteTimeout, kinds: (*entrySoak).faultKinds,
+		settings: fmt.Sprintf("[account]\nstrict = true\nrevoke = %s\n", testRevoke),
+	})
+	k.declareAccounts(keptKey, withdrawnKey)
+	for _, d := range k.daemons {
+		k.eventually("accounts known: "+d.id, entryApplyLimit, func() bool {
+			return k.sendAs(d, withdrawnKey, "/q/1").status == http.StatusOK && k.sendAs(d, "", "/q/1").status == http.StatusUnauthorized
+		})
+	}
+	return k
+}
+
+// hasRun reports whether a searcher has run a request.
+func (k *entrySoak) hasRun(a accountAnswer) bool {
+	for _, s := range k.allSearchers() {
+		if _, ok := s.Account(a.id); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// sendUntil sends requests with a key to a daemon, one after the other, and returns the answers.
+func (k *entrySoak) sendUntil(end time.Time, d *entryDaemon, key, path string) []accountAnswer {
+	var all []accountAnswer
+	for time.Now().Before(end) {
+		all = append(all, k.sendAs(d, key, path))
+		time.Sleep(20 * time.Millisecond)
+	}
+	return all
+}
+
+// assertNotUsed checks that no request ran that was sent after the time for the withdrawal of its key.
+func (k *entrySoak) assertNotUsed(withdrawnAt time.Time, all []accountAnswer) {
+	k.t.Helper()
+	late := 0
+	for _, a := range all {
+		after := a.sentAt.Sub(withdrawnAt)
+		if after <= testRevoke {
+			continue
+		}
+		late++
+		if k.hasRun(a) || a.status == http.StatusOK {
+			k.t.Errorf("a request ran, status %d, that was sent %s after its key was withdrawn", a.status, after)
+		}
+	}
+	if late == 0 {
+		k.t.Error("no request was sent after the time for the withdrawal")
+	}
+}
+
+// TestEntryKeyWithdrawnOutOfReach withdraws a key while no daemon reaches the store, or gets its answers. The key must not be used past
+// the bound. The other key must not get 401, nor requests that need none be refused. The readiness check fails before the first
+// refusal, so that the load balancer can move the clients.
+func TestEntryKeyWithdrawnOutOfReach(t *testing.T) {
+	for _, isOneWay := range []bool{false, true} {
+		t.Run(fmt.Sprintf("one way %t", isOneWay), func(t *testing.T) {
+			k := withStrictKeys(t)
+			for _, d := range k.daemons {
+				d.storeProxy.configure(!isOneWay, true, false, 0)
+			}
+			withdrawnAt := k.declareAccounts(keptKey)
+			end := withdrawnAt.Add(revokeTestTime)
+			var group sync.WaitGroup
+			for _, d := range k.daemons {
+				group.Go(func() { k.assertNotUsed(withdrawnAt, k.sendUntil(end, d, withdrawnKey, "/q/1")) })
+				group.Go(func() {
+					for _, a := range k.sendUntil(end, d, "", "/p/1") {
+						if a.status != http.StatusOK {
+							t.Errorf("status %d at a public route without a key", a.status)
+						}
+					}
+				})
+				group.Go(func() {
+					isReady, refused := true, 0
+					for time.Now().Before(end) {
+						isReady = isReady && d.isReady()
+						a := k.sendAs(d, keptKey, "/q/1")
+						if a.status == http.StatusOK {
+							continue
+						}
+						refused++
+						if a.status != http.StatusServiceUnavailable || a.retryAfter == "" || k.hasRun(a) || isReady {
+							t.Errorf("status %d, Retry-After %q, run %t, ready before %t; want a refusal of a daemon that is not ready", a.status, a.retryAfter, k.hasRun(a), isReady)
+						}
+						time.Sleep(20 * time.Millisecond)
+					}
+					if refused == 0 {
+						t.Error("the key that was kept was never refused, although it may have been withdrawn")
+					}
+				})
+			}
+			group.Wait()
+			for _, d := range k.daemons {
+				d.storeProxy.configure(false, false, false, 0)
+			}
+			for _, d := range k.daemons {
+				k.eventually("serving again: "+d.id, 2*entryApplyLimit, func() bool {
+					return d.isReady() && k.sendAs(d, keptKey, "/q/1").status == http.StatusOK && k.sendAs(d, withdrawnKey, "/q/1").status == http.StatusUnauthorized
+				})
+			}
+			k.assertKeysSecret()
+		})
+	}
+}
+
+// TestEntryKeyRelayed withdraws a key while the store answers one daemon only. The others learn of it from that one, and go on serving the
+// other key: state that a peer confirms is as good as the store's.
+func TestEntryKeyRelayed(t *testing.T) {
+	k := withStrictKeys(t)
+	for _, d := range k.daemons[1:] {
+		d.storeProxy.configure(true, true, false, 0)
+	}
+	// A daemon that read the store needs some time to turn to its peers.
+	time.Sleep(revokeTestTime)
+	withdrawnAt := k.declareAccounts(keptKey)
+	end := withdrawnAt.Add(revokeTestTime)
+	var group sync.WaitGroup
+	for _, d := range k.daemons {
+		group.Go(func() { k.assertNotUsed(withdrawnAt, k.sendUntil(end, d, withdrawnKey, "/q/1")) })
+		group.Go(func() {
+			for _, a := range k.sendUntil(end, d, keptKey, "/q/1") {
+				if a.status != http.StatusOK {
+					t.Errorf("daemon %s: status %d for a key that is valid", d.id, a.status)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
+// TestEntryKeyFrozen withdraws a key while a daemon is frozen, for less than the pause that makes all its state count as outdated. It finds
+// requests in its sockets when it goes on.
+func TestEntryKeyFrozen(t *testing.T) {
+	k := withStrictKeys(t)
+	d := k.daemons[0]
+	d.signal(t, syscall.SIGSTOP)
+	withdrawnAt := k.declareAccounts(keptKey)
+	time.Sleep(time.Until(withdrawnAt.Add(testRevoke + 100*time.Millisecond)))
+	var group sync.WaitGroup
+	for range 20 {
+		group.Go(func() {
+			a := k.sendAs(d, withdrawnKey, "/q/1")
+			if a.status != http.StatusServiceUnavailable && a.status != http.StatusUnauthorized {
+				t.Errorf("status %d, want a refusal", a.status)
+			}
+			k.assertNotUsed(withdrawnAt, []accountAnswer{a})
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	d.signal(t, syscall.SIGCONT)
+	group.Wait()
+}
--- a/cmd/cornelwood/entry_soak_test.go
+++ b/cmd/cornelwood/entry_soak_test.go
@@ -159,6 +159,8 @@
 	// liveSearchers holds the names of each service's searchers that are not draining.
 	liveSearchers map[string][]string
 	latestVersion int
+	// accounts is the JSON text of the client accounts.
+	accounts string
 	// declaredAt holds the time at which the store confirmed each version.
 	declaredAt map[int]time.Time
 	requests   []requestRecord
@@ -287,7 +289,7 @@
 }
 
 // declareVersion writes the next version N of the desired state. Its route "/vN/" replaces the one of the version
-// before.
+// before, and its route "p" needs no key.
 func (k *entrySoak) declareVersion() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -305,9 +307,9 @@
 	common := fmt.Sprintf(`"host":%q,"timeout_ms":%d,"goal_ms":200,"attempts":%d`, entryHost, k.options.timeout.Milliseconds(), soakAttempts)
 	spec := fmt.Sprintf(`{"version":%d,"routes":[
 		{"name":"q","path_prefix":"/q/","kind":"idempotent","gather":[%s],"top_k":%d,"min_shard_ratio":0.6,%s},
-		{"name":"p","path_prefix":"/p/","kind":"non_idempotent","service":"one",%s},
-		{"name":"v","path_prefix":"/v%d/","kind":"idempotent","service":"one",%s}],"services":[%s]}`,
-		k.latestVersion, strings.Join(shards, ","), soakTopK, common, common, k.latestVersion, common, strings.TrimSuffix(services, ","))
+		{"name":"p","path_prefix":"/p/","public":true,"kind":"non_idempotent","service":"one",%s},
+		{"name":"v","path_prefix":"/v%d/","kind":"idempotent","service":"one",%s}],"services":[%s],"tenants":[%s]}`,
+		k.latestVersion, strings.Join(shards, ","), soakTopK, common, common, k.latestVersion, common, strings.TrimSuffix(services, ","), k.accounts)
 	k.store.Set(platform.KindConfig, platform.ConfigName, json.RawMessage(spec))
 	k.declaredAt[k.latestVersion] = time.Now()
 }
--- a/internal/control/follower/feed.go
+++ b/internal/control/follower/feed.go
@@ -43,6 +43,9 @@
 	// Apply receives changes in the order in which they happened, up to a revision. A
 	// watch that ends without a change calls it with none.
 	Apply(changes []Change[T], revision uint64)
+	// Confirm is called after Replace or Apply, with the time of Config.Clock at which the call that showed the state was
+	// sent: the state includes all that the store had confirmed by then.
+	Confirm(asked time.Duration)
 	// Lost is called when the store stops answering. The next Replace or Apply shows
 	// that it answers again.
 	Lost(err error)
--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cornelwood.example/internal/time/sentry"
 	"cornelwood.example/internal/time/sleeper"
 )
 
@@ -33,6 +34,8 @@
 	// Rand returns a random number from 0 up to 1 for the jitter that spreads the calls
 	// of many daemons.
 	Rand func() float64
+	// Clock tells when calls are sent. It goes on while the machine is suspended.
+	Clock sentry.Clock
 }
 
 // Default returns the settings that keep the followed state at most 3 s old: a change
@@ -46,6 +49,7 @@
 		MinBackoff: 100 * time.Millisecond,
 		MaxBackoff: 2 * time.Second,
 		Rand:       rand.Float64,
+		Clock:      sentry.BootClock,
 	}
 }
 
@@ -114,6 +118,7 @@
 func (f *Follower[T]) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.WatchWait+f.cfg.CallMargin)
 	defer cancel()
+	asked := f.cfg.Clock()
 	items, revision, err := f.feed.List(ctx)
 	if err != nil {
 		return err
@@ -121,6 +126,7 @@
 	f.failures = 0
 	f.needsList = false
 	f.sink.Replace(items, revision)
+	f.sink.Confirm(asked)
 	return nil
 }
 
@@ -149,6 +155,7 @@
 func (f *Follower[T]) watchFor(ctx context.Context, from uint64, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.CallMargin)
 	defer cancel()
+	asked := f.cfg.Clock()
 	changes, revision, err := f.feed.Watch(ctx, from, wait)
 	var compacted *CompactedError
 	if errors.As(err, &compacted) {
@@ -160,6 +167,7 @@
 	}
 	f.failures = 0
 	f.sink.Apply(changes, revision)
+	f.sink.Confirm(asked)
 	return nil
 }
 
--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -87,6 +87,8 @@
 	revision uint64
 	known    bool
 	losses   int
+	// asked holds the times at which the calls that succeeded were sent.
+	asked []time.Duration
 }
 
 func (s *fakeSink) Revision() (uint64, bool) {
@@ -107,6 +109,12 @@
 	s.revision = revision
 }
 
+func (s *fakeSink) Confirm(asked time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = append(s.asked, asked)
+}
+
 func (s *fakeSink) Lost(error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -137,6 +145,7 @@
 		g.changed = make(chan struct{})
 		cfg := Default()
 		cfg.Rand = func() float64 { return 0.5 }
+		cfg.Clock = func() time.Duration { return time.Since(feed.start) }
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- New("test", cfg, feed, sink, g).Serve(ctx) }()
@@ -171,6 +180,18 @@
 			t.Errorf("revision %d, lost %d times", sink.revision, sink.losses)
 		}
 	})
+	t.Run("dates the state by when the call was sent", func(t *testing.T) {
+		// An answer may wait for long, in the store or in a process that is frozen, and the store may change meanwhile.
+		feed := &fakeFeed{revision: 7}
+		sink := runFollower(t, feed, openGate(), func(*fakeSink) {
+			time.Sleep(4 * time.Second)
+			feed.update(func() { feed.hang = true })
+			time.Sleep(10 * time.Second)
+		})
+		if diff := cmp.Diff(feed.times[:len(sink.asked)], sink.asked); diff != "" || len(sink.asked) != 4 {
+			t.Errorf("%d dates, want 4, of the calls that were answered (-want +got):\n%s", len(sink.asked), diff)
+		}
+	})
 	t.Run("lists again when the store has dropped the changes", func(t *testing.T) {
 		feed := &fakeFeed{revision: 7}
 		runFollower(t, feed, openGate(), func(*fakeSink) {
--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -11,6 +11,7 @@
 
 	"cornelwood.example/internal/control/follower"
 	"cornelwood.example/internal/peer/linker"
+	"cornelwood.example/internal/time/sentry"
 )
 
 // removalRetention is how long a Cache keeps a tombstone for peers that ask for changes.
@@ -54,6 +55,13 @@
 	compactedRevision uint64
 	// confirmedAt is when the store last confirmed that it held nothing newer.
 	confirmedAt time.Time
+	// maxAge is the greatest age of the state on clock that a peer may have to count as fresh; 0 means that the state is
+	// not dated. onDated receives each later date.
+	maxAge  time.Duration
+	onDated func(at time.Duration)
+	clock   sentry.Clock
+	// dated is clock's time at which the call to the store was sent that last confirmed the state, 0 if it is not known.
+	dated time.Duration
 	// trustedFrom is the time from which confirmations count, after a pause of the process.
 	trustedFrom time.Time
 	// whole is the packed full list; nil after a change.
@@ -78,6 +86,7 @@
 		kind:       kind,
 		sink:       sink,
 		changed:    &r.cacheChanged,
+		clock:      r.cfg.Clock,
 		items:      make(map[string]follower.Item[T]),
 		tombstones: make(map[string]tombstone),
 	}
@@ -92,6 +101,38 @@
 	return c
 }
 
+// LimitAge dates the state by Config.Clock's time at which the call that confirmed it was sent to the store, also over relays. State
+// that is older than maxAge, or of unknown age, does not count as fresh. onDated receives each later date, after the changes up to
+// it have been passed on to the sink. Call it before Serve.
+func (c *Cache[T]) LimitAge(maxAge time.Duration, onDated func(at time.Duration)) {
+	c.maxAge, c.onDated = maxAge, onDated
+}
+
+// Confirm records when the call to the store was sent that confirmed the state.
+func (c *Cache[T]) Confirm(asked time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.date(asked)
+}
+
+// date records that the state includes all that the store had confirmed at a time of the clock.
+func (c *Cache[T]) date(at time.Duration) {
+	if c.maxAge > 0 && at > c.dated {
+		c.dated = at
+		c.onDated(at)
+	}
+}
+
+// isYoung reports whether the age of the state is known and not above maxAge, or not limited.
+func (c *Cache[T]) isYoung() bool {
+	return c.maxAge == 0 || c.dated > 0 && c.clock()-c.dated <= c.maxAge
+}
+
+// acceptsAge reports whether a peer's state is young enough to count as fresh.
+func (c *Cache[T]) acceptsAge(u *update) bool {
+	return c.maxAge == 0 || u.Asked > 0 && u.Asked <= c.maxAge
+}
+
 // Revision returns the store's revision up to which changes are known, and false before
 // the first list.
 func (c *Cache[T]) Revision() (uint64, bool) {
@@ -236,6 +277,9 @@
 	Revision uint64 `json:"revision"`
 	// Age is how long ago the store confirmed the revision.
 	Age time.Duration `json:"age"`
+	// Asked is how long ago, when this message was made, the call to the store was sent that confirmed the state, by the
+	// sender's Config.Clock. 0 means that it is not known.
+	Asked time.Duration `json:"asked,omitempty"`
 	// Lost is true while the store does not answer the sender.
 	Lost bool `json:"lost,omitempty"`
 	// Entries is an encoded []entry, compressed by flate.
@@ -282,7 +326,7 @@
 	if c.neverStale {
 		return c.listed
 	}
-	return c.listed && c.lostAt.IsZero() && time.Since(c.confirmedAt) <= maxAge
+	return c.listed && c.lostAt.IsZero() && time.Since(c.confirmedAt) <= maxAge && c.isYoung()
 }
 
 // updateSince returns the update for a peer that knows a revision: the changes after it,
@@ -291,6 +335,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := update{Kind: c.kind, Revision: c.revision, Age: time.Since(c.confirmedAt), Lost: !c.lostAt.IsZero(), Whole: revision == 0 || revision < c.compactedRevision}
+	if c.dated > 0 {
+		u.Asked = max(1, c.clock()-c.dated)
+	}
 	if u.Whole {
 		var err error
 		u.Entries, err = c.wholeEntries()
@@ -384,8 +431,9 @@
 
 // applyUpdate applies a peer's update. It ends an outage of the store only if the store
 // answers the peer and confirmed the update's revision later than the cached state: a peer
-// that has lost the store shows nothing about this daemon's own connection to it.
-func (c *Cache[T]) applyUpdate(u *update) error {
+// that has lost the store shows nothing about this daemon's own connection to it. answered is a time of the clock at
+// or before which the peer made the update.
+func (c *Cache[T]) applyUpdate(u *update, answered time.Duration) error {
 	entries, err := unpackEntries[T](u.Entries)
 	if err != nil {
 		return err
@@ -407,9 +455,12 @@
 	}
 	if u.Whole {
 		c.replace(items, u.Revision, u.Age)
-		return nil
+	} else {
+		c.apply(changes, u.Revision, u.Age)
+	}
+	if u.Asked > 0 {
+		c.date(answered - u.Asked)
 	}
-	c.apply(changes, u.Revision, u.Age)
 	return nil
 }
 
--- a/internal/control/relayer/cache_test.go
+++ b/internal/control/relayer/cache_test.go
@@ -126,7 +126,7 @@
 	revision, _ := to.Revision()
 	u, err := from.updateSince(revision)
 	if err == nil {
-		err = to.applyUpdate(&u)
+		err = to.applyUpdate(&u, 0)
 	}
 	if err != nil {
 		t.Fatal(err)
@@ -265,7 +265,7 @@
 		t.Run(name, func(t *testing.T) {
 			c, m := newTestCache()
 			prepare(c)
-			if err := c.applyUpdate(&u); err != nil {
+			if err := c.applyUpdate(&u, 0); err != nil {
 				t.Fatal(err)
 			}
 			assertValues(t, m, "a=x")
@@ -284,7 +284,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := peer.applyUpdate(&u); err != nil {
+	if err := peer.applyUpdate(&u, 0); err != nil {
 		t.Fatal(err)
 	}
 	assertValues(t, m, "a=x new=x")
--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"cornelwood.example/internal/contract/exchanger"
 	"cornelwood.example/internal/control/follower"
 	"cornelwood.example/internal/peer/linker"
+	"cornelwood.example/internal/time/sentry"
 	"cornelwood.example/internal/time/sleeper"
 )
 
@@ -52,6 +53,8 @@
 	StaleBackoff time.Duration
 	// StalePause is the pause between two polls of a daemon that waits for those.
 	StalePause time.Duration
+	// Clock dates the state of caches whose age is limited. It goes on while the machine is suspended.
+	Clock sentry.Clock
 }
 
 // Default returns the settings that keep the cached state at most 3 s old.
@@ -72,6 +75,7 @@
 		ReadersInterval: 1200 * time.Millisecond,
 		StaleBackoff:    time.Second,
 		StalePause:      300 * time.Millisecond,
+		Clock:           sentry.BootClock,
 	}
 }
 
@@ -91,7 +95,8 @@
 	isNeverStale() bool
 	invalidate()
 	updateSince(revision uint64) (update, error)
-	applyUpdate(u *update) error
+	acceptsAge(u *update) bool
+	applyUpdate(u *update, answered time.Duration) error
 }
 
 // pollRequest asks a peer for the changes after the revisions that the sender knows.
@@ -122,12 +127,17 @@
 // pollResponse is the answer to a pollRequest.
 type pollResponse struct {
 	Updates []update `json:"updates"`
+	// Held is how long the sender has held the poll, by its Config.Clock.
+	Held time.Duration `json:"held,omitempty"`
 	// Observations holds the observations that the sender of the request lacks, and
 	// LastBatch the number of the newest batch.
 	Observations []exchanger.Observation `json:"seen,omitempty"`
 	LastBatch    uint64                  `json:"number,omitempty"`
 	// CutOff is true while the sender's zone is cut off from the others and from the store.
 	CutOff bool `json:"cutoff,omitempty"`
+	// answered is the time of the receiver's Config.Clock at or before which the response was made: that of sending the
+	// poll, and Held.
+	answered time.Duration
 }
 
 // Check validates the response. It returns the first error, or nil.
@@ -494,10 +504,13 @@
 	ctx, cancel := context.WithTimeout(ctx, in.Wait+r.cfg.PollMargin)
 	defer cancel()
 	var out pollResponse
+	sent := r.cfg.Clock()
 	if err := r.caller.Call(ctx, m.Peer, callPoll, in, &out); err != nil {
 		r.log.Debug("poll of peer failed", "peer", m.ID, "error", err)
 		return nil
 	}
+	// A response cannot have been held for longer than the poll took.
+	out.answered = sent + max(0, min(out.Held, r.cfg.Clock()-sent))
 	return &out
 }
 
@@ -514,7 +527,7 @@
 		return silent
 	}
 	for i := range out.Updates {
-		r.applyUpdate(m, &out.Updates[i])
+		r.applyUpdate(m, &out.Updates[i], out.answered)
 	}
 	r.lastBatches[m.ID] = out.LastBatch
 	r.observer.Merge(out.Observations)
@@ -559,14 +572,14 @@
 			continue
 		}
 		i := slices.IndexFunc(resp.Updates, func(u update) bool { return u.Kind == c.name() })
-		if i < 0 || resp.Updates[i].Lost || resp.Updates[i].Age > r.cfg.MaxAge {
+		if i < 0 || resp.Updates[i].Lost || resp.Updates[i].Age > r.cfg.MaxAge || !c.acceptsAge(&resp.Updates[i]) {
 			return false
 		}
 	}
 	return true
 }
 
-func (r *Relayer) applyUpdate(m *declarer.Member, u *update) {
+func (r *Relayer) applyUpdate(m *declarer.Member, u *update, answered time.Duration) {
 	for _, c := range r.caches {
 		if c.name() != u.Kind {
 			continue
@@ -576,7 +589,7 @@
 			r.log.Info("stale state of a peer not taken for now", "peer", m.ID, "kind", u.Kind, "age", u.Age, "lost", u.Lost)
 			continue
 		}
-		if err := c.applyUpdate(u); err != nil {
+		if err := c.applyUpdate(u, answered); err != nil {
 			r.log.Warn("update from peer not readable", "peer", m.ID, "kind", u.Kind, "error", err)
 		}
 	}
@@ -585,6 +598,7 @@
 // Handle answers the polls of peers. Register it with linker.Linker.Handle under the
 // name that CallName returns.
 func (r *Relayer) Handle(ctx context.Context, _ netip.AddrPort, body []byte) (any, error) {
+	received := r.cfg.Clock()
 	var in pollRequest
 	if err := linker.Decode(body, &in); err != nil {
 		return nil, err
@@ -596,12 +610,12 @@
 	for {
 		changed := r.cacheChanged.wait()
 		if r.mustAnswerNow(&in) {
-			return r.answer(&in)
+			return r.answer(&in, received)
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return r.answer(&in)
+			return r.answer(&in, received)
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -645,9 +659,9 @@
 	return false
 }
 
-func (r *Relayer) answer(in *pollRequest) (any, error) {
+func (r *Relayer) answer(in *pollRequest, received time.Duration) (any, error) {
 	r.publishObservations()
-	out := pollResponse{CutOff: r.isCutOff.Load()}
+	out := pollResponse{Held: r.cfg.Clock() - received, CutOff: r.isCutOff.Load()}
 	out.Observations, out.LastBatch = r.recent.since(in.LastBatch, in.From, in.Zone, r.self.Zone)
 	for _, c := range r.caches {
 		if _, known := c.Revision(); !known {
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -71,6 +71,7 @@
 	conns                  *connector.Connector
 	picker                 *picker.Picker
 	pauses                 *pauseGuard
+	keys                   *keyGuard
 	selector               *selector.Selector
 	forwarder              *forwarder.Forwarder
 	linker                 *linker.Linker
@@ -150,14 +151,20 @@
 	r.pauses = newPauseGuard(r.locator, r.relayer, sentry.BootClock, relayer.Default().MaxAge, func(pause time.Duration) {
 		r.log.Warn("process was paused; requests are refused until the cached state is confirmed", "pause", pause, "most", maxDistrust)
 	})
+	r.keys = newKeyGuard(r.pauses, settings.Account, sentry.BootClock, r.log.Named("route"))
+	if r.keys.revoke > 0 {
+		r.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "cornelwood_desired_state_age_seconds", Help: "Time since the call to the store that last confirmed the desired state was sent; -1 if not known.",
+		}, r.routingAgeSeconds))
+	}
 	peers := &peers{r.linker}
 	r.selector = selector.New(self.Zone, peers, r.log.Named("route"), time.Now)
 	d := delegator.New(delegator.Default(), peers, r.selector, peers)
-	r.forwarder = forwarder.New(forwarderConfig(settings), self, r.pauses, r.picker, r.conns, d, r.log.Named("route"), forwarder.NewMetrics(r.reg))
+	r.forwarder = forwarder.New(forwarderConfig(settings), self, r.keys, r.picker, r.conns, d, r.log.Named("route"), forwarder.NewMetrics(r.reg))
 	srv := delegator.NewServer(r.forwarder)
 	r.linker.HandleStream(gatherStream, func(ctx context.Context, s *linker.Stream) error { return srv.Serve(ctx, s) })
 	r.linker.Handle(probeCall, func(context.Context, netip.AddrPort, []byte) (any, error) {
-		if ok, reason := r.ready(); !ok {
+		if ok, reason := r.canGather(); !ok {
 			return nil, &linker.RemoteError{Code: codeNotReady, Reason: reason}
 		}
 		return nil, nil
@@ -176,9 +183,13 @@
 	members := relayer.NewCache("members", r.locator.Members(), r.relayer).NeverStale()
 	r.registrar = registrar.New(self, settings.Store.Bootstrap, r.store, r.log.Named("control"))
 	cfg := follower.Default()
+	routings := relayer.NewCache("routing", r.locator.Routings(), r.relayer)
+	if settings.Account.Strict {
+		routings.LimitAge(fraction(settings.Account.Revoke, keyReadyShare), r.locator.ConfirmRouting)
+	}
 	r.followers = []suture.Service{
 		follower.New("members", cfg, r.store.Members(), members, r.relayer.MemberGate()),
-		follower.New("routing", cfg, r.store.Routings(), relayer.NewCache("routing", r.locator.Routings(), r.relayer), r.relayer),
+		follower.New("routing", routingFollowerConfig(settings.Account), r.store.Routings(), routings, r.relayer),
 		follower.New("searchers", cfg, r.store.Searchers(), relayer.NewCache("searchers", r.locator.Searchers(), r.relayer), r.relayer),
 		follower.New("closures", cfg, r.store.Closures(), relayer.NewCache("closures", r.locator.Closures(), r.relayer), r.relayer),
 	}
@@ -209,7 +220,7 @@
 }
 
 // Reload applies changed settings: the log level, the grace period and the ratio of extra requests. Addresses,
-// names and the rest of the budget take effect at the next start.
+// names, the rest of the budget and the bound on keys take effect at the next start.
 func (r *Router) Reload(settings *reader.EntrySettings) {
 	r.log.SetLevel(hclog.LevelFromString(settings.Log.Level))
 	r.forwarder.SetExtraPercent(forwarderConfig(settings).ExtraPercent)
@@ -263,6 +274,24 @@
 
 // ready reports whether the daemon accepts new clients, and the reason when it does not.
 func (r *Router) ready() (bool, string) {
+	if !r.keys.IsReady() {
+		return false, "the desired state was not confirmed in time for the keys of accounts"
+	}
+	return r.canGather()
+}
+
+// routingAgeSeconds returns the age of the desired state, -1 if it is not known.
+func (r *Router) routingAgeSeconds() float64 {
+	age, known := r.locator.View().RoutingAge(sentry.BootClock())
+	if !known {
+		return -1
+	}
+	return age.Seconds()
+}
+
+// canGather reports whether the daemon gathers queries for others, and the reason when it does not. The daemon that asks has
+// authorized them.
+func (r *Router) canGather() (bool, string) {
 	if r.leaving.Load() {
 		return false, "leaving"
 	}
@@ -282,7 +311,7 @@
 
 // isClosing reports whether client connections are closed after their next answer.
 func (r *Router) isClosing() bool {
-	return r.leaving.Load() || r.isOfNoUse()
+	return r.leaving.Load() || r.isOfNoUse() || !r.keys.IsReady()
 }
 
 // close releases the daemon's resources in reverse order of acquisition.
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -181,7 +181,7 @@
 		a = refuse(http.StatusNotFound, reasonNoRoute)
 		return nil, &a
 	}
-	account, refusal := v.Authorizer.Authorize(rt, req.Key)
+	account, refusal := v.Authorize(rt, req.Key)
 	if refusal != authorizer.Allowed {
 		f.recordRefusal(req, rt, v, refusal)
 		a = unauthorizedAnswer(f.cfg.RetryAfter, refusal)
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -34,8 +34,10 @@
 	updates chan func()
 	view    atomic.Pointer[View]
 
-	matcher     *matcher.Matcher
-	authorizer  *authorizer.Authorizer
+	matcher    *matcher.Matcher
+	authorizer *authorizer.Authorizer
+	// routingAt is View.routingAt.
+	routingAt   time.Duration
 	searchers   map[string]*entry
 	closedZones map[string]bool
 	members     map[string]declarer.Member
@@ -129,6 +131,7 @@
 	v := &View{
 		Matcher:    l.matcher,
 		Authorizer: l.authorizer,
+		routingAt:  l.routingAt,
 		services:   make(map[string][]Searcher),
 		listed:     l.listed,
 
@@ -221,6 +224,12 @@
 	return &routingSink{l}
 }
 
+// ConfirmRouting records that the desired states received so far are the store's as of a time of the boot clock. It takes effect
+// after them.
+func (l *Locator) ConfirmRouting(at time.Duration) {
+	l.enqueue(func() { l.routingAt = at })
+}
+
 // Searchers returns the sink of searchers.
 func (l *Locator) Searchers() relayer.Sink[declarer.Searcher] {
 	return &searcherSink{l}
--- a/internal/route/locator/locator_test.go
+++ b/internal/route/locator/locator_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -293,3 +295,32 @@
 		}
 	}
 }
+
+// TestConfirmRouting checks that no view is dated to a time at which the store had a newer desired state than the view's: a withdrawn
+// key would be used past its bound.
+func TestConfirmRouting(t *testing.T) {
+	withLocator(t, func(l *Locator) {
+		const versions = 200
+		var readers sync.WaitGroup
+		readers.Go(func() {
+			for l.View().Version() < versions {
+				v := l.View()
+				// Version n is confirmed at n seconds.
+				if age, known := v.RoutingAge(0); known && uint64(-age/time.Second) > v.Version() {
+					t.Errorf("a view with version %d is dated to %s", v.Version(), -age)
+					return
+				}
+				runtime.Gosched()
+			}
+		})
+		for n := uint64(4); n <= versions; n++ {
+			l.Routings().Apply([]follower.Change[*declarer.Routing]{{Item: routing(n)}}, n)
+			l.ConfirmRouting(time.Duration(n) * time.Second)
+		}
+		readers.Wait()
+		synctest.Wait()
+		if age, known := l.View().RoutingAge(versions * time.Second); !known || age != 0 {
+			t.Errorf("age %s, known %t, want the last confirmation", age, known)
+		}
+	})
+}
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -27,10 +27,41 @@
 	gathered  map[string]bool
 	// selfSufficient caches IsSelfSufficient by zone.
 	selfSufficient *sync.Map
+	// routingAt is the boot clock's time at which the call to the store was sent that last confirmed the desired state, 0 if
+	// it is not known.
+	routingAt time.Duration
+	keyTrust  KeyTrust
 	// isOutdated is true when the state may be older than its bound.
 	isOutdated bool
 }
 
+// KeyTrust says which decisions about keys the age of the desired state allows.
+type KeyTrust int32
+
+// Degrees of trust.
+const (
+	// KeysCurrent: keys are accepted and refused.
+	KeysCurrent KeyTrust = iota
+	// KeysAging: known keys are accepted. One that is not known may have been added since.
+	KeysAging
+	// KeysOutdated: a known key may have been withdrawn long ago.
+	KeysOutdated
+)
+
+// String returns the trust as a word for logs.
+func (k KeyTrust) String() string {
+	switch k {
+	case KeysCurrent:
+		return "current"
+	case KeysAging:
+		return "aging"
+	case KeysOutdated:
+		return "outdated"
+	default:
+		return "invalid"
+	}
+}
+
 // Searcher is a searcher that may get new requests.
 type Searcher struct {
 	declarer.Searcher
@@ -65,6 +96,32 @@
 	return &out
 }
 
+// WithKeyTrust returns a copy of the view with another trust in the keys of accounts.
+func (v *View) WithKeyTrust(trust KeyTrust) *View {
+	out := *v
+	out.keyTrust = trust
+	return &out
+}
+
+// RoutingAge returns the time since the call to the store was sent that last confirmed the desired state, and false if that
+// is not known. now is the boot clock's time.
+func (v *View) RoutingAge(now time.Duration) (time.Duration, bool) {
+	return now - v.routingAt, v.routingAt > 0
+}
+
+// Authorize returns the account of a request's key, nil when there is none, and whether the route serves the request. Call it
+// on a view that is ready.
+func (v *View) Authorize(rt *declarer.Route, key string) (*declarer.Account, authorizer.Refusal) {
+	if v.keyTrust == KeysOutdated && (key != "" || !rt.Public) {
+		return nil, authorizer.Outdated
+	}
+	account, refusal := v.Authorizer.Authorize(rt, key)
+	if v.keyTrust == KeysAging && refusal != authorizer.Allowed {
+		return nil, authorizer.Outdated
+	}
+	return account, refusal
+}
+
 // Searchers returns the searchers of a service that may get new requests. The slice must not be changed.
 func (v *View) Searchers(service string) []Searcher {
 	return v.services[service]
--- a/internal/settings/reader/entry.go
+++ b/internal/settings/reader/entry.go
@@ -113,6 +113,9 @@
 	if s.Caller.Listen == s.Caller.Checks && !l.has("caller") {
 		l.addf("caller", "checks", "%s is already the listen address for clients", s.Caller.Checks)
 	}
+	if s.Account.Strict && s.Account.Revoke <= 0 && !l.has("account") {
+		l.addf("account", "revoke", "want a time above 0 where strict is true")
+	}
 	if err := l.join(); err != nil {
 		return nil, err
 	}
--- a/internal/settings/reader/entry_test.go
+++ b/internal/settings/reader/entry_test.go
@@ -41,6 +41,8 @@
 		{"ratio that is no number", goodEntry + "[extra]\nratio = NaN\n", []string{"extra/ratio"}},
 		{"ratio below 0", goodEntry + "[extra]\nratio = -1\n", []string{"extra/ratio"}},
 		{"ratio above 1", goodEntry + "[extra]\nratio = 1.1\n", []string{"extra/ratio"}},
+		{"strict without a time", goodEntry + "[account]\nstrict = true\n", []string{"account/revoke"}},
+		{"strict", goodEntry + "[account]\nstrict = true\nrevoke = 5s\n", nil},
 		{"section of another daemon", goodEntry + "[group]\nfence = 1s\n", []string{"group/"}},
 	}
 	for _, tt := range tests {
