--- a/internal/daemon/router/keys.go
+++ b/internal/daemon/router/keys.go
@@ -56,22 +56,23 @@
 // View returns the current view.
 func (g *keyGuard) View() *locator.View {
 	v := g.views.View()
-	trust := g.judge(v)
+	trust, age := g.judge(v)
 	if trust == locator.KeysCurrent {
 		return v
 	}
-	return v.WithKeyTrust(trust)
+	return v.WithKeyTrust(trust, age)
 }
 
 // IsReady reports whether the desired state is young enough to accept new clients.
 func (g *keyGuard) IsReady() bool {
-	return g.judge(g.views.View()) == locator.KeysCurrent
+	trust, _ := g.judge(g.views.View())
+	return trust == locator.KeysCurrent
 }
 
-// judge returns the trust in the keys of a view at this moment.
-func (g *keyGuard) judge(v *locator.View) locator.KeyTrust {
+// judge returns the trust in the keys of a view at this moment, and the age of its desired state if that is known.
+func (g *keyGuard) judge(v *locator.View) (locator.KeyTrust, time.Duration) {
 	if g.revoke <= 0 || v.Authorizer == nil || !v.Authorizer.IsRestricted() {
-		return locator.KeysCurrent
+		return locator.KeysCurrent, 0
 	}
 	// The clock is read after the view was taken, so that the age is not less than the true one.
 	age, known := v.RoutingAge(g.clock())
@@ -82,10 +83,10 @@
 	case known && age <= fraction(g.revoke, keyUseShare):
 		trust = locator.KeysAging
 	}
-	if g.trust.Swap(int32(trust)) != int32(trust) {
-		g.log.Warn("trust in the keys of accounts changed", "trust", trust, "age", age, "known", known, "revoke", g.revoke, "version", v.Version())
+	if g.trust.Load() != int32(trust) && g.trust.Swap(int32(trust)) != int32(trust) {
+		g.log.Warn("trust in the keys of accounts changed", "trust", trust.String(), "age", age, "known", known, "revoke", g.revoke, "version", v.Version())
 	}
-	return trust
+	return trust, age
 }
 
 // routingFollowerConfig returns the pace at which the desired state is read.
--- a/internal/route/forwarder/metrics.go
+++ b/internal/route/forwarder/metrics.go
@@ -81,8 +81,8 @@
 		return
 	}
 	w, _ := v.Authorizer.Withdrawal(req.Key)
-	f.log.Info("request not authorized", "request", req.ID, "route", rt.Name, "reason", refusal, "haskey", req.Key != "",
-		"version", v.Version(), "withdrawnfrom", w.Account, "withdrawnwith", w.Version)
+	f.log.Info("request not authorized", "request", req.ID, "route", rt.Name, "reason", refusal.String(), "haskey", req.Key != "",
+		"version", v.Version(), "age", v.DoubtedAge(), "withdrawnfrom", w.Account, "withdrawnwith", w.Version)
 }
 
 // recordGather counts a query that this daemon gathered for another one, and logs an incomplete one.
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -31,6 +31,8 @@
 	// it is not known.
 	routingAt time.Duration
 	keyTrust  KeyTrust
+	// doubtedAge is DoubtedAge.
+	doubtedAge time.Duration
 	// isOutdated is true when the state may be older than its bound.
 	isOutdated bool
 }
@@ -96,17 +98,26 @@
 	return &out
 }
 
-// WithKeyTrust returns a copy of the view with another trust in the keys of accounts.
-func (v *View) WithKeyTrust(trust KeyTrust) *View {
+// WithKeyTrust returns a copy of the view with another trust in the keys of accounts, because of the age of the desired state.
+func (v *View) WithKeyTrust(trust KeyTrust, age time.Duration) *View {
 	out := *v
-	out.keyTrust = trust
+	out.keyTrust, out.doubtedAge = trust, age
 	return &out
 }
 
+// DoubtedAge returns the age of the desired state because of which keys are doubted, for logs. It is 0 while they are not, or
+// when the age is not known.
+func (v *View) DoubtedAge() time.Duration {
+	return v.doubtedAge
+}
+
 // RoutingAge returns the time since the call to the store was sent that last confirmed the desired state, and false if that
 // is not known. now is the boot clock's time.
 func (v *View) RoutingAge(now time.Duration) (time.Duration, bool) {
-	return now - v.routingAt, v.routingAt > 0
+	if v.routingAt <= 0 {
+		return 0, false
+	}
+	return now - v.routingAt, true
 }
 
 // Authorize returns the account of a request's key, nil when there is none, and whether the route serves the request. Call it
