relayer: a test of a daemon that starts while the store is away

The state that such a daemon takes from its peers must not count as younger than it is at them; only the arithmetic was tested.

TestDatedStart joins a fleet 10 s after the store went away.

--- a/internal/control/relayer/dated_test.go
+++ b/internal/control/relayer/dated_test.go
@@ -170,8 +170,8 @@
 	}
 }
 
-// runDated serves a fleet of n daemons in 4 zones while test runs.
-func runDated(t *testing.T, n int, transit time.Duration, frozen int, test func(f *datedFleet)) {
+// runDated serves a fleet of n daemons in 4 zones while test runs. The test starts the last one by calling join.
+func runDated(t *testing.T, n int, transit time.Duration, frozen int, test func(f *datedFleet, join func())) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		var zones []string
@@ -186,10 +186,13 @@
 			r.cfg.Clock, r.caller, c.clock = f.now, f, f.now
 			c.LimitAge(testMaxAge, func(at time.Duration) { f.onDated(i, at) })
 		}
-		for i, m := range f.members {
-			running.Go(func() { _ = f.daemons[m.Peer].Serve(ctx) })
+		serve := func(i int) {
+			running.Go(func() { _ = f.daemons[f.members[i].Peer].Serve(ctx) })
 			running.Go(func() { f.read(ctx, i) })
 		}
+		for i := range n - 1 {
+			serve(i)
+		}
 		running.Go(func() {
 			for ctx.Err() == nil {
 				f.mu.Lock()
@@ -198,7 +201,7 @@
 				time.Sleep(170 * time.Millisecond)
 			}
 		})
-		test(f)
+		test(f, func() { serve(n - 1) })
 		cancel()
 		running.Wait()
 	})
@@ -207,7 +210,8 @@
 // TestDatedFleet checks over relays that no state is dated later than it was read, with answers that are late for seconds, as after
 // a freeze, and with a store that answers some daemons only.
 func TestDatedFleet(t *testing.T) {
-	runDated(t, 24, 30*time.Millisecond, 20, func(f *datedFleet) {
+	runDated(t, 24, 30*time.Millisecond, 20, func(f *datedFleet, join func()) {
+		join()
 		time.Sleep(10 * time.Second)
 		for i := range f.members {
 			f.setStoreDown(i, i%3 > 0)
@@ -219,7 +223,8 @@
 // TestDatedFleetCalm checks that the state is well below the greatest age for every daemon in calm times, so that none fails its
 // readiness check, and that one daemon reads the store.
 func TestDatedFleetCalm(t *testing.T) {
-	runDated(t, 80, 3*time.Millisecond, 0, func(f *datedFleet) {
+	runDated(t, 80, 3*time.Millisecond, 0, func(f *datedFleet, join func()) {
+		join()
 		time.Sleep(10 * time.Second)
 		var oldest time.Duration
 		for range 300 {
@@ -237,3 +242,23 @@
 		f.assertReaders(1)
 	})
 }
+
+// TestDatedStart starts a daemon while the store has been away for seconds. It takes its peers' state, which must not count as younger
+// than it is there.
+func TestDatedStart(t *testing.T) {
+	runDated(t, 8, 3*time.Millisecond, 0, func(f *datedFleet, join func()) {
+		time.Sleep(5 * time.Second)
+		for i := range f.members {
+			f.setStoreDown(i, true)
+		}
+		downAt := f.now()
+		time.Sleep(10 * time.Second)
+		join()
+		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if at := f.dates[len(f.dates)-1]; at == 0 || at > downAt {
+			t.Errorf("the daemon that started dates its state to %s after the store was last asked", at-downAt)
+		}
+	})
+}
