--- a/internal/route/forwarder/admission.go
+++ b/internal/route/forwarder/admission.go
@@ -86,7 +86,7 @@
 // its searchers.
 func (f *Forwarder) enter(ctx context.Context, req *Request, rt *declarer.Route, group string, work int, measure func() float64, until time.Time) (Answer, bool) {
 	t := f.admitter.Offer(&admitter.Request{
-		Group: group, Priority: rt.Priority, Work: float64(work), Load: measure,
+		Group: group, Priority: req.Priority, Account: req.accountName(), Work: float64(work), Load: measure,
 		Latency: time.Duration(f.stats.route(rt).average.Load()), WaitUntil: until,
 	})
 	result := "admitted"
@@ -135,13 +135,10 @@
 	if time.Since(started) < admitter.PollInterval {
 		return v, Answer{}, true
 	}
-	// Searchers may have left meanwhile, and the daemon may be stopping.
+	// Searchers may have left meanwhile, the key may have been withdrawn, and the daemon may be stopping.
 	v = f.views.View()
-	if ok, reason := v.Ready(); !ok {
-		return v, refuseNotRun(f.cfg.RetryAfter, reason), false
-	}
-	if f.refusing.Load() {
-		return v, refuseNotRun(f.cfg.RetryAfter, reasonStopping), false
+	if _, refusal := f.accept(req, v); refusal != nil {
+		return v, *refusal, false
 	}
 	return v, Answer{}, true
 }
--- a/internal/route/forwarder/admission_test.go
+++ b/internal/route/forwarder/admission_test.go
@@ -237,3 +237,19 @@
 		})
 	})
 }
+
+// TestKeyWithdrawnWhileWaiting guards against a request that is sent with a key that was withdrawn while it waited for room.
+func TestKeyWithdrawnWhileWaiting(t *testing.T) {
+	for _, path := range []string{"/get/x", "/q/x"} {
+		t.Run(path, func(t *testing.T) {
+			withForwarder(t, 4, func(s *setup) {
+				s.fill(5, 10*time.Millisecond, "1", "2", "3", "4")
+				s.declareAccounts(2, "k2")
+				time.AfterFunc(5*time.Millisecond, func() { s.declareAccounts(3) })
+				a := s.Handle(s.t.Context(), requestWith("k2", path))
+				s.assertAnswer(a, http.StatusUnauthorized)
+				s.assertSent(0)
+			})
+		})
+	}
+}
--- a/internal/route/forwarder/metrics.go
+++ b/internal/route/forwarder/metrics.go
@@ -10,6 +10,7 @@
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/route/admitter"
+	"cornelwood.example/internal/route/authorizer"
 	"cornelwood.example/internal/route/delegator"
 	"cornelwood.example/internal/route/locator"
 )
@@ -20,6 +21,7 @@
 	latency  *prometheus.HistogramVec
 	failures *prometheus.CounterVec
 	gathers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
 	unlogged prometheus.Counter
 	lateness prometheus.Histogram
 	// admissions counts requests by what the admitter decided.
@@ -43,6 +45,9 @@
 	m.gathers = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cornelwood_gathers_total", Help: "Queries gathered for other daemons, by route and whether all shards answered.",
 	}, []string{"route", "complete"})
+	m.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cornelwood_authorization_refusals_total", Help: "Requests that were not authorized, by route and reason.",
+	}, []string{"route", "reason"})
 	m.unlogged = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cornelwood_log_lines_withheld_total", Help: "Lines about requests beyond the bound on their rate.",
 	})
@@ -53,7 +58,7 @@
 	m.admissions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cornelwood_admissions_total", Help: "Requests to searchers of this daemon, by route and by whether they were admitted at once, after a wait, or refused.",
 	}, []string{"route", "result"})
-	reg.MustRegister(m.requests, m.latency, m.failures, m.gathers, m.unlogged, m.lateness, m.admissions)
+	reg.MustRegister(m.requests, m.latency, m.failures, m.gathers, m.refusals, m.unlogged, m.lateness, m.admissions)
 	return m
 }
 
@@ -76,10 +81,21 @@
 	if isComplete && f.logLimiter.Tokens() < logBurst*reservedLogShare || !f.allowLogLine() {
 		return
 	}
-	f.log.Info("request answered", "request", req.ID, "route", route, "status", a.Status, "reason", a.Reason,
+	f.log.Info("request answered", "request", req.ID, "route", route, "account", req.accountName(), "status", a.Status, "reason", a.Reason,
 		"missing", a.Missing, "sends", a.SubRequests, "gatherers", a.Gatherers, "took", took, "patience", req.ClientTimeout, "roundtrip", req.Transit.RoundTrip, "waited", req.Transit.Waited, "version", v.Version(), "revision", v.Revision())
 }
 
+// recordRefusal counts a request that is not authorized and logs why, with the version that withdrew its key if that is known.
+func (f *Forwarder) recordRefusal(req *Request, rt *declarer.Route, v *locator.View, refusal authorizer.Refusal) {
+	f.metrics.refusals.WithLabelValues(rt.Name, refusal.String()).Inc()
+	if !f.allowLogLine() {
+		return
+	}
+	w, _ := v.Authorizer.Withdrawal(req.Key)
+	f.log.Info("request not authorized", "request", req.ID, "route", rt.Name, "reason", refusal.String(), "haskey", req.Key != "",
+		"version", v.Version(), "age", v.DoubtedAge(), "withdrawnfrom", w.Account, "withdrawnwith", w.Version)
+}
+
 // recordGather counts a query that this daemon gathered for another one, and logs an incomplete one.
 func (f *Forwarder) recordGather(j *gatherJob) {
 	missing := len(j.calls) - len(j.parts)
@@ -97,7 +113,7 @@
 	if !f.allowLogLine() {
 		return
 	}
-	f.log.Info("request refused: the searchers have no room", "request", req.ID, "route", rt.Name, "priority", rt.Priority, "service", group,
+	f.log.Info("request refused: the searchers have no room", "request", req.ID, "route", rt.Name, "account", req.accountName(), "priority", req.Priority, "service", group,
 		"load", r.Load, "room", r.Room, "waiting", r.Waiting, "waited", r.Waited, "after", r.RetryAfter)
 }
 
