admitter, forwarder: room by the latency goals, groups of an overloaded query one after the other

It now follows from the shortest goal and the mean latency. A query whose shards are divided among zones failed with 502 when one zone refused it and another one ran its part: for two seconds after a refusal its groups start one after the other.

--- a/internal/contract/exchanger/gather.go
+++ b/internal/contract/exchanger/gather.go
@@ -27,6 +27,9 @@
 	// Remaining is the time left until the client's deadline.
 	Remaining time.Duration `json:"remaining"`
 
+	// Admitted is true when a daemon has accepted other shards of the query: it is not refused for lack of room.
+	Admitted bool `json:"admitted,omitempty"`
+
 	// The client's request: see forwarder.Request.
 	Request string      `json:"request"`
 	Method  string      `json:"method"`
--- a/internal/route/admitter/admitter.go
+++ b/internal/route/admitter/admitter.go
@@ -43,10 +43,20 @@
 	maxRetryAfter = 2 * time.Second
 )
 
-// rooms holds, by the number of more urgent kinds of request to the same searchers, the load up to which requests are sent, relative to what the searchers handle well: there they
-// are in use all the time, and a request waits about as long as it runs. The most urgent kind has half as much again, so
-// that it is answered in its time while less urgent ones fill their part.
-var rooms = [...]float64{1.5, 1.25, 1}
+// queueShare is the share of a latency goal that requests may wait in the searchers' queues: the rest is for the work, for stragglers
+// and hedges, and for the way to the client.
+const queueShare = 0.4
+
+// minRoom and maxRoom bound the load up to which requests are sent. At 1 the searchers are in use all the time. At maxRoom their
+// queues are still far from full, so that they do not refuse requests indiscriminately.
+const (
+	minRoom = 1.5
+	maxRoom = 4
+)
+
+// classRooms holds, by the number of more urgent kinds of request to the same searchers, the part of the room that a kind has: what
+// less urgent ones leave is for the more urgent ones.
+var classRooms = [...]float64{1.2, 1, 0.85}
 
 // Request is what is known of a request that asks for admission.
 type Request struct {
@@ -61,8 +71,8 @@
 	// Load returns the load of the searchers, relative to what they handle well: for a query, that of the most loaded
 	// shard that its answer needs.
 	Load func() float64
-	// Latency is the usual time until the searchers have answered.
-	Latency time.Duration
+	// Latency is the usual time until the searchers have answered, Goal the latency goal of the request, 0 for none.
+	Latency, Goal time.Duration
 	// WaitUntil is the time until which the request may wait to be answered in its time.
 	WaitUntil time.Time
 }
@@ -118,9 +128,11 @@
 	admitted, refused float64
 }
 
-// kindCount is the number of requests of one priority that were offered, and their work that was sent.
+// kindCount is the number of requests of one priority that were offered, and their work that was sent, with the latency and the
+// goal of the last one.
 type kindCount struct {
 	offered, sent float64
+	latency, goal time.Duration
 }
 
 // New returns an Admitter; now is its clock.
@@ -143,7 +155,7 @@
 	defer a.mu.Unlock()
 	t := &Ticket{req: *req, offeredAt: now, done: make(chan struct{})}
 	g := a.groupOf(req.Group, now)
-	g.countOffer(req.Priority)
+	g.countOffer(req)
 	ahead := a.countAhead(t, g)
 	load := req.Load()
 	switch {
@@ -306,7 +318,9 @@
 	g.refused *= left
 	g.sent *= left
 	for priority, k := range g.kinds {
-		if k = (kindCount{k.offered * left, k.sent * left}); k.offered < minCount {
+		k.offered *= left
+		k.sent *= left
+		if k.offered < minCount {
 			delete(g.kinds, priority)
 			continue
 		}
@@ -321,13 +335,32 @@
 	}
 }
 
-func (g *group) countOffer(priority int) {
-	k, known := g.kinds[priority]
+func (g *group) countOffer(req *Request) {
+	k, known := g.kinds[req.Priority]
 	if !known && len(g.kinds) >= maxKinds {
 		return
 	}
 	k.offered++
-	g.kinds[priority] = k
+	k.latency, k.goal = req.Latency, req.Goal
+	g.kinds[req.Priority] = k
+}
+
+// base returns the load up to which a request that is sent now is answered in its time: as many requests as the searchers handle
+// well at once take about the mean latency of all kinds, and none may wait longer than queueShare of the shortest goal.
+func (g *group) base() float64 {
+	var offered, latency float64
+	shortest := time.Duration(0)
+	for _, k := range g.kinds {
+		offered += k.offered
+		latency += k.offered * float64(k.latency)
+		if k.goal > 0 && (shortest == 0 || k.goal < shortest) {
+			shortest = k.goal
+		}
+	}
+	if offered == 0 || latency == 0 || shortest == 0 {
+		return minRoom
+	}
+	return min(maxRoom, max(minRoom, 1+queueShare*float64(shortest)*offered/latency))
 }
 
 // class returns the number of more urgent kinds of request to the same searchers, as far as rooms has them.
@@ -338,15 +371,16 @@
 			n++
 		}
 	}
-	return min(n, len(rooms)-1)
+	return min(n, len(classRooms)-1)
 }
 
 // room returns the load up to which a request is sent.
 func (g *group) room(req *Request) float64 {
-	room := rooms[g.class(req.Priority)]
+	class := g.class(req.Priority)
 	if g.isStarved(req) {
-		room = rooms[0]
+		class = 0
 	}
+	room := g.base() * classRooms[class]
 	if g.isOverShare(req) {
 		room *= overShareRoom
 	}
--- a/internal/route/delegator/delegator.go
+++ b/internal/route/delegator/delegator.go
@@ -124,6 +124,8 @@
 	CutoffAt, Deadline time.Time
 	// Average is the average latency of the route's queries.
 	Average time.Duration
+	// OnAccepted, if not nil, is called when a daemon has accepted the query.
+	OnAccepted func()
 	// OnMessage receives the messages with parts, in order.
 	OnMessage func(g *exchanger.Gathered)
 	// Done is closed when the answer is enough.
@@ -311,6 +313,9 @@
 		exchange.Record(max(0, now.Sub(sentAt)-first.Held), now)
 	}
 	onAccepted()
+	if q.OnAccepted != nil {
+		q.OnAccepted()
+	}
 	if attempts > 1 {
 		if err := s.Send(&exchanger.Permit{Attempts: attempts}); err != nil {
 			return err
--- a/internal/route/forwarder/admission.go
+++ b/internal/route/forwarder/admission.go
@@ -25,7 +25,7 @@
 	gatherWaitShare = 0.1
 	// skipLoad is the load, relative to what its searchers handle well, from which a shard that the answer can do without
 	// is left out: its answer would come after the cutoff, and delay later queries.
-	skipLoad = 3
+	skipLoad = 5
 	// maxQueueing is the processor's queue from which a daemon gathers no more queries: it could not accept them in time, so
 	// that another daemon would send them as well.
 	maxQueueing = 15 * time.Millisecond
@@ -87,7 +87,7 @@
 func (f *Forwarder) enter(ctx context.Context, req *Request, rt *declarer.Route, group string, work int, measure func() float64, until time.Time) (Answer, bool) {
 	t := f.admitter.Offer(&admitter.Request{
 		Group: group, Priority: req.Priority, Account: req.accountName(), Work: float64(work), Load: measure,
-		Latency: time.Duration(f.stats.route(rt).average.Load()), WaitUntil: until,
+		Latency: time.Duration(f.stats.route(rt).average.Load()), Goal: rt.LatencyGoal.Duration, WaitUntil: until,
 	})
 	result := "admitted"
 	for !isDecided(t) {
@@ -183,6 +183,21 @@
 	}
 }
 
+// overloadMemory is how long after a refusal for lack of room the groups of a query start one after the other: as long as the
+// observations from which the load is known.
+const overloadMemory = 2 * time.Second
+
+// recordOverload records that a query was refused for lack of room.
+func (f *Forwarder) recordOverload(now time.Time) {
+	f.overloadedAt.Store(&now)
+}
+
+// isOverloaded reports whether a query was refused for lack of room a short time ago.
+func (f *Forwarder) isOverloaded(now time.Time) bool {
+	at := f.overloadedAt.Load()
+	return at != nil && now.Sub(*at) < overloadMemory
+}
+
 // shardsOf returns the services of the shards with these indexes.
 func shardsOf(rt *declarer.Route, indexes []int) []string {
 	shards := make([]string, len(indexes))
--- a/internal/route/forwarder/delegation.go
+++ b/internal/route/forwarder/delegation.go
@@ -54,9 +54,13 @@
 	// isOverloaded is true when a group was refused because the searchers have no room; roomAfter is the time after which
 	// they will have.
 	isOverloaded bool
-	roomAfter    time.Duration
-	sends        int
-	daemons      []string
+	// held holds the groups that start once the first one has been accepted; admitted is signalled then, and isAdmitted set.
+	held       []locator.GatherGroup
+	admitted   chan struct{}
+	isAdmitted bool
+	roomAfter  time.Duration
+	sends      int
+	daemons    []string
 }
 
 // groupResult is how a group ended.
@@ -84,8 +88,13 @@
 	}
 	// The groups end on their own after the answer, so that their connections can be used again.
 	groupCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), d.deadline)
-	for _, g := range d.view.GatherGroups(d.route, d.fwd.self.Zone, d.fwd.delegator.Reachable) {
-		d.start(groupCtx, &g)
+	groups := d.view.GatherGroups(d.route, d.fwd.self.Zone, d.fwd.delegator.Reachable)
+	if len(groups) > 1 && d.fwd.isOverloaded(time.Now()) {
+		d.hold(groups[1:])
+		groups = groups[:1]
+	}
+	for i := range groups {
+		d.start(groupCtx, &groups[i])
 	}
 	a := d.collect(ctx, groupCtx)
 	a.SubRequests, a.Gatherers = d.sends, d.daemons
@@ -98,6 +107,49 @@
 	return a
 }
 
+// heldGroup is the number of the groups that are held, in delegation.open.
+const heldGroup = -1
+
+// hold starts groups only once the first one has been accepted.
+//
+// Load pattern: searchers without room for all queries, whose shards are divided among zones. A query that one zone refuses while
+// another one runs its part fails, after it has taken room from others.
+func (d *delegation) hold(groups []locator.GatherGroup) {
+	d.held, d.admitted = groups, make(chan struct{}, 1)
+	for i := range groups {
+		for _, shard := range groups[i].Shards {
+			d.open[shard] = heldGroup
+		}
+	}
+}
+
+// admit lets the groups that are held start. Any goroutine may call it.
+func (d *delegation) admit() {
+	select {
+	case d.admitted <- struct{}{}:
+	default:
+	}
+}
+
+// startHeld starts the groups that are held.
+func (d *delegation) startHeld(ctx context.Context) {
+	held := d.held
+	d.held = nil
+	for i := range held {
+		d.start(ctx, &held[i])
+	}
+}
+
+// dropHeld gives up the groups that are held.
+func (d *delegation) dropHeld() {
+	for i := range d.held {
+		for _, shard := range d.held[i].Shards {
+			d.giveUp(exchanger.Missing{Shard: shard})
+		}
+	}
+	d.held = nil
+}
+
 // start gathers a group here when this daemon is one of those that gather, or nobody else can, and elsewhere otherwise.
 func (d *delegation) start(ctx context.Context, g *locator.GatherGroup) {
 	self := d.fwd.self.ID
@@ -114,9 +166,12 @@
 	members, shards, group := g.Members, g.Shards, d.openGroup(g.Shards)
 	latency := d.fwd.stats.gathers(d.route)
 	started := time.Now()
+	in := d.message(shards)
+	in.Admitted = d.isAdmitted
 	query := &delegator.Query{
-		Gather:     d.message(shards),
+		Gather:     in,
 		Definition: d.route,
+		OnAccepted: d.admit,
 		CutoffAt:   d.cutoffAt,
 		Deadline:   d.deadline,
 		Average:    time.Duration(latency.average.Load()),
@@ -181,7 +236,7 @@
 	rt := *d.route
 	rt.Attempts = attempts
 	group := d.openGroup(shards)
-	needsAdmission := !repeated && !d.mayHaveRun
+	needsAdmission := !repeated && !d.mayHaveRun && !d.isAdmitted
 	go func() {
 		loads := shardLoads{needed: d.neededOf(len(shards))}
 		if needsAdmission {
@@ -190,6 +245,7 @@
 				d.results <- groupResult{group, delegator.Result{Err: &delegator.RefusedError{Refusal: refused}}}
 				return
 			}
+			d.admit()
 		}
 		j := d.fwd.newGatherJob(d.req, d.body, &rt, d.fwd.views.View(), budgets, shards, loads.needed, d.cutoffAt.Add(-handoverTime), d.deadline)
 		if needsAdmission {
@@ -232,6 +288,9 @@
 		select {
 		case g := <-d.messages:
 			d.merge(g)
+		case <-d.admitted:
+			d.isAdmitted = true
+			d.startHeld(groupCtx)
 		case r := <-d.results:
 			d.drain()
 			d.endGroup(groupCtx, &r)
@@ -319,7 +378,10 @@
 	refused, isOverloaded := d.fwd.asOverloaded(r.Err)
 	if isOverloaded {
 		d.isOverloaded, d.roomAfter = true, max(d.roomAfter, refused.RetryAfter)
+		d.fwd.recordOverload(time.Now())
+		d.dropHeld()
 	}
+	d.startHeld(ctx)
 	if !r.Final && refused.Code != exchanger.Overloaded {
 		d.fwd.recordUndelegated(d.req, &r.Result)
 	}
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -95,6 +95,8 @@
 	lateness, medianLateness *sampler.Window
 	probing                  atomic.Bool
 	admitter                 *admitter.Admitter
+	// overloadedAt is when a query was last refused for lack of room, nil before the first time.
+	overloadedAt atomic.Pointer[time.Time]
 	// gathers counts the queries that this daemon gathers for others now.
 	gathers atomic.Int64
 	// leaving, refusing and ended are the phases of a planned stop; ended is closed by End.
--- a/internal/route/forwarder/gather.go
+++ b/internal/route/forwarder/gather.go
@@ -79,9 +79,11 @@
 		indexes = allIndexes(len(rt.Shards))
 	}
 	loads := shardLoads{needed: min(max(1, in.Needed), len(indexes))}
-	if refused, ok := f.enterGather(ctx, req, rt, v, shardsOf(rt, indexes), &loads, in.Goal); !ok {
-		f.gathers.Add(-1)
-		return nil, refused
+	if !in.Admitted {
+		if refused, ok := f.enterGather(ctx, req, rt, v, shardsOf(rt, indexes), &loads, in.Goal); !ok {
+			f.gathers.Add(-1)
+			return nil, refused
+		}
 	}
 	limited := *rt
 	limited.Attempts = min(in.Attempts, rt.Attempts)
