--- a/internal/standin/keeper/faultystore.go
+++ b/internal/standin/keeper/faultystore.go
@@ -127,6 +127,12 @@
 	return ob, s.countWrite(ok)
 }
 
+// ReplaceStatus writes the status of an existing object, see MemoryStore.ReplaceStatus. The fault Lose may drop the answer.
+func (s *faultyStore) ReplaceStatus(kind, name string, status json.RawMessage, revision uint64) (platform.Object, bool) {
+	ob, ok := s.k.store.ReplaceStatus(kind, name, status, revision)
+	return ob, s.countWrite(ok)
+}
+
 // Delete removes an object and reports whether it existed. The fault Lose may drop the answer.
 func (s *faultyStore) Delete(kind, name string) bool {
 	return s.countWrite(s.k.store.Delete(kind, name))
--- a/internal/standin/keeper/memorystore.go
+++ b/internal/standin/keeper/memorystore.go
@@ -230,6 +230,21 @@
 	}
 }
 
+// ReplaceStatus writes the status of an existing object, on the conditions of Replace.
+func (s *MemoryStore) ReplaceStatus(kind, name string, status json.RawMessage, revision uint64) (platform.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, exists := s.objects[kind][name]
+	switch {
+	case !exists || revision != 0 && revision != current.Revision:
+		return current, false
+	case bytes.Equal(current.Status, status):
+		return current, true
+	default:
+		return s.writeLocked(kind, platform.Object{Name: name, Spec: current.Spec, Status: status}), true
+	}
+}
+
 // Set writes an object, whether it exists or not.
 func (s *MemoryStore) Set(kind, name string, spec json.RawMessage) {
 	s.mu.Lock()
@@ -239,12 +254,17 @@
 
 // setLocked writes an object at a new revision; s.mu is held.
 func (s *MemoryStore) setLocked(kind, name string, spec json.RawMessage) platform.Object {
+	return s.writeLocked(kind, platform.Object{Name: name, Spec: spec, Status: s.objects[kind][name].Status})
+}
+
+// writeLocked writes an object with its status at a new revision; s.mu is held.
+func (s *MemoryStore) writeLocked(kind string, ob platform.Object) platform.Object {
 	if s.objects[kind] == nil {
 		s.objects[kind] = make(map[string]platform.Object)
 	}
 	s.revision++
-	ob := platform.Object{Name: name, Revision: s.revision, Spec: spec}
-	s.objects[kind][name] = ob
+	ob.Revision = s.revision
+	s.objects[kind][ob.Name] = ob
 	s.history[kind] = append(s.history[kind], platform.ObjectChange{Object: ob})
 	s.wakeLocked()
 	return ob
