locator, relayer: which searchers may get requests during a roll-out

With roll-outs followed, the searchers of the version under test are kept apart from the others, those of a version that was rolled back or replaced get nothing, and a version that no order is known to name waits until the orders are known as of its searcher's entry.

--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -285,6 +285,11 @@
 	return c.listed && c.lostAt.IsZero() && time.Since(c.confirmedAt) <= maxAge
 }
 
+// IsFresh reports whether the store answers and confirmed the state within maxAge.
+func (c *Cache[T]) IsFresh(maxAge time.Duration) bool {
+	return c.isFresh(maxAge)
+}
+
 // updateSince returns the update for a peer that knows a revision: the changes after it,
 // or the full list when the peer has none or the tombstones since then have been dropped.
 func (c *Cache[T]) updateSince(revision uint64) (update, error) {
--- a/internal/control/relayer/rank.go
+++ b/internal/control/relayer/rank.go
@@ -49,6 +49,13 @@
 	return out
 }
 
+// Ranked returns the members of all zones in order of their rank.
+func Ranked(members []declarer.Member) []declarer.Member {
+	out := slices.Clone(members)
+	slices.SortFunc(out, func(a, b declarer.Member) int { return compareRanks(&a, &b) })
+	return out
+}
+
 // maxPrimaries is the number of members of a zone that relay the state to most of the others.
 const maxPrimaries = 3
 
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -43,6 +43,7 @@
 	awaitsSearchers atomic.Bool
 	listed          bool
 	revision        uint64
+	rollouts        rollouts
 	// graceUntil is when removals of entries take effect at once again after an outage of the store.
 	graceUntil time.Time
 	storeDown  bool
@@ -52,6 +53,8 @@
 type entry struct {
 	declarer.Searcher
 	warmAt time.Time
+	// appearedAt is the store's revision of the first entry of this lifetime and version that the daemon has seen.
+	appearedAt uint64
 	// expiresAt is when a searcher whose entry was removed during or after an outage of the store is removed; zero
 	// for one that is registered.
 	expiresAt time.Time
@@ -142,10 +145,19 @@
 	v.gatherers = chooseGatherers(l.members)
 	v.gathered = l.gatheredServices(limits)
 	memberCounts := l.membersByZone()
+	known := l.rollouts.knownRevision()
+	v.trials, v.awaitsRollouts = l.newTrials(), l.rollouts.isFollowed && !l.rollouts.listed
+	awaits := false
 	for _, e := range l.searchers {
 		if e.Draining || l.closedZones[e.Zone] {
 			continue
 		}
+		admitted := l.admit(e, known)
+		awaits = awaits || admitted == awaited
+		trial := v.trials[e.Service]
+		if admitted < onTrial || admitted == onTrial && (trial == nil || trial.Target != e.Version) {
+			continue
+		}
 		limit := limits[e.Service]
 		sameZone, all := max(1, memberCounts[e.Zone]), len(l.members)
 		if v.gathered[e.Service] {
@@ -167,9 +179,19 @@
 			s.ColdLimited, s.ColdRate = true, coldShare(limit.ColdRate, e.ID, l.self.ID, senders)
 			s.WarmAt = l.warmAt(e)
 		}
+		if admitted == onTrial {
+			trial.Searchers = append(trial.Searchers, s)
+			continue
+		}
 		v.services[e.Service] = append(v.services[e.Service], s)
 	}
+	sortSearchers(v.trials)
 	l.view.Store(v)
+	l.rollouts.isAwaited.Store(awaits)
+	if awaits && l.rollouts.knownRevision() > known {
+		// Confirmed meanwhile, by a call that did not see that a searcher waits for it.
+		l.publish()
+	}
 }
 
 // byID returns the daemons of all zones by their ID.
--- a/internal/route/locator/sink.go
+++ b/internal/route/locator/sink.go
@@ -143,11 +143,14 @@
 		return
 	}
 	old, known := l.searchers[it.Name]
-	e := &entry{Searcher: it.Value, warmAt: time.Now().Add(it.Value.ColdFor)}
+	e := &entry{Searcher: it.Value, warmAt: time.Now().Add(it.Value.ColdFor), appearedAt: it.Revision}
+	if known && old.Version == e.Version && old.Born == e.Born && old.Service == e.Service {
+		e.appearedAt = old.appearedAt
+	}
 	l.searchers[it.Name] = e
 	switch {
 	case !known && l.listed:
-		l.log.Info("searcher added", "searcher", it.Name, "service", e.Service, "zone", e.Zone, "address", e.Addr, "cold", e.ColdFor, "revision", it.Revision)
+		l.log.Info("searcher added", "searcher", it.Name, "service", e.Service, "zone", e.Zone, "address", e.Addr, "version", e.Version, "cold", e.ColdFor, "revision", it.Revision)
 	case known && (old.Draining != e.Draining || old.Addr != e.Addr || old.Service != e.Service):
 		l.log.Info("searcher changed", "searcher", it.Name, "service", e.Service, "draining", e.Draining, "address", e.Addr, "revision", it.Revision)
 	}
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -24,6 +24,10 @@
 	gathered  map[string]bool
 	// selfSufficient caches IsSelfSufficient by zone.
 	selfSufficient *sync.Map
+	// trials holds the roll-outs that are running, by service.
+	trials map[string]*Trial
+	// awaitsRollouts is true while the roll-outs have not been received and are needed.
+	awaitsRollouts bool
 	// isOutdated is true when the state may be older than its bound.
 	isOutdated bool
 }
@@ -50,6 +54,8 @@
 		return false, "no desired state received yet"
 	case !v.listed:
 		return false, "no list of searchers received yet"
+	case v.awaitsRollouts:
+		return false, "no list of roll-outs received yet"
 	default:
 		return true, ""
 	}
