forwarder, router: requests go to the version that the roll-out's gate chooses

Where [rollout] share is above 0 the daemon follows the kind "rollouts" and asks the gate for each request to a searcher. Where it is 0 no gate exists, and the choice is as before.

--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -29,6 +29,7 @@
 	"cornelwood.example/internal/route/forwarder"
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
+	"cornelwood.example/internal/route/promoter"
 	"cornelwood.example/internal/route/selector"
 	"cornelwood.example/internal/settings/reader"
 	"cornelwood.example/internal/time/sentry"
@@ -72,12 +73,15 @@
 	picker                 *picker.Picker
 	pauses                 *pauseGuard
 	selector               *selector.Selector
-	forwarder              *forwarder.Forwarder
-	linker                 *linker.Linker
-	relayer                *relayer.Relayer
-	registrar              *registrar.Registrar
-	followers              []suture.Service
-	server                 *http.Server
+	// gate and promoter carry out roll-outs; nil where there are none.
+	gate      *promoter.Gate
+	promoter  *promoter.Promoter
+	forwarder *forwarder.Forwarder
+	linker    *linker.Linker
+	relayer   *relayer.Relayer
+	registrar *registrar.Registrar
+	followers []suture.Service
+	server    *http.Server
 	// leaving is true from the start of the shutdown on.
 	leaving atomic.Bool
 	active  *activeConns
@@ -154,6 +158,7 @@
 	r.selector = selector.New(self.Zone, peers, r.log.Named("route"), time.Now)
 	d := delegator.New(delegator.Default(), peers, r.selector, peers)
 	r.forwarder = forwarder.New(forwarderConfig(settings), self, r.pauses, r.picker, r.conns, d, r.log.Named("route"), forwarder.NewMetrics(r.reg))
+	r.forwarder.UseGate(r.gate)
 	srv := delegator.NewServer(r.forwarder)
 	r.linker.HandleStream(gatherStream, func(ctx context.Context, s *linker.Stream) error { return srv.Serve(ctx, s) })
 	r.linker.Handle(probeCall, func(context.Context, netip.AddrPort, []byte) (any, error) {
@@ -182,6 +187,9 @@
 		follower.New("searchers", cfg, r.store.Searchers(), relayer.NewCache("searchers", r.locator.Searchers(), r.relayer), r.relayer),
 		follower.New("closures", cfg, r.store.Closures(), relayer.NewCache("closures", r.locator.Closures(), r.relayer), r.relayer),
 	}
+	if settings.Rollout.Share > 0 {
+		r.buildRollouts(settings, cfg)
+	}
 }
 
 // storeCheckTimeout bounds a check of the store, which answers in milliseconds.
@@ -243,6 +251,9 @@
 	sup.Add(r.relayer)
 	sup.Add(r.selector)
 	sup.Add(r.pauses.sentry)
+	if r.promoter != nil {
+		sup.Add(r.promoter)
+	}
 	for _, f := range r.followers {
 		sup.Add(f)
 	}
--- a/internal/route/forwarder/fanout.go
+++ b/internal/route/forwarder/fanout.go
@@ -13,6 +13,7 @@
 	"cornelwood.example/internal/query/hedger"
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
+	"cornelwood.example/internal/route/promoter"
 	"cornelwood.example/internal/upstream/connector"
 )
 
@@ -145,13 +146,13 @@
 		c.searchers = readySearchers(f.fwd.views.View(), c.service)
 	}
 	average := time.Duration(f.latency.average.Load())
-	n, exchange := f.fwd.picker.Pick(c.searchers, slices.Concat(c.tried, c.notRun), average)
-	if n < 0 && len(c.notRun) > 0 {
-		n, exchange = f.fwd.picker.Pick(c.searchers, c.tried, average)
-	}
+	ticket := f.fwd.gate.Enter(c.service, f.route.Name)
+	n, exchange := f.pickVersion(c, ticket, average)
 	if n < 0 {
+		ticket.Drop()
 		return false
 	}
+	ticket.Chosen(&c.searchers[n])
 	s := &c.searchers[n]
 	c.notRun = slices.DeleteFunc(c.notRun, func(id string) bool { return id == s.ID })
 	c.tried = append(c.tried, s.ID)
@@ -160,12 +161,58 @@
 	c.lastSentAt = time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), f.deadline)
 	f.cancels = append(f.cancels, cancel)
-	go f.attempt(ctx, cancel, i, s, exchange)
+	go f.attempt(ctx, cancel, i, s, exchange, ticket)
 	return true
 }
 
+// pickVersion starts an exchange of a call with a searcher of the version that gets the request, where the service has a
+// roll-out, and otherwise with any. Without a searcher it returns -1.
+func (f *fanout) pickVersion(c *serviceCall, ticket *promoter.Ticket, average time.Duration) (int, *picker.Exchange) {
+	if ticket == nil {
+		return f.pick(c, average)
+	}
+	v := f.fwd.views.View()
+	if ok, _ := v.Ready(); !ok {
+		return -1, nil
+	}
+	for _, searchers := range ticket.Candidates(v) {
+		c.searchers = searchers
+		if n, exchange := f.pick(c, average); n >= 0 {
+			return n, exchange
+		}
+	}
+	return -1, nil
+}
+
+// pick starts an exchange of a call with one of its searchers that has not been tried, or else with one that did not run an
+// earlier attempt.
+func (f *fanout) pick(c *serviceCall, average time.Duration) (int, *picker.Exchange) {
+	n, exchange := f.fwd.picker.Pick(c.searchers, slices.Concat(c.tried, c.notRun), average)
+	if n < 0 && len(c.notRun) > 0 {
+		n, exchange = f.fwd.picker.Pick(c.searchers, c.tried, average)
+	}
+	return n, exchange
+}
+
+// versionOutcome returns the outcome of a result for the comparison of versions.
+func versionOutcome(res *result) promoter.Outcome {
+	e, isError := asConnectorError(res.err)
+	switch {
+	case isError && errors.Is(e.Err, context.Canceled):
+		return promoter.Abandoned
+	case res.class == notSent:
+		return promoter.Unsent
+	case res.class == notRun:
+		return promoter.Refused
+	case res.class == failure:
+		return promoter.Failed
+	default:
+		return promoter.Answered
+	}
+}
+
 // attempt carries out one exchange of call i with a searcher, reports its outcome to the picker and sends the result.
-func (f *fanout) attempt(ctx context.Context, cancel context.CancelFunc, i int, s *locator.Searcher, exchange *picker.Exchange) {
+func (f *fanout) attempt(ctx context.Context, cancel context.CancelFunc, i int, s *locator.Searcher, exchange *picker.Exchange, ticket *promoter.Ticket) {
 	defer cancel()
 	start := time.Now()
 	rep, err := f.fwd.exchanger.Do(ctx, s.Addr, &connector.Request{
@@ -183,6 +230,7 @@
 	res := result{call: i, searcher: s.ID, reply: rep, err: err, class: classify(rep, err)}
 	f.fwd.heed(s, rep)
 	exchange.End(pickerOutcome(&res))
+	ticket.End(versionOutcome(&res), time.Since(start), time.Duration(f.latency.average.Load()))
 	switch res.class {
 	case success:
 		f.latency.record(time.Since(start))
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
+	"cornelwood.example/internal/route/promoter"
 	"cornelwood.example/internal/upstream/connector"
 )
 
@@ -84,8 +85,10 @@
 	picker    *picker.Picker
 	exchanger Exchanger
 	stats     *stats
-	log       hclog.Logger
-	metrics   *Metrics
+	// gate chooses between the versions of a service during its roll-out; nil where there are no roll-outs.
+	gate    *promoter.Gate
+	log     hclog.Logger
+	metrics *Metrics
 	// logLimiter bounds the rate of log lines about requests.
 	logLimiter *rate.Limiter
 	// gathers counts the queries that this daemon gathers for others now.
@@ -104,6 +107,11 @@
 	}
 }
 
+// UseGate makes the Forwarder choose between versions of a service by gate. Call it before Handle.
+func (f *Forwarder) UseGate(gate *promoter.Gate) {
+	f.gate = gate
+}
+
 // SetExtraPercent changes the number of extra requests allowed for 100 first requests.
 func (f *Forwarder) SetExtraPercent(percent int) {
 	f.stats.setPercent(percent)
