promoter: tests of the decision, tests over all routes together, one bad searcher at the end

A version of which 40 in 100 answers fail was found bad after up to 5.6 s, since each route was tested by itself; failures of all routes are tested together, too, each route by its weight. At the end, one searcher of several that failed 30 in 100 for two seconds rolled a good version back in 44 of 1,000 runs; the rest of the searchers must be bad, too.

--- a/internal/route/promoter/evidence.go
+++ b/internal/route/promoter/evidence.go
@@ -29,6 +29,8 @@
 	// decisiveCount is the number of bad answers from which a single searcher of several is evidence enough: the time
 	// until the rollback counts from the 50th.
 	decisiveCount = 30
+	// minRest is the least number of answers of the searchers but the worst one from which the rest is tested at the end.
+	minRest = 20
 )
 
 // Evidence holds what was counted of a service since an order, by route.
@@ -151,30 +153,65 @@
 	return float64(r.bad) / float64(max(1, r.all))
 }
 
+// add adds another ratio.
+func (r *ratio) add(other ratio) {
+	r.bad += other.bad
+	r.all += other.all
+}
+
 // test compares one kind of badness of the version with that of the others.
 type test struct {
-	kind   string
-	margin float64
-	others ratio
+	kind    string
+	others  ratio
+	allowed float64
 	// version has the ratio of each searcher of the version.
-	version []ratio
+	version map[string]ratio
+}
+
+// newTest returns a test without searchers of the version. A good version may have a share of bad ones that is by margin, or
+// by marginRatio, above that of the others.
+func newTest(kind string, others ratio, margin float64) test {
+	return test{kind: kind, others: others, allowed: max(others.share()+margin, others.share()*marginRatio), version: make(map[string]ratio)}
+}
+
+// sum returns the ratio of all searchers of the version, and that of the one with most bad ones.
+func (t *test) sum() (sum, worst ratio) {
+	for _, r := range t.version {
+		sum.add(r)
+		if r.bad > worst.bad {
+			worst = r
+		}
+	}
+	return sum, worst
+}
+
+// merge adds the test of another route. Each route counts by what the version got of it, so that it does not matter if the
+// versions got the routes in different proportions.
+func (t *test) merge(other *test) {
+	sum, _ := t.sum()
+	otherSum, _ := other.sum()
+	if n := sum.all + otherSum.all; n > 0 {
+		t.allowed = (t.allowed*float64(sum.all) + other.allowed*float64(otherSum.all)) / float64(n)
+	}
+	t.others.add(other.others)
+	for id, r := range other.version {
+		r.add(t.version[id])
+		t.version[id] = r
+	}
 }
 
 // tests returns the comparisons of one route.
 func (t *Tally) tests() []test {
 	others := &t.Others
-	failures := test{kind: "failures", margin: failureMargin, others: ratio{others.Failures, others.Answers + others.Failures}}
-	refusals := test{kind: "refusals", margin: refusalMargin, others: ratio{others.Refusals, others.Answers + others.Failures + others.Refusals}}
-	slow := test{kind: "slow answers", margin: slowMargin}
+	failures := newTest("failures", ratio{others.Failures, others.Answers + others.Failures}, failureMargin)
+	refusals := newTest("refusals", ratio{others.Refusals, others.Answers + others.Failures + others.Refusals}, refusalMargin)
 	median, knowsMedian := medianBucket(others.Latencies)
-	if knowsMedian {
-		slow.others = slowRatio(others.Latencies, median)
-	}
-	for _, s := range t.Version {
-		failures.version = append(failures.version, ratio{s.Failures, s.Answers + s.Failures})
-		refusals.version = append(refusals.version, ratio{s.Refusals, s.Answers + s.Failures + s.Refusals})
+	slow := newTest("slow answers", slowRatio(others.Latencies, median), slowMargin)
+	for id, s := range t.Version {
+		failures.version[id] = ratio{s.Failures, s.Answers + s.Failures}
+		refusals.version[id] = ratio{s.Refusals, s.Answers + s.Failures + s.Refusals}
 		if knowsMedian {
-			slow.version = append(slow.version, slowRatio(s.Latencies, median))
+			slow.version[id] = slowRatio(s.Latencies, median)
 		}
 	}
 	return []test{failures, refusals, slow}
@@ -210,29 +247,18 @@
 }
 
 // isBad reports whether the version would hardly have so many bad ones if it was as good as the others. With several
-// searchers, the rest must be bad without the worst one, too, unless isFinal is set or there are very many: one searcher that
-// crashes or turns slow says nothing of the version.
+// searchers, the rest must be bad without the worst one, too: one searcher that crashes or turns slow says nothing of the
+// version. Exceptions are very many bad ones, and at the end, when isFinal is set, too few of the rest to tell.
 func (t *test) isBad(doubt float64, isFinal bool) bool {
-	var sum, worst ratio
-	used := 0
-	for _, r := range t.version {
-		sum.bad += r.bad
-		sum.all += r.all
-		if r.all > 0 {
-			used++
-		}
-		if r.bad > worst.bad {
-			worst = r
-		}
-	}
-	allowed := max(t.others.share()+t.margin, t.others.share()*marginRatio)
-	if allowed >= 1 || tail(sum, allowed) >= doubt {
+	sum, worst := t.sum()
+	if t.allowed >= 1 || tail(sum, t.allowed) >= doubt {
 		return false
 	}
-	if isFinal || used < 2 || sum.bad >= decisiveCount {
+	rest := ratio{sum.bad - worst.bad, sum.all - worst.all}
+	if len(t.version) == 1 || sum.bad >= decisiveCount || isFinal && rest.all < minRest {
 		return true
 	}
-	return tail(ratio{sum.bad - worst.bad, sum.all - worst.all}, allowed) < math.Sqrt(doubt)
+	return tail(rest, t.allowed) < math.Sqrt(doubt)
 }
 
 // tail returns the probability of r.bad or more of r.all if each is bad with probability p.
@@ -269,18 +295,28 @@
 		routes = append(routes, route)
 	}
 	slices.Sort(routes)
+	var whole []test
 	for _, route := range routes {
-		for _, t := range e[route].tests() {
-			if !t.isBad(doubt, isFinal) {
-				continue
+		for i, t := range e[route].tests() {
+			if t.isBad(doubt, isFinal) {
+				return fmt.Sprintf("route %q: %s", route, t.text())
 			}
-			var sum ratio
-			for _, r := range t.version {
-				sum.bad += r.bad
-				sum.all += r.all
+			if i == len(whole) {
+				whole = append(whole, newTest(t.kind, ratio{}, 0))
 			}
-			return fmt.Sprintf("route %q: %s: %d of %d with the version, %d of %d with others", route, t.kind, sum.bad, sum.all, t.others.bad, t.others.all)
+			whole[i].merge(&t)
+		}
+	}
+	for i := range whole {
+		if whole[i].isBad(doubt, isFinal) {
+			return "all routes: " + whole[i].text()
 		}
 	}
 	return ""
 }
+
+// text returns the numbers of the test.
+func (t *test) text() string {
+	sum, _ := t.sum()
+	return fmt.Sprintf("%s: %d of %d with the version, %d of %d with others", t.kind, sum.bad, sum.all, t.others.bad, t.others.all)
+}
