cornelwood, searcher: a test of roll-outs with three daemons' own processes

The stand-in of the searcher can fail a share of its answers, and tells when requests started to run. The test covers a good version, a bad one, one that turns bad after 5 s, and the end of the deciding daemon.

--- /dev/null
+++ b/cmd/cornelwood/entry_rollout_test.go
@@ -0,0 +1,249 @@
+package main_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/control/relayer"
+	"cornelwood.example/internal/standin/searcher"
+	"cornelwood.example/platform"
+)
+
+const (
+	rolloutLimit   = 12 * time.Second
+	rolloutDaemons = 3
+	rolloutClients = 6
+	// rolloutPause is the pause of a client between two requests: about 100 requests a second in all.
+	rolloutPause = 50 * time.Millisecond
+	// rolloutShare and rolloutSlack are the limits of the version under test, and rolloutBound the time after its 50th bad
+	// answer from which it must get no request.
+	rolloutShare = 0.1
+	rolloutSlack = 50
+	rolloutBound = 5 * time.Second
+	rolloutBad   = 50
+)
+
+// rolloutSite is a site of several daemons with a service "a" of two searchers of version v1, and two of v2 that start later.
+type rolloutSite struct {
+	*entrySite
+	daemons []*process
+	members []declarer.Member
+	callers []string
+	ordered time.Time
+}
+
+// withRollout starts the site and its clients, and gives the order to roll v2 out. The clients stop with the test.
+func withRollout(t *testing.T) *rolloutSite {
+	t.Helper()
+	s := &rolloutSite{entrySite: newEntrySite(t)}
+	for _, name := range []string{"a1", "a2"} {
+		s.registerVersion(name, "v1")
+	}
+	dir := t.TempDir()
+	for i := range rolloutDaemons {
+		ports := freePorts(t, "127.0.0.1", 3)
+		id := fmt.Sprintf("d%d", i)
+		text := fmt.Sprintf("[daemon]\nid = %s\nzone = z\nregion = r\n[log]\njson = true\n[caller]\nlisten = 127.0.0.1:%s\nchecks = 127.0.0.1:%s\npeers = 127.0.0.1:%s\n%s"+
+			"[rollout]\nshare = %g\nslack = %d\nrollback = %s\n", id, ports[0], ports[1], ports[2], s.settingsText[strings.Index(s.settingsText, "[store]"):], rolloutShare, rolloutSlack, rolloutBound)
+		file := filepath.Join(dir, id+".ini")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s.daemons = append(s.daemons, startProcess(t, id, "cornelwood", "entry", "--settings", file))
+		s.members = append(s.members, declarer.Member{ID: id, Zone: "z", Peer: netip.MustParseAddrPort("127.0.0.1:" + ports[2])})
+		s.callers = append(s.callers, "127.0.0.1:"+ports[0])
+		s.checkAddr = "127.0.0.1:" + ports[1]
+		s.eventually("ready", entryTimeout, func() bool { return s.readyStatus() == http.StatusOK })
+	}
+	s.runClients()
+	time.Sleep(500 * time.Millisecond)
+	s.ordered = time.Now()
+	s.store.Set(platform.KindRollouts, "a", platform.EncodeRollout("a", "v2", rolloutLimit))
+	return s
+}
+
+// startVersion starts the searchers of the new version, of which a share of the answers are failures.
+func (s *rolloutSite) startVersion(failing float64) {
+	for _, name := range []string{"n1", "n2"} {
+		p := searcher.NewStub(name, searchDelay)
+		p.SetFailing(failing)
+		s.searchers[name] = p
+		s.searcherURLs[name] = s.serve(p)
+		s.registerVersion(name, "v2")
+	}
+}
+
+func (s *rolloutSite) registerVersion(name, version string) {
+	addr := strings.TrimPrefix(s.searcherURLs[name], "http://")
+	s.store.Set(platform.KindServers, name, platform.EncodeSearcherVersion("a", addr, "z", 3, version))
+}
+
+func (s *rolloutSite) runClients() {
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	s.t.Cleanup(func() {
+		close(stop)
+		clients.Wait()
+	})
+	for range rolloutClients {
+		clients.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(rand.Int64N(2 * int64(rolloutPause)))):
+					// A daemon that was killed refuses connections.
+					s.sendTo(client, s.callers[rand.IntN(len(s.callers))])
+				}
+			}
+		})
+	}
+}
+
+func (s *rolloutSite) sendTo(client *http.Client, addr string) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+addr+"/p/1", nil) //nolint:noctx // the client has a timeout
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	r.Host = entryHost
+	platform.WriteRequestHeaders(r.Header, fmt.Sprintf("r%d", s.requestCount.Add(1)), 2*time.Second)
+	if resp, err := client.Do(r); err == nil {
+		resp.Body.Close()
+	}
+}
+
+// await waits until the status of the order is as wanted and returns when.
+func (s *rolloutSite) await(limit time.Duration, what string, ok func(r *declarer.Rollout) bool) time.Time {
+	s.t.Helper()
+	for end := s.ordered.Add(limit); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		ob, exists := s.store.Get(platform.KindRollouts, "a")
+		if !exists {
+			continue
+		}
+		r, err := platform.ReadRollout(&ob)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		if ok(&r) {
+			s.t.Logf("%s after %s: %s", what, time.Since(s.ordered), r.Reason)
+			return time.Now()
+		}
+	}
+	s.t.Fatalf("not %s within %s of the order", what, limit)
+	return time.Time{}
+}
+
+// starts returns how many requests started to run at searchers from the order until a time.
+func (s *rolloutSite) starts(until time.Time, names ...string) int {
+	n := 0
+	for _, name := range names {
+		for _, at := range s.searchers[name].Starts() {
+			if at.After(s.ordered) && at.Before(until) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// assertShare checks that the new version got its share, and no more, until the decision.
+func (s *rolloutSite) assertShare(decided time.Time) {
+	s.t.Helper()
+	got, all := s.starts(decided, "n1", "n2"), s.starts(decided, "a1", "a2", "n1", "n2")
+	s.t.Logf("the new version got %d of %d requests before the decision", got, all)
+	if got == 0 || float64(got) > rolloutShare*float64(all) {
+		s.t.Errorf("the new version got %d of %d requests before the decision, want some and at most a share of %g", got, all, rolloutShare)
+	}
+}
+
+// completeInTime waits for a good version to be completed. The old searchers stop then: none of them may have requests in
+// flight or get one afterwards.
+func (s *rolloutSite) completeInTime() {
+	s.t.Helper()
+	moved := s.await(rolloutLimit, "moving", func(r *declarer.Rollout) bool { return r.Moving })
+	s.assertShare(moved)
+	done := s.await(rolloutLimit, "completed", func(r *declarer.Rollout) bool { return r.State == declarer.RolloutCompleted })
+	inFlight := s.searchers["a1"].InFlight() + s.searchers["a2"].InFlight()
+	time.Sleep(1500 * time.Millisecond)
+	if n := s.starts(time.Now(), "a1", "a2") - s.starts(done, "a1", "a2"); n+inFlight > 0 {
+		s.t.Errorf("%d requests in flight at the old searchers when completed, %d sent to them afterwards", inFlight, n)
+	}
+	if s.starts(time.Now(), "n1", "n2") <= s.starts(done, "n1", "n2") {
+		s.t.Error("the new searchers get no requests after the end")
+	}
+}
+
+// TestEntryRollout covers roll-outs with several daemons. A version got more than its share, a bad one went on getting requests,
+// and old searchers were stopped while they had requests, without the daemons' counts in one place.
+func TestEntryRollout(t *testing.T) {
+	t.Run("good", func(t *testing.T) {
+		t.Parallel()
+		s := withRollout(t)
+		s.startVersion(0)
+		s.completeInTime()
+	})
+	t.Run("bad", func(t *testing.T) {
+		t.Parallel()
+		s := withRollout(t)
+		s.startVersion(0.5)
+		done := s.await(rolloutLimit, "rolled back", func(r *declarer.Rollout) bool { return r.State == declarer.RolloutRolledBack })
+		s.assertShare(done)
+		s.assertStopped(done)
+	})
+	t.Run("bad later", func(t *testing.T) {
+		t.Parallel()
+		s := withRollout(t)
+		s.startVersion(0)
+		time.Sleep(time.Until(s.ordered.Add(5 * time.Second)))
+		s.searchers["n1"].SetFailing(0.6)
+		s.searchers["n2"].SetFailing(0.6)
+		done := s.await(rolloutLimit, "rolled back", func(r *declarer.Rollout) bool { return r.State == declarer.RolloutRolledBack })
+		s.assertShare(done)
+		s.assertStopped(done)
+	})
+	t.Run("the deciding daemon is killed", func(t *testing.T) {
+		t.Parallel()
+		s := withRollout(t)
+		s.startVersion(0)
+		time.Sleep(4 * time.Second)
+		first := relayer.Ranked(s.members)[0].ID
+		for _, d := range s.daemons {
+			if d.name == first {
+				d.kill()
+			}
+		}
+		s.completeInTime()
+	})
+}
+
+// assertStopped checks that the new version gets no requests once it was rolled back, and that this was in time.
+func (s *rolloutSite) assertStopped(done time.Time) {
+	s.t.Helper()
+	const noticeTime = time.Second
+	time.Sleep(noticeTime + 1500*time.Millisecond)
+	if n := s.starts(time.Now(), "n1", "n2") - s.starts(done.Add(noticeTime), "n1", "n2"); n > 0 {
+		s.t.Errorf("the version got %d requests more than %s after it was rolled back", n, noticeTime)
+	}
+	var failures []time.Time
+	for _, name := range []string{"n1", "n2"} {
+		failures = append(failures, s.searchers[name].Failures()...)
+	}
+	s.t.Logf("%d bad answers", len(failures))
+	if len(failures) > 2*rolloutBad {
+		s.t.Errorf("%d bad answers, want at most %d", len(failures), 2*rolloutBad)
+	}
+	if s.starts(time.Now(), "a1", "a2") <= s.starts(done, "a1", "a2") {
+		s.t.Error("the old searchers get no requests after the rollback")
+	}
+}
--- a/cmd/cornelwood/entry_test.go
+++ b/cmd/cornelwood/entry_test.go
@@ -119,10 +119,15 @@
 
 func (s *entrySite) addSearcher(name string) {
 	p := searcher.NewStub(name, searchDelay)
+	s.searchers[name], s.searcherURLs[name] = p, s.serve(p)
+	s.register(name, 0)
+}
+
+// serve serves a searcher until the test ends and returns its address.
+func (s *entrySite) serve(p *searcher.Stub) string {
 	srv := httptest.NewServer(p)
 	s.t.Cleanup(srv.Close)
-	s.searchers[name], s.searcherURLs[name] = p, srv.URL
-	s.register(name, 0)
+	return srv.URL
 }
 
 // declare writes a version of the desired state. target is the JSON field that completes the route "p" of single
--- a/internal/standin/searcher/stub.go
+++ b/internal/standin/searcher/stub.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,6 +26,11 @@
 	lastRun  time.Time
 	// refusals holds the times of the requests that were refused while shedding.
 	refusals []time.Time
+	// failing is the share of the requests that get a failure after they have run.
+	failing float64
+	// starts holds the times at which requests started to run, and failures those of the failures.
+	starts, failures []time.Time
+	inFlight         int
 }
 
 // NewStub returns a Stub whose service time is delay.
@@ -60,6 +66,34 @@
 	s.holdOff = d
 }
 
+// SetFailing makes a share of the requests fail after they have run, as a bad version of a searcher does.
+func (s *Stub) SetFailing(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = share
+}
+
+// Starts returns the times at which requests started to run, in their order.
+func (s *Stub) Starts() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.starts)
+}
+
+// Failures returns the times of the answers that SetFailing made fail.
+func (s *Stub) Failures() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.failures)
+}
+
+// InFlight returns the number of requests that run now.
+func (s *Stub) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight
+}
+
 // Refusals returns the times of the requests that were refused while shedding, in their order.
 func (s *Stub) Refusals() []time.Time {
 	s.mu.Lock()
@@ -107,7 +141,10 @@
 	if !shedding && !misdirected {
 		s.runs[req.RequestID]++
 		s.lastRun = time.Now()
+		s.starts = append(s.starts, s.lastRun)
+		s.inFlight++
 	}
+	isFailure := rand.Float64() < s.failing
 	s.mu.Unlock()
 	switch {
 	case misdirected:
@@ -121,6 +158,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	defer s.end()
 	select {
 	case <-time.After(delay):
 	case <-r.Context().Done():
@@ -128,6 +166,19 @@
 	}
 	meta.Stamp = s.name
 	platform.WriteAnswerHeaders(w.Header(), meta)
+	if isFailure {
+		s.mu.Lock()
+		s.failures = append(s.failures, time.Now())
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	// A write error means that the caller disconnected.
 	_, _ = w.Write(s.Record())
 }
+
+func (s *Stub) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+}
