--- a/internal/route/promoter/decide.go
+++ b/internal/route/promoter/decide.go
@@ -58,8 +58,9 @@
 	// Total is what was counted since the order, and Recent over the last time.
 	Total, Recent Evidence
 	// Unmoved is the number of daemons that answer and may still send to other versions, or have exchanges in flight with
-	// them. Unreachable is the number of daemons that do not answer.
-	Unmoved, Unreachable int
+	// them. Unreachable is the number of daemons that do not answer, and Silent that of those among them that have not
+	// answered for some time.
+	Unmoved, Unreachable, Silent int
 	// StateBound is the age up to which a daemon uses cached state, and Timeout the longest time of a request.
 	StateBound, Timeout time.Duration
 }
@@ -126,7 +127,7 @@
 		finish = max(finish, min(s.Timeout, time.Duration(finishFactor*float64(latencyOf(slowest)))))
 	}
 	reserve := learnTime + moveTime + finish + writeTime
-	if s.Unreachable > 0 {
+	if s.Silent > 0 {
 		reserve = max(reserve, learnTime+s.StateBound+s.Timeout+writeTime)
 	}
 	return max(time.Duration(minTestShare*float64(s.Limit)), s.Limit-reserve)
--- a/internal/route/promoter/decide_test.go
+++ b/internal/route/promoter/decide_test.go
@@ -246,7 +246,8 @@
 	}{
 		{"short requests", Situation{Limit: testLimit, Timeout: testTimeout}, 9 * time.Second, 9200 * time.Millisecond},
 		{"long requests", Situation{Limit: testLimit, Timeout: testTimeout, Total: slow}, 7500 * time.Millisecond, 8200 * time.Millisecond},
-		{"a daemon that does not answer", Situation{Limit: testLimit, Timeout: testTimeout, Unreachable: 1, StateBound: 2600 * time.Millisecond}, 6 * time.Second, 6 * time.Second},
+		{"a daemon that did not answer in time once", Situation{Limit: testLimit, Timeout: testTimeout, Unreachable: 1, StateBound: 2600 * time.Millisecond}, 9 * time.Second, 9200 * time.Millisecond},
+		{"a daemon that does not answer", Situation{Limit: testLimit, Timeout: testTimeout, Unreachable: 1, Silent: 1, StateBound: 2600 * time.Millisecond}, 6 * time.Second, 6 * time.Second},
 		{"longer limit", Situation{Limit: time.Minute, Timeout: testTimeout}, 57 * time.Second, 58 * time.Second},
 		{"half at least", Situation{Limit: 2 * time.Second, Timeout: testTimeout}, time.Second, time.Second},
 	} {
--- a/internal/route/promoter/promoter.go
+++ b/internal/route/promoter/promoter.go
@@ -41,6 +41,8 @@
 	TakeoverTime, TakeoverStep time.Duration
 	// MaxStale is the number of first-ranked daemons that collect counts while the store does not answer them.
 	MaxStale int
+	// SilentTime is how long a daemon does not answer until the time for the move counts with that.
+	SilentTime time.Duration
 	// Window is the time over which recent counts are taken.
 	Window time.Duration
 	// StateBound is the age up to which daemons use their cached state.
@@ -61,6 +63,7 @@
 		TakeoverTime: 1100 * time.Millisecond,
 		TakeoverStep: 300 * time.Millisecond,
 		MaxStale:     3,
+		SilentTime:   1500 * time.Millisecond,
 		Window:       2 * time.Second,
 		StateBound:   relayer.Default().MaxAge,
 		FinishDelay:  500 * time.Millisecond,
@@ -229,6 +232,8 @@
 	age   time.Duration
 	ageAt time.Time
 	past  []snapshot
+	// silentSince holds since when a daemon has not answered.
+	silentSince map[string]time.Time
 }
 
 // snapshot is the evidence at one moment.
@@ -241,7 +246,7 @@
 func (p *Promoter) courseOf(t *locator.Trial) *course {
 	c := p.courses[t.Service]
 	if c == nil || !c.trial.LearnedAt.Equal(t.LearnedAt) {
-		c = &course{latest: make(map[string]exchanger.RolloutReport), ended: make(Evidence)}
+		c = &course{latest: make(map[string]exchanger.RolloutReport), ended: make(Evidence), silentSince: make(map[string]time.Time)}
 		p.courses[t.Service] = c
 	}
 	c.trial = t
@@ -385,11 +390,15 @@
 	s := &Situation{Limit: c.trial.Limit, IsMoving: c.trial.Moving, IsVetoed: c.trial.IsVetoed, StateBound: p.cfg.StateBound, Timeout: p.timeout(c.trial.Service)}
 	for i := range answers {
 		a := &answers[i]
-		switch {
-		case a.isGone:
-			continue
-		case a.reports == nil:
+		if a.reports == nil && !a.isGone {
 			s.Unreachable++
+			if c.silentFor(a.id, now) >= p.cfg.SilentTime {
+				s.Silent++
+			}
+			continue
+		}
+		delete(c.silentSince, a.id)
+		if a.isGone {
 			continue
 		}
 		n := slices.IndexFunc(a.reports.Reports, func(r exchanger.RolloutReport) bool {
@@ -417,6 +426,15 @@
 	return s
 }
 
+// silentFor returns for how long a daemon that does not answer now has not answered.
+func (c *course) silentFor(id string, now time.Time) time.Duration {
+	since, ok := c.silentSince[id]
+	if !ok {
+		c.silentSince[id], since = now, now
+	}
+	return now.Sub(since)
+}
+
 // timeout returns the longest time of a request to a service.
 func (p *Promoter) timeout(name string) time.Duration {
 	longest := time.Duration(0)
