--- a/internal/route/forwarder/metrics.go
+++ b/internal/route/forwarder/metrics.go
@@ -117,6 +117,6 @@
 	if res.reply != nil {
 		status = res.reply.Status
 	}
-	f.log.Info("exchange failed", "request", req.ID, "searcher", s.ID, "service", s.Service, "zone", s.Zone,
+	f.log.Info("exchange failed", "request", req.ID, "searcher", s.ID, "service", s.Service, "release", s.Version, "zone", s.Zone,
 		"kind", kind, "status", status, "error", res.err, "took", took)
 }
