cornelwood: a test of two roll-outs at once, of services that are shards of gathered queries

Nothing covered the way of a query through a daemon that gathers for others with processes of their own.

--- a/cmd/cornelwood/entry_rollout_test.go
+++ b/cmd/cornelwood/entry_rollout_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -38,14 +39,16 @@
 	daemons []*process
 	members []declarer.Member
 	callers []string
+	// paths holds those of the clients' requests.
+	paths   []string
 	ordered time.Time
 }
 
 // withRollout starts the site and its clients, and gives the order to roll v2 out. The clients stop with the test.
-func withRollout(t *testing.T) *rolloutSite {
+func withRollout(t *testing.T, paths ...string) *rolloutSite {
 	t.Helper()
-	s := &rolloutSite{entrySite: newEntrySite(t)}
-	for _, name := range []string{"a1", "a2"} {
+	s := &rolloutSite{entrySite: newEntrySite(t), paths: paths}
+	for name := range s.searchers {
 		s.registerVersion(name, "v1")
 	}
 	dir := t.TempDir()
@@ -69,10 +72,15 @@
 	s.runClients()
 	time.Sleep(500 * time.Millisecond)
 	s.ordered = time.Now()
-	s.store.Set(platform.KindRollouts, "a", platform.EncodeRollout("a", "v2", rolloutLimit))
+	s.order("a")
 	return s
 }
 
+// order gives the order to roll v2 of a service out.
+func (s *rolloutSite) order(service string) {
+	s.store.Set(platform.KindRollouts, service, platform.EncodeRollout(service, "v2", rolloutLimit))
+}
+
 // keepLines adds the process's output to its log until it ends, so that the process can go on writing.
 func (p *process) keepLines() {
 	for {
@@ -87,9 +95,9 @@
 	}
 }
 
-// startVersion starts the searchers of the new version, of which a share of the answers are failures.
-func (s *rolloutSite) startVersion(failing float64) {
-	for _, name := range []string{"n1", "n2"} {
+// startVersion starts the searchers of a service's new version, of which a share of the answers are failures.
+func (s *rolloutSite) startVersion(service string, failing float64) {
+	for _, name := range []string{service + "3", service + "4"} {
 		p := searcher.NewStub(name, searchDelay)
 		p.SetFailing(failing)
 		s.searchers[name] = p
@@ -100,7 +108,7 @@
 
 func (s *rolloutSite) registerVersion(name, version string) {
 	addr := strings.TrimPrefix(s.searcherURLs[name], "http://")
-	s.store.Set(platform.KindServers, name, platform.EncodeSearcherVersion("a", addr, "z", 3, version))
+	s.store.Set(platform.KindServers, name, platform.EncodeSearcherVersion(name[:1], addr, "z", 3, version))
 }
 
 func (s *rolloutSite) runClients() {
@@ -119,15 +127,15 @@
 					return
 				case <-time.After(time.Duration(rand.Int64N(2 * int64(rolloutPause)))):
 					// A daemon that was killed refuses connections.
-					s.sendTo(client, s.callers[rand.IntN(len(s.callers))])
+					s.sendTo(client, s.callers[rand.IntN(len(s.callers))], s.paths[rand.IntN(len(s.paths))])
 				}
 			}
 		})
 	}
 }
 
-func (s *rolloutSite) sendTo(client *http.Client, addr string) {
-	r, err := http.NewRequest(http.MethodGet, "http://"+addr+"/p/1", nil) //nolint:noctx // the client has a timeout
+func (s *rolloutSite) sendTo(client *http.Client, addr, path string) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+addr+path, nil) //nolint:noctx // the client has a timeout
 	if err != nil {
 		s.t.Error(err)
 		return
@@ -140,10 +148,10 @@
 }
 
 // await waits until the status of the order is as wanted and returns when.
-func (s *rolloutSite) await(limit time.Duration, what string, ok func(r *declarer.Rollout) bool) time.Time {
+func (s *rolloutSite) await(service, what string, ok func(r *declarer.Rollout) bool) time.Time {
 	s.t.Helper()
-	for end := s.ordered.Add(limit); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		ob, exists := s.store.Get(platform.KindRollouts, "a")
+	for end := s.ordered.Add(rolloutLimit); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		ob, exists := s.store.Get(platform.KindRollouts, service)
 		if !exists {
 			continue
 		}
@@ -152,11 +160,11 @@
 			s.t.Fatal(err)
 		}
 		if ok(&r) {
-			s.t.Logf("%s after %s: %s", what, time.Since(s.ordered), r.Reason)
+			s.t.Logf("%s %s after %s: %s", service, what, time.Since(s.ordered), r.Reason)
 			return time.Now()
 		}
 	}
-	s.t.Fatalf("not %s within %s of the order", what, limit)
+	s.t.Fatalf("%s not %s within %s of the order", service, what, rolloutLimit)
 	return time.Time{}
 }
 
@@ -177,7 +185,7 @@
 // the share counts over the whole time limit.
 func (s *rolloutSite) assertShare(decided time.Time) {
 	s.t.Helper()
-	got, all := s.starts(decided, "n1", "n2"), s.starts(decided, "a1", "a2", "n1", "n2")
+	got, all := s.starts(decided, "a3", "a4"), s.starts(decided, "a1", "a2", "a3", "a4")
 	s.t.Logf("the new version got %d of %d requests before the decision", got, all)
 	if got == 0 || float64(got) > rolloutShare*float64(all)+rolloutDaemons {
 		s.t.Errorf("the new version got %d of %d requests before the decision, want some and at most a share of %g", got, all, rolloutShare)
@@ -188,15 +196,15 @@
 // flight or get one afterwards.
 func (s *rolloutSite) completeInTime() {
 	s.t.Helper()
-	moved := s.await(rolloutLimit, "moving", func(r *declarer.Rollout) bool { return r.Moving })
+	moved := s.await("a", "moving", func(r *declarer.Rollout) bool { return r.Moving })
 	s.assertShare(moved)
-	done := s.await(rolloutLimit, "completed", func(r *declarer.Rollout) bool { return r.State == declarer.RolloutCompleted })
+	done := s.await("a", "completed", func(r *declarer.Rollout) bool { return r.State == declarer.RolloutCompleted })
 	inFlight := s.searchers["a1"].InFlight() + s.searchers["a2"].InFlight()
 	time.Sleep(1500 * time.Millisecond)
 	if n := s.starts(time.Now(), "a1", "a2") - s.starts(done, "a1", "a2"); n+inFlight > 0 {
 		s.t.Errorf("%d requests in flight at the old searchers when completed, %d sent to them afterwards", inFlight, n)
 	}
-	if s.starts(time.Now(), "n1", "n2") <= s.starts(done, "n1", "n2") {
+	if s.starts(time.Now(), "a3", "a4") <= s.starts(done, "a3", "a4") {
 		s.t.Error("the new searchers get no requests after the end")
 	}
 }
@@ -206,33 +214,33 @@
 func TestEntryRollout(t *testing.T) {
 	t.Run("good", func(t *testing.T) {
 		t.Parallel()
-		s := withRollout(t)
-		s.startVersion(0)
+		s := withRollout(t, "/p/1")
+		s.startVersion("a", 0)
 		s.completeInTime()
 	})
 	t.Run("bad", func(t *testing.T) {
 		t.Parallel()
-		s := withRollout(t)
-		s.startVersion(0.5)
-		done := s.await(rolloutLimit, "rolled back", func(r *declarer.Rollout) bool { return r.State == declarer.RolloutRolledBack })
+		s := withRollout(t, "/p/1")
+		s.startVersion("a", 0.5)
+		done := s.await("a", "rolled back", func(r *declarer.Rollout) bool { return r.State == declarer.RolloutRolledBack })
 		s.assertShare(done)
 		s.assertStopped(done)
 	})
 	t.Run("bad later", func(t *testing.T) {
 		t.Parallel()
-		s := withRollout(t)
-		s.startVersion(0)
+		s := withRollout(t, "/p/1")
+		s.startVersion("a", 0)
 		time.Sleep(time.Until(s.ordered.Add(5 * time.Second)))
-		s.searchers["n1"].SetFailing(0.6)
-		s.searchers["n2"].SetFailing(0.6)
-		done := s.await(rolloutLimit, "rolled back", func(r *declarer.Rollout) bool { return r.State == declarer.RolloutRolledBack })
+		s.searchers["a3"].SetFailing(0.6)
+		s.searchers["a4"].SetFailing(0.6)
+		done := s.await("a", "rolled back", func(r *declarer.Rollout) bool { return r.State == declarer.RolloutRolledBack })
 		s.assertShare(done)
 		s.assertStopped(done)
 	})
 	t.Run("the deciding daemon is killed", func(t *testing.T) {
 		t.Parallel()
-		s := withRollout(t)
-		s.startVersion(0)
+		s := withRollout(t, "/p/1")
+		s.startVersion("a", 0)
 		time.Sleep(4 * time.Second)
 		first := relayer.Ranked(s.members)[0].ID
 		for _, d := range s.daemons {
@@ -244,16 +252,34 @@
 	})
 }
 
+// TestEntryRolloutOfShards covers two roll-outs at once, of services that are shards of queries which few daemons gather. The
+// daemons that gather sent the version under test as much as the others.
+func TestEntryRolloutOfShards(t *testing.T) {
+	s := withRollout(t, "/q/1")
+	s.store.Set(platform.KindConfig, platform.ConfigName, json.RawMessage(fmt.Sprintf(`{"version":2,"routes":[
+		{"name":"q","host":%q,"path_prefix":"/q/","kind":"idempotent","timeout_ms":2000,"goal_ms":200,"attempts":2,"gather":["a","b"],"top_k":5,"min_shard_ratio":0.5}],
+		"services":[{"name":"a","max_conns":4},{"name":"b","max_conns":4}]}`, entryHost)))
+	s.order("b")
+	s.startVersion("a", 0)
+	s.startVersion("b", 0.5)
+	done := s.await("b", "rolled back", func(r *declarer.Rollout) bool { return r.State == declarer.RolloutRolledBack })
+	s.completeInTime()
+	const noticeTime = time.Second
+	if n := s.starts(time.Now(), "b3", "b4") - s.starts(done.Add(noticeTime), "b3", "b4"); n > 0 {
+		t.Errorf("the bad version got %d requests more than %s after it was rolled back", n, noticeTime)
+	}
+}
+
 // assertStopped checks that the new version gets no requests once it was rolled back, and that this was in time.
 func (s *rolloutSite) assertStopped(done time.Time) {
 	s.t.Helper()
 	const noticeTime = time.Second
 	time.Sleep(noticeTime + 1500*time.Millisecond)
-	if n := s.starts(time.Now(), "n1", "n2") - s.starts(done.Add(noticeTime), "n1", "n2"); n > 0 {
+	if n := s.starts(time.Now(), "a3", "a4") - s.starts(done.Add(noticeTime), "a3", "a4"); n > 0 {
 		s.t.Errorf("the version got %d requests more than %s after it was rolled back", n, noticeTime)
 	}
 	var failures []time.Time
-	for _, name := range []string{"n1", "n2"} {
+	for _, name := range []string{"a3", "a4"} {
 		failures = append(failures, s.searchers[name].Failures()...)
 	}
 	s.t.Logf("%d bad answers", len(failures))
