--- a/cmd/cornelwood/entry_rollout_test.go
+++ b/cmd/cornelwood/entry_rollout_test.go
@@ -52,11 +52,13 @@
 		s.registerVersion(name, "v1")
 	}
 	dir := t.TempDir()
+	_, common, _ := strings.Cut(s.settingsText, "[store]")
+	free := freePorts(t, "127.0.0.1", 3*rolloutDaemons)
 	for i := range rolloutDaemons {
-		ports := freePorts(t, "127.0.0.1", 3)
+		ports := free[3*i : 3*i+3]
 		id := fmt.Sprintf("d%d", i)
-		text := fmt.Sprintf("[daemon]\nid = %s\nzone = z\nregion = r\n[log]\njson = true\n[caller]\nlisten = 127.0.0.1:%s\nchecks = 127.0.0.1:%s\npeers = 127.0.0.1:%s\n%s"+
-			"[rollout]\nshare = %g\nslack = %d\nrollback = %s\n", id, ports[0], ports[1], ports[2], s.settingsText[strings.Index(s.settingsText, "[store]"):], rolloutShare, rolloutSlack, rolloutBound)
+		text := fmt.Sprintf("[daemon]\nid = %s\nzone = z\nregion = r\n[log]\njson = true\n[caller]\nlisten = 127.0.0.1:%s\nchecks = 127.0.0.1:%s\npeers = 127.0.0.1:%s\n[store]%s"+
+			"[rollout]\nshare = %g\nslack = %d\nrollback = %s\n", id, ports[0], ports[1], ports[2], common, rolloutShare, rolloutSlack, rolloutBound)
 		file := filepath.Join(dir, id+".ini")
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
