promoter: wider margins during the move; the old searchers help out while the new ones are cold

At the end of the test all requests go to the new searchers at once: many new connections, and nothing of the old version to compare with at the same time, so a moment of slow answers could have rolled a good version back. New searchers of which most were cold would have got all requests, and refused most. Tests: the deciding daemon ends during the move, and the version turns bad during the move.

--- a/internal/route/promoter/decide.go
+++ b/internal/route/promoter/decide.go
@@ -89,7 +89,7 @@
 		}
 		return RollBack, "the version answered no request, so nothing is known of it"
 	}
-	if fault := s.Total.fault(finalDoubt, true); fault != "" {
+	if fault := s.Total.fault(finalDoubt, 1, true); fault != "" {
 		return RollBack, fault
 	}
 	if s.Elapsed >= s.Limit {
@@ -100,10 +100,14 @@
 
 // fault returns why the version is bad by what has been counted so far.
 func (s *Situation) fault() string {
-	if fault := s.Total.fault(runningDoubt, false); fault != "" {
+	factor := 1.0
+	if s.IsMoving {
+		factor = movingFactor
+	}
+	if fault := s.Total.fault(runningDoubt, factor, false); fault != "" {
 		return fault
 	}
-	return s.Recent.comparedWith(s.Total).fault(runningDoubt, false)
+	return s.Recent.comparedWith(s.Total).fault(runningDoubt, factor, false)
 }
 
 // finish returns what to do with a roll-out whose version is good. It may be completed late, since its version is in use,
--- a/internal/route/promoter/evidence.go
+++ b/internal/route/promoter/evidence.go
@@ -19,6 +19,9 @@
 	failureMargin = 0.02
 	slowMargin    = 0.12
 	refusalMargin = 0.25
+	// movingFactor multiplies the margins during the move: there are no answers of the others to compare with at the same
+	// time, and the version's searchers get many new connections at once.
+	movingFactor = 3
 	// marginRatio is the multiple of the others' share up to which a good version may be worse.
 	marginRatio = 1.5
 	// runningDoubt is the probability of so many bad answers of a good version below which it counts as bad while the
@@ -200,13 +203,13 @@
 	}
 }
 
-// tests returns the comparisons of one route.
-func (t *Tally) tests() []test {
+// tests returns the comparisons of one route, with the margins multiplied by a factor.
+func (t *Tally) tests(factor float64) []test {
 	others := &t.Others
-	failures := newTest("failures", ratio{others.Failures, others.Answers + others.Failures}, failureMargin)
-	refusals := newTest("refusals", ratio{others.Refusals, others.Answers + others.Failures + others.Refusals}, refusalMargin)
+	failures := newTest("failures", ratio{others.Failures, others.Answers + others.Failures}, failureMargin*factor)
+	refusals := newTest("refusals", ratio{others.Refusals, others.Answers + others.Failures + others.Refusals}, refusalMargin*factor)
 	median, knowsMedian := medianBucket(others.Latencies)
-	slow := newTest("slow answers", slowRatio(others.Latencies, median), slowMargin)
+	slow := newTest("slow answers", slowRatio(others.Latencies, median), slowMargin*factor)
 	for id, s := range t.Version {
 		failures.version[id] = ratio{s.Failures, s.Answers + s.Failures}
 		refusals.version[id] = ratio{s.Refusals, s.Answers + s.Failures + s.Refusals}
@@ -289,7 +292,7 @@
 }
 
 // fault returns why the version is bad, empty when the evidence does not show it.
-func (e Evidence) fault(doubt float64, isFinal bool) string {
+func (e Evidence) fault(doubt, factor float64, isFinal bool) string {
 	routes := make([]string, 0, len(e))
 	for route := range e {
 		routes = append(routes, route)
@@ -297,7 +300,7 @@
 	slices.Sort(routes)
 	var whole []test
 	for _, route := range routes {
-		for i, t := range e[route].tests() {
+		for i, t := range e[route].tests(factor) {
 			if t.isBad(doubt, isFinal) {
 				return fmt.Sprintf("route %q: %s", route, t.text())
 			}
--- a/internal/route/promoter/gate.go
+++ b/internal/route/promoter/gate.go
@@ -135,8 +135,10 @@
 	s.begin(trial, g.random)
 	t.learnedAt, t.target = trial.LearnedAt, trial.Target
 	switch {
-	case trial.Moving && mayTry:
+	case trial.Moving && mayTry && isWarm(trial.Searchers, g.now()):
 		return [][]locator.Searcher{trial.Searchers}
+	case trial.Moving && mayTry:
+		return [][]locator.Searcher{trial.Searchers, others}
 	case trial.Moving:
 		return [][]locator.Searcher{others}
 	}
@@ -179,6 +181,19 @@
 	return out
 }
 
+// isWarm reports whether at least half of the searchers take any number of requests, so that they can serve alone.
+//
+// Load pattern: searchers of the new version that have just started again, and accept few requests a second at first.
+func isWarm(searchers []locator.Searcher, now time.Time) bool {
+	warm := 0
+	for i := range searchers {
+		if !searchers[i].ColdLimited || !now.Before(searchers[i].WarmAt) {
+			warm++
+		}
+	}
+	return warm > 0 && 2*warm >= len(searchers)
+}
+
 // Chosen ends the choice with a searcher, to which the request is now sent.
 func (t *Ticket) Chosen(sr *locator.Searcher) {
 	if t == nil {
@@ -303,7 +318,7 @@
 	defer g.mu.Unlock()
 	r := exchanger.RolloutReport{
 		Rollout: trial.Name, Target: trial.Target, Started: trial.Started, Age: g.now().Sub(trial.LearnedAt), Vetoed: trial.IsVetoed,
-		Moved: trial.Moving && !trial.IsVetoed && isFresh && len(trial.Searchers) > 0,
+		Moved: trial.Moving && !trial.IsVetoed && isFresh && isWarm(trial.Searchers, g.now()),
 	}
 	s := g.services[trial.Service]
 	if s == nil {
--- a/internal/route/promoter/gate_test.go
+++ b/internal/route/promoter/gate_test.go
@@ -185,6 +185,32 @@
 	})
 }
 
+// TestIsWarm covers searchers of the new version that are cold at the end of the test: all requests went to them, and they
+// refused most.
+func TestIsWarm(t *testing.T) {
+	now := time.Unix(100, 0)
+	cold := locator.Searcher{ColdLimited: true, WarmAt: now.Add(time.Second)}
+	warm := locator.Searcher{ColdLimited: true, WarmAt: now.Add(-time.Second)}
+	unlimited := locator.Searcher{WarmAt: now.Add(time.Second)}
+	for _, tt := range []struct {
+		name      string
+		searchers []locator.Searcher
+		want      bool
+	}{
+		{"none", nil, false},
+		{"cold", []locator.Searcher{cold}, false},
+		{"a third is warm", []locator.Searcher{cold, cold, warm}, false},
+		{"half are warm", []locator.Searcher{cold, warm}, true},
+		{"cold without a limit", []locator.Searcher{unlimited}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := isWarm(tt.searchers, now); got != tt.want {
+				t.Errorf("warm: %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestFocused covers how many searchers of a version get its requests at a time: spread over all, a tenth of the requests
 // loads none of them.
 func TestFocused(t *testing.T) {
--- a/internal/route/promoter/promoter_test.go
+++ b/internal/route/promoter/promoter_test.go
@@ -225,6 +225,28 @@
 			f.assertHistory(3200*time.Millisecond, "running", "moving", "completed")
 		})
 	})
+	t.Run("the deciding daemon ends during the move", func(t *testing.T) {
+		withFleet(t, 3, func(f *fleet) {
+			time.Sleep(8 * time.Second)
+			for isMoving := false; !isMoving; time.Sleep(time.Millisecond) {
+				f.set(func() { isMoving = f.rollout.Moving })
+			}
+			f.lose(0)
+			f.assertHistory(2500*time.Millisecond, "running", "moving", "completed")
+		})
+	})
+	t.Run("the version turns bad during the move", func(t *testing.T) {
+		withFleet(t, 3, func(f *fleet) {
+			// A daemon that cannot be reached makes the move last.
+			f.set(func() { f.cut[[2]int{0, 2}] = true })
+			for isMoving := false; !isMoving; time.Sleep(time.Millisecond) {
+				f.set(func() { isMoving = f.rollout.Moving })
+			}
+			f.set(func() { f.isBad = true })
+			// Each round waits for that daemon.
+			f.assertHistory(2*time.Second, "running", "moving", "rolled_back")
+		})
+	})
 	t.Run("the deciding daemon ends after a bad start", func(t *testing.T) {
 		withFleet(t, 3, func(f *fleet) {
 			time.Sleep(3 * time.Second)
