cornelwood, promoter: roll-outs while the deciding daemon stands still, the store is away, and where there are none

Counts that were collected before the process stood still are not decided on. A daemon whose settings allow no roll-outs makes no call for them.

--- a/cmd/cornelwood/entry_rollout_test.go
+++ b/cmd/cornelwood/entry_rollout_test.go
@@ -8,8 +8,10 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -244,16 +246,45 @@
 		s := withRollout(t, "/p/1")
 		s.startVersion("a", 0)
 		time.Sleep(4 * time.Second)
-		first := relayer.Ranked(s.members)[0].ID
-		for _, d := range s.daemons {
-			if d.name == first {
-				d.kill()
-			}
+		s.deciding().kill()
+		s.completeInTime()
+	})
+	t.Run("the deciding daemon stands still", func(t *testing.T) {
+		t.Parallel()
+		s := withRollout(t, "/p/1")
+		s.startVersion("a", 0)
+		time.Sleep(4 * time.Second)
+		d := s.deciding()
+		d.signal(t, syscall.SIGSTOP)
+		time.AfterFunc(3*time.Second, func() { d.signal(t, syscall.SIGCONT) })
+		s.completeInTime()
+	})
+	t.Run("the store is away", func(t *testing.T) {
+		t.Parallel()
+		s := withRollout(t, "/p/1")
+		s.startVersion("a", 0)
+		time.Sleep(2 * time.Second)
+		s.store.SetDown(true)
+		time.Sleep(4 * time.Second)
+		if n, all := s.starts(time.Now(), "a3", "a4"), s.starts(time.Now(), "a1", "a2", "a3", "a4"); float64(n) > rolloutShare*float64(all)+rolloutDaemons {
+			t.Errorf("the version got %d of %d requests while the store was away", n, all)
 		}
+		s.store.SetDown(false)
 		s.completeInTime()
 	})
 }
 
+// TestEntryWithoutRollouts covers a daemon whose settings allow no roll-outs. It must not read the orders: calls to the store
+// cost money.
+func TestEntryWithoutRollouts(t *testing.T) {
+	s := withEntry(t)
+	s.store.Set(platform.KindRollouts, "a", platform.EncodeRollout("a", "", rolloutLimit))
+	s.assertStatus(s.send(&http.Client{}, http.MethodPost, "/p/1"), http.StatusOK)
+	if _, text := s.getPage("/metrics"); !strings.Contains(text, "list servers") || strings.Contains(text, "rollout") {
+		t.Errorf("metrics name roll-outs, or no call to the store:\n%.3000s", text)
+	}
+}
+
 // TestEntryRolloutOfShards covers two roll-outs at once, of services that are shards of queries which few daemons gather. The
 // daemons that gather sent the version under test as much as the others.
 func TestEntryRolloutOfShards(t *testing.T) {
@@ -272,6 +303,12 @@
 	}
 }
 
+// deciding returns the daemon that is ranked first.
+func (s *rolloutSite) deciding() *process {
+	first := relayer.Ranked(s.members)[0].ID
+	return s.daemons[slices.IndexFunc(s.daemons, func(d *process) bool { return d.name == first })]
+}
+
 // assertStopped checks that the new version gets no requests once it was rolled back, and that this was in time.
 func (s *rolloutSite) assertStopped(done time.Time) {
 	s.t.Helper()
--- a/internal/route/promoter/promoter_test.go
+++ b/internal/route/promoter/promoter_test.go
@@ -37,6 +37,8 @@
 	isBad bool
 	// cut holds the pairs of daemons that cannot reach each other.
 	cut map[[2]int]bool
+	// isPaused makes the first daemon stand still for two seconds with each call.
+	isPaused bool
 }
 
 // node is one daemon of a fleet.
@@ -47,6 +49,8 @@
 	index    int
 	stop     context.CancelFunc
 	isGone   bool
+	// paused is how long the daemon has stood still by its clock.
+	paused time.Duration
 }
 
 // withFleet runs a test in virtual time with daemons that have traffic, and an order.
@@ -77,13 +81,19 @@
 	s := newSite(ctx)
 	n := &node{site: s, fleet: f, index: i, stop: stop}
 	s.Members().Replace(members, 1)
-	n.promoter = New(Default(), members[i].Value, s, s.gate, n, n, func() time.Duration { return time.Since(time.Unix(0, 0)) }, hclog.NewNullLogger(), NewMetrics(prometheus.NewRegistry()))
+	n.promoter = New(Default(), members[i].Value, s, s.gate, n, n, n.clock, hclog.NewNullLogger(), NewMetrics(prometheus.NewRegistry()))
 	f.nodes = append(f.nodes, n)
 	go func() { _ = n.promoter.Serve(ctx) }()
 	go n.load(ctx)
 	go n.follow(ctx)
 }
 
+func (n *node) clock() time.Duration {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return time.Since(time.Unix(0, 0)) + n.paused
+}
+
 // load sends about 20 requests a second.
 func (n *node) load(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -120,6 +130,9 @@
 func (n *node) Call(ctx context.Context, peer netip.AddrPort, name string, in, out any) error {
 	to := n.fleet.nodes[peer.Addr().As4()[3]-1]
 	n.fleet.mu.Lock()
+	if n.fleet.isPaused && n.index == 0 {
+		n.paused += 2 * time.Second
+	}
 	isGone, isCut := to.isGone, n.fleet.cut[[2]int{min(n.index, to.index), max(n.index, to.index)}]
 	n.fleet.mu.Unlock()
 	if isGone {
@@ -285,6 +298,19 @@
 			f.assertHistory(2*time.Second, "running", "rolled_back")
 		})
 	})
+	t.Run("the deciding daemon stands still after it has asked", func(t *testing.T) {
+		withFleet(t, 3, func(f *fleet) {
+			f.set(func() { f.isPaused = true })
+			time.Sleep(5 * time.Second)
+			f.set(func() {
+				if len(f.history) > 0 {
+					t.Errorf("states %q by outdated counts, want none", f.history)
+				}
+				f.isPaused = false
+			})
+			f.assertHistory(time.Second, "running")
+		})
+	})
 	t.Run("withdrawn", func(t *testing.T) {
 		withFleet(t, 2, func(f *fleet) {
 			time.Sleep(2 * time.Second)
