--- a/internal/route/promoter/promoter_test.go
+++ b/internal/route/promoter/promoter_test.go
@@ -202,10 +202,10 @@
 	}
 }
 
-// lose kills a daemon.
-func (f *fleet) lose(i int) {
-	f.set(func() { f.nodes[i].isGone = true })
-	f.nodes[i].stop()
+// loseFirst kills the daemon that is ranked first.
+func (f *fleet) loseFirst() {
+	f.set(func() { f.nodes[0].isGone = true })
+	f.nodes[0].stop()
 }
 
 // TestPromoter covers the stages of a roll-out, when the deciding daemon, a link or the store fails at each of them. A status
@@ -234,7 +234,7 @@
 	t.Run("the deciding daemon ends", func(t *testing.T) {
 		withFleet(t, 3, func(f *fleet) {
 			time.Sleep(8800 * time.Millisecond)
-			f.lose(0)
+			f.loseFirst()
 			f.assertHistory(3200*time.Millisecond, "running", "moving", "completed")
 		})
 	})
@@ -244,7 +244,7 @@
 			for isMoving := false; !isMoving; time.Sleep(time.Millisecond) {
 				f.set(func() { isMoving = f.rollout.Moving })
 			}
-			f.lose(0)
+			f.loseFirst()
 			f.assertHistory(2500*time.Millisecond, "running", "moving", "completed")
 		})
 	})
@@ -263,7 +263,7 @@
 	t.Run("the deciding daemon ends after a bad start", func(t *testing.T) {
 		withFleet(t, 3, func(f *fleet) {
 			time.Sleep(3 * time.Second)
-			f.lose(0)
+			f.loseFirst()
 			f.set(func() { f.isBad = true })
 			f.assertHistory(5*time.Second, "running", "rolled_back")
 		})
@@ -340,7 +340,7 @@
 		if diff := cmp.Diff([]bool{true, false, false}, deciders()); diff != "" {
 			t.Errorf("deciding daemons (-want +got):\n%s", diff)
 		}
-		f.lose(0)
+		f.loseFirst()
 		time.Sleep(3 * time.Second)
 		if diff := cmp.Diff([]bool{true, true, false}, deciders()); diff != "" {
 			t.Errorf("deciding daemons after the first was lost (-want +got):\n%s", diff)
