forwarder: a refused request goes to a searcher that has not been asked, of any version

With a roll-out, a request that a searcher of the version under test had refused was sent to it again before one of the other version was asked, if the version had credit left. The order is as without roll-outs: first those that have not been asked, then those that refused.

--- a/internal/route/forwarder/fanout.go
+++ b/internal/route/forwarder/fanout.go
@@ -165,35 +165,35 @@
 	return true
 }
 
-// pickVersion starts an exchange of a call with a searcher of the version that gets the request, where the service has a
-// roll-out, and otherwise with any. Without a searcher it returns -1.
+// pickVersion starts an exchange of a call with a searcher that has not been tried, or else with one that did not run an
+// earlier attempt: one of the version that gets the request where the service has a roll-out, and otherwise any. It returns
+// -1 when none is available.
 func (f *fanout) pickVersion(c *serviceCall, ticket *promoter.Ticket, average time.Duration) (int, *picker.Exchange) {
-	if ticket == nil {
-		return f.pick(c, average)
+	sets := [][]locator.Searcher{c.searchers}
+	if ticket != nil {
+		v := f.fwd.views.View()
+		if ok, _ := v.Ready(); !ok {
+			return -1, nil
+		}
+		sets = ticket.Candidates(v)
 	}
-	v := f.fwd.views.View()
-	if ok, _ := v.Ready(); !ok {
-		return -1, nil
+	n, exchange := f.pick(c, sets, slices.Concat(c.tried, c.notRun), average)
+	if n < 0 && len(c.notRun) > 0 {
+		n, exchange = f.pick(c, sets, c.tried, average)
 	}
-	for _, searchers := range ticket.Candidates(v) {
-		c.searchers = searchers
-		if n, exchange := f.pick(c, average); n >= 0 {
+	return n, exchange
+}
+
+// pick starts an exchange of a call with a searcher, that is not one of tried, of the first set that has one available.
+func (f *fanout) pick(c *serviceCall, sets [][]locator.Searcher, tried []string, average time.Duration) (int, *picker.Exchange) {
+	for _, c.searchers = range sets {
+		if n, exchange := f.fwd.picker.Pick(c.searchers, tried, average); n >= 0 {
 			return n, exchange
 		}
 	}
 	return -1, nil
 }
 
-// pick starts an exchange of a call with one of its searchers that has not been tried, or else with one that did not run an
-// earlier attempt.
-func (f *fanout) pick(c *serviceCall, average time.Duration) (int, *picker.Exchange) {
-	n, exchange := f.fwd.picker.Pick(c.searchers, slices.Concat(c.tried, c.notRun), average)
-	if n < 0 && len(c.notRun) > 0 {
-		n, exchange = f.fwd.picker.Pick(c.searchers, c.tried, average)
-	}
-	return n, exchange
-}
-
 // versionOutcome returns the outcome of a result for the comparison of versions.
 func versionOutcome(res *result) promoter.Outcome {
 	e, isError := asConnectorError(res.err)
--- a/internal/route/forwarder/rollout_test.go
+++ b/internal/route/forwarder/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -82,6 +83,26 @@
 	}
 }
 
+// TestRolloutRefused covers a searcher of the version under test that refuses requests: it was asked again although one of
+// the other version had not been asked.
+func TestRolloutRefused(t *testing.T) {
+	withForwarder(t, 4, func(s *setup) {
+		s.rollOut(func() bool { return true })
+		s.behaviors["1b"] = replyWith(http.StatusServiceUnavailable, "", true)
+		for range 40 {
+			before := s.total()
+			a, _ := s.request(s.t.Context(), "/post/x", "")
+			s.assertAnswer(a, http.StatusOK)
+			if n := s.total() - before; n > 2 {
+				t.Errorf("%d requests to searchers, want 2 at most", n)
+			}
+		}
+		if s.sentOf("1b") == 0 {
+			t.Error("the version got no request")
+		}
+	})
+}
+
 func answers(samples []exchanger.RolloutSample) int {
 	n := 0
 	for i := range samples {
