--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/route/authorizer"
 	"cornelwood.example/internal/route/matcher"
 )
 
@@ -12,6 +13,8 @@
 type View struct {
 	// Matcher finds routes; nil before the first desired state has been received.
 	Matcher *matcher.Matcher
+	// Authorizer decides by the same desired state which account a request belongs to; nil while Matcher is.
+	Authorizer *authorizer.Authorizer
 	// services holds the searchers that may get new requests, by service.
 	services map[string][]Searcher
 	// revision is the store's revision of the last change of the searchers.
@@ -28,10 +31,43 @@
 	trials map[string]*Trial
 	// awaitsRollouts is true while the roll-outs have not been received and are needed.
 	awaitsRollouts bool
+	// routingAt is the boot clock's time at which the call to the store was sent that last confirmed the desired state, 0 if
+	// it is not known.
+	routingAt time.Duration
+	keyTrust  KeyTrust
+	// doubtedAge is DoubtedAge.
+	doubtedAge time.Duration
 	// isOutdated is true when the state may be older than its bound.
 	isOutdated bool
 }
 
+// KeyTrust says which decisions about keys the age of the desired state allows.
+type KeyTrust int32
+
+// Degrees of trust.
+const (
+	// KeysCurrent: keys are accepted and refused.
+	KeysCurrent KeyTrust = iota
+	// KeysAging: known keys are accepted. One that is not known may have been added since.
+	KeysAging
+	// KeysOutdated: a known key may have been withdrawn long ago.
+	KeysOutdated
+)
+
+// String returns the trust as a word for logs.
+func (k KeyTrust) String() string {
+	switch k {
+	case KeysCurrent:
+		return "current"
+	case KeysAging:
+		return "aging"
+	case KeysOutdated:
+		return "outdated"
+	default:
+		return "invalid"
+	}
+}
+
 // Searcher is a searcher that may get new requests.
 type Searcher struct {
 	declarer.Searcher
@@ -68,6 +104,41 @@
 	return &out
 }
 
+// WithKeyTrust returns a copy of the view with another trust in the keys of accounts, because of the age of the desired state.
+func (v *View) WithKeyTrust(trust KeyTrust, age time.Duration) *View {
+	out := *v
+	out.keyTrust, out.doubtedAge = trust, age
+	return &out
+}
+
+// DoubtedAge returns the age of the desired state because of which keys are doubted, for logs. It is 0 while they are not, or
+// when the age is not known.
+func (v *View) DoubtedAge() time.Duration {
+	return v.doubtedAge
+}
+
+// RoutingAge returns the time since the call to the store was sent that last confirmed the desired state, and false if that
+// is not known. now is the boot clock's time.
+func (v *View) RoutingAge(now time.Duration) (time.Duration, bool) {
+	if v.routingAt <= 0 {
+		return 0, false
+	}
+	return now - v.routingAt, true
+}
+
+// Authorize returns the account of a request's key, nil when there is none, and whether the route serves the request. Call it
+// on a view that is ready.
+func (v *View) Authorize(rt *declarer.Route, key string) (*declarer.Account, authorizer.Refusal) {
+	if v.keyTrust == KeysOutdated && (key != "" || !rt.Public) {
+		return nil, authorizer.Outdated
+	}
+	account, refusal := v.Authorizer.Authorize(rt, key)
+	if v.keyTrust == KeysAging && refusal != authorizer.Allowed {
+		return nil, authorizer.Outdated
+	}
+	return account, refusal
+}
+
 // Searchers returns the searchers of a service that may get new requests. The slice must not be changed.
 func (v *View) Searchers(service string) []Searcher {
 	return v.services[service]
