--- a/internal/route/forwarder/single.go
+++ b/internal/route/forwarder/single.go
@@ -14,7 +14,7 @@
 func (f *Forwarder) single(ctx context.Context, req *Request, body []byte, rt *declarer.Route, v *locator.View, deadline time.Time) Answer {
 	service := targetService(rt, rand.Float64())
 	measure := func() float64 {
-		load, _ := f.picker.Load(v.Searchers(service))
+		load, _ := f.picker.Load(searchersOfMost(v, service))
 		return load
 	}
 	v, refused, ok := f.enterOwn(ctx, req, rt, v, service, 1, measure, deadline)
