--- a/internal/route/forwarder/admission.go
+++ b/internal/route/forwarder/admission.go
@@ -45,7 +45,7 @@
 	l.loads = l.loads[:0]
 	available := 0
 	for _, s := range shards {
-		load, ok := f.picker.Load(v.Searchers(s))
+		load, ok := f.picker.Load(searchersOfMost(v, s))
 		if !ok {
 			load = math.Inf(1)
 		} else {
@@ -61,6 +61,15 @@
 	return slices.Sorted(slices.Values(l.loads))[n-1]
 }
 
+// searchersOfMost returns the searchers of the version that gets most of a service's requests: the new one's once a roll-out moves
+// the traffic to it.
+func searchersOfMost(v *locator.View, service string) []locator.Searcher {
+	if t := v.Trial(service); t != nil && t.Moving && len(t.Searchers) > 0 {
+		return t.Searchers
+	}
+	return v.Searchers(service)
+}
+
 // skipped reports, for each shard, whether the query leaves it out because it is overloaded and the answer can do without it;
 // nil when there is none.
 //
