declarer: reasons of invalid routes without field names

A finding names the field as the operator's document does. Two reasons used the names of this package (targets, shards, true), which the document does not have. They now describe what is wanted in words.

go test ./internal/contract/declarer: passes; the tests compare fields.

--- a/internal/contract/declarer/routing.go
+++ b/internal/contract/declarer/routing.go
@@ -115,7 +115,7 @@
 		f.addf(path+".timeout", "want a timeout and a goal of 0 or more, got %s and %s", r.Timeout, r.LatencyGoal)
 	}
 	if (len(r.Targets) == 0) == (len(r.Shards) == 0) {
-		f.addf(path, "want exactly one of targets and shards")
+		f.addf(path, "want either services to choose from or the shards of a query: exactly one of the two")
 	}
 	r.checkTargets(f, path)
 	r.checkShards(f, path)
@@ -134,7 +134,7 @@
 		return
 	}
 	if !r.Idempotent {
-		f.addf(path+".idempotent", "want true for a query over shards")
+		f.addf(path+".idempotent", "want a route whose requests may be repeated, for a query over shards")
 	}
 	if r.TopK < 1 || r.TopK > maxTopK {
 		f.addf(path+".top", "want 1 to %d, got %d", maxTopK, r.TopK)
