builder: cornelwood check state

The check of settings refuses JSON files: its errors quote the file, which could hold keys of accounts.

--- a/internal/cli/builder/check.go
+++ b/internal/cli/builder/check.go
@@ -1,6 +1,7 @@
 package builder
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -17,11 +18,13 @@
 		Usage:     "check settings and schema files",
 		ArgsUsage: "FILE...",
 		Description: "Checks each file as the daemons and the operator commands do, and prints every error with its file, section and key. " +
-			"Files named *.schema.ini are read as schemas, files with a section [store] as settings of an entry daemon, all others as settings of a daemon. Exits with 1 if there are errors.",
+			"Files named *.schema.ini are read as schemas, files with a section [store] as settings of an entry daemon, all others as settings of a daemon. Exits with 1 if there are errors. " +
+			"A desired state is checked by the subcommand state; a file of that name is given as ./state.",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "schema", Usage: "read the files as schemas regardless of their names"},
 		},
-		Action: runCheck,
+		Commands: []*cli.Command{checkStateCommand()},
+		Action:   runCheck,
 	}
 }
 
@@ -53,6 +56,10 @@
 	if _, err := os.Stat(path); err != nil {
 		return &reader.FileError{File: path, Reason: "cannot be read: no such file"}
 	}
+	// The errors of settings quote the file, which could hold keys of accounts.
+	if text, err := os.ReadFile(path); err == nil && bytes.HasPrefix(bytes.TrimSpace(text), []byte("{")) {
+		return &reader.FileError{File: path, Reason: "is JSON; a desired state is checked by \"cornelwood check state\""}
+	}
 	if schema {
 		_, err := reader.ReadSchema(path)
 		return err
--- a/internal/cli/executor/executor.go
+++ b/internal/cli/executor/executor.go
@@ -22,8 +22,8 @@
 )
 
 // Execute runs cmd with the program's arguments, the first of which is the program's name. SIGINT and SIGTERM cancel the
-// command's context. Execute writes an error to the command's error output and returns the exit code: 0 for success, 2
-// for a refusal and 1 for any other error.
+// command's context. Execute writes an error to the command's error output and returns the exit code: 0 for success, that
+// of the error if it is a cli.ExitCoder, 2 for a refusal and 1 for any other error.
 func Execute(cmd *cli.Command, args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -36,9 +36,12 @@
 
 func exitCode(err error) int {
 	var ref *answerer.RefusalError
+	var coder cli.ExitCoder
 	switch {
 	case err == nil:
 		return 0
+	case errors.As(err, &coder):
+		return coder.ExitCode()
 	case errors.As(err, &ref):
 		return exitRefused
 	default:
