--- a/internal/route/linter/linter.go
+++ b/internal/route/linter/linter.go
@@ -79,7 +79,7 @@
 	rep := &Report{Version: next.Routing().Version, Findings: slices.Clone(problems)}
 	for _, f := range lint(next.Routing(), !next.IsDecoded()) {
 		f.Field = next.Field(f.Field)
-		if !followsFrom(f.Field, problems) {
+		if !followsFrom(f, problems) {
 			rep.Findings = append(rep.Findings, f)
 		}
 	}
@@ -110,9 +110,13 @@
 	}
 }
 
-// followsFrom reports whether a finding about field may only follow from a field that could not be decoded: from itself, from one
-// that it is part of, or from one of its parts.
-func followsFrom(field string, problems []Finding) bool {
+// followsFrom reports whether f may only follow from a field that could not be decoded: from itself, from one that it is part of,
+// or from one of its parts. A warning may follow from any field of its object, because it compares several.
+func followsFrom(f Finding, problems []Finding) bool {
+	field := f.Field
+	if object, _, ok := strings.Cut(field, "]"); ok && f.Severity == Warning {
+		field = object + "]"
+	}
 	return slices.ContainsFunc(problems, func(p Finding) bool {
 		return p.Severity == Error && (contains(p.Field, field) || contains(field, p.Field))
 	})
@@ -189,7 +193,7 @@
 		}
 		switch got := m.Match(rt.Host, rt.Prefix); {
 		case got == rt:
-		case got == nil:
+		case got == nil || !strings.EqualFold(got.Host, rt.Host):
 			l.warnf(fmt.Sprintf("routes[%d].host", i), "never matches: a request's host is compared without its port, got %q", rt.Host)
 		default:
 			l.warnf(fmt.Sprintf("routes[%d].prefix", i), "never matches: routes[%d] has the same host and prefix", l.index(got))
