--- a/internal/route/linter/linter.go
+++ b/internal/route/linter/linter.go
@@ -18,7 +18,7 @@
 
 // Severities, most severe first.
 const (
-	// Error means that daemons reject or ignore the version, or leave a part of it out.
+	// Error means that daemons reject or ignore the version, leave a part of it out, or take a part otherwise than it is written.
 	Error Severity = "error"
 	// Warning means that daemons take the version over, but a part of it has no effect or contradicts another.
 	Warning Severity = "warning"
