linter: keys that no header can hold

A key with space around it or with control characters never matches, since HTTP trims the values of headers and rejects such characters. The check now warns of it by the key's position.

--- a/internal/route/linter/linter.go
+++ b/internal/route/linter/linter.go
@@ -331,6 +331,12 @@
 	if len(a.Keys) == 0 {
 		l.warnf(path+".keys", "the account has no key: no request can be its own")
 	}
+	for i, key := range a.Keys {
+		// HTTP trims the values of headers and allows no control characters in them but tabs.
+		if key != strings.Trim(key, " \t") || strings.ContainsFunc(key, isNoHeaderText) {
+			l.warnf(fmt.Sprintf("%s.keys[%d]", path, i), "never matches: a header cannot hold a key with space around it or control characters")
+		}
+	}
 	switch {
 	case a.Rate > 0 && a.Burst < 1 && a.Burst >= 0:
 		l.warnf(path+".burst", "want 1 or more with a rate: a burst of %g is below one request", a.Burst)
@@ -339,6 +345,10 @@
 	}
 }
 
+func isNoHeaderText(c rune) bool {
+	return c < ' ' && c != '\t' || c == 0x7f
+}
+
 func (l *linter) lintLimits(lim *declarer.RequestLimits) {
 	fields := []struct {
 		name  string
--- a/internal/route/linter/linter_test.go
+++ b/internal/route/linter/linter_test.go
@@ -77,6 +77,7 @@
 			r.Accounts = append(r.Accounts, declarer.Account{Name: "y", Keys: []string{"sesame-1"}})
 		}, []string{"error accounts[1].keys[0]"}},
 		{"account without keys", func(r *declarer.Routing) { r.Accounts[0].Keys = nil }, []string{"warning accounts[0].keys"}},
+		{"keys that no header can hold", func(r *declarer.Routing) { r.Accounts[0].Keys = []string{"a\tb", " a", "a\n", "a\x00b", "\u00a0a"} }, []string{"warning accounts[0].keys[1]", "warning accounts[0].keys[2]", "warning accounts[0].keys[3]"}},
 		{"burst below one request", func(r *declarer.Routing) { r.Accounts[0].Burst = 0.5 }, []string{"warning accounts[0].burst"}},
 		{"burst of one request", func(r *declarer.Routing) { r.Accounts[0].Burst = 1 }, nil},
 		{"burst without a rate", func(r *declarer.Routing) { r.Accounts[0].Rate = 0 }, []string{"warning accounts[0].burst"}},
