--- a/internal/control/relayer/rank.go
+++ b/internal/control/relayer/rank.go
@@ -19,6 +19,13 @@
 	return cmp.Or(cmp.Compare(b.Share, a.Share), cmp.Compare(hash(a), hash(b)))
 }
 
+// SortedByRank returns the members of all zones in order of their rank.
+func SortedByRank(members []declarer.Member) []declarer.Member {
+	out := slices.Clone(members)
+	slices.SortFunc(out, func(a, b declarer.Member) int { return compareRanks(&a, &b) })
+	return out
+}
+
 // hash returns a hash of the member's zone and ID.
 func hash(m *declarer.Member) uint64 {
 	return xxhash.Sum64String(m.Zone + "/" + m.ID)
--- /dev/null
+++ b/internal/peer/lender/ledger.go
@@ -0,0 +1,178 @@
+package lender
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// aheadShare is the largest part of a bucket's capacity that daemons may hold in advance.
+	aheadShare = 0.25
+	// pruneInterval is the time between two removals of buckets that are full.
+	pruneInterval = time.Minute
+	// maxBuckets bounds the accounts that are known at once; those beyond it are refused.
+	maxBuckets = 1 << 14
+)
+
+// ledger has the buckets of all accounts while this daemon is the lender.
+//
+// A bucket gets Rate tokens a second, up to its capacity less the tokens that daemons hold in advance. So within any window
+// at most rate x window + burst tokens can be used, also those that were granted before it began.
+type ledger struct {
+	cfg *Config
+	// startedAt is when this daemon became the lender. All buckets were empty then.
+	startedAt time.Duration
+	// hasCredit is true when a new lender may grant a part of the tolerance.
+	hasCredit bool
+	buckets   map[string]*bucket
+	lastGrant uint64
+	prunedAt  time.Duration
+}
+
+// bucket is the token bucket of one account.
+type bucket struct {
+	limit     Limit
+	level     float64
+	updatedAt time.Duration
+	// ideal is the level that a bucket would have that was full when this daemon became the lender. An account is known to
+	// be above its limit when this one is empty, too.
+	ideal  float64
+	credit float64
+	grants []grantEntry
+	// ahead is the number of tokens held in advance.
+	ahead int
+}
+
+// grantEntry is a grant whose tokens may still be returned.
+type grantEntry struct {
+	number    uint64
+	count     int
+	ahead     int
+	expiresAt time.Duration
+}
+
+func newLedger(cfg *Config, now time.Duration, hasCredit bool) *ledger {
+	return &ledger{cfg: cfg, startedAt: now, hasCredit: hasCredit, buckets: make(map[string]*bucket), prunedAt: now}
+}
+
+// capacity returns the largest number of tokens in a bucket: at least one, since a bucket below one would never grant.
+func (b *bucket) capacity() float64 {
+	return max(b.limit.Burst, 1)
+}
+
+// maxAhead returns the number of tokens that daemons may hold in advance.
+func (b *bucket) maxAhead() int {
+	return int(min(b.capacity()*aheadShare, math.MaxInt32))
+}
+
+// bucket returns the bucket of an account with a limit of the newest version, or nil when there are too many.
+func (l *ledger) bucket(limit *Limit, now time.Duration) *bucket {
+	b, ok := l.buckets[limit.Account]
+	if !ok {
+		if len(l.buckets) >= maxBuckets {
+			return nil
+		}
+		b = &bucket{limit: *limit, updatedAt: l.startedAt}
+		b.ideal = b.capacity()
+		if l.hasCredit {
+			b.credit = creditShare * l.cfg.tolerance(limit)
+		}
+		l.buckets[limit.Account] = b
+	}
+	if limit.Version > b.limit.Version {
+		b.refill(now, l)
+		b.limit = *limit
+	}
+	b.refill(now, l)
+	return b
+}
+
+// refill adds the tokens since the last call.
+func (b *bucket) refill(now time.Duration, l *ledger) {
+	b.grants = slices.DeleteFunc(b.grants, func(g grantEntry) bool {
+		if g.expiresAt > now {
+			return false
+		}
+		b.ahead -= g.ahead
+		return true
+	})
+	held := float64(b.ahead)
+	if now < l.startedAt+withDrift(l.cfg.Validity) {
+		// Tokens of the lender before may still be held.
+		held += float64(b.maxAhead())
+	}
+	added := b.limit.Rate * max(0, now-b.updatedAt).Seconds()
+	b.level = max(0, min(b.level+added, b.capacity()-held))
+	b.ideal = min(b.ideal+added, b.capacity())
+	b.updatedAt = max(b.updatedAt, now)
+}
+
+// take grants one token and up to ahead further ones, or none.
+func (l *ledger) take(now time.Duration, limit *Limit, ahead int) takeResponse {
+	resp := takeResponse{IsLender: true}
+	l.prune(now)
+	b := l.bucket(limit, now)
+	if b == nil {
+		resp.Wait = l.cfg.Window
+		return resp
+	}
+	hasCredit := b.credit >= 1 && b.ideal >= 1 && now < l.startedAt+l.cfg.Window
+	switch {
+	case b.level >= 1:
+		b.level--
+	case hasCredit:
+		b.credit--
+	default:
+		resp.Wait = time.Duration((1 - b.level) / b.limit.Rate * float64(time.Second))
+		resp.Exceeded = b.ideal < 1
+		return resp
+	}
+	n := max(0, min(ahead, b.maxAhead()-b.ahead, int(b.level*aheadShare)))
+	b.level -= float64(n)
+	b.ahead += n
+	b.ideal = max(0, b.ideal-float64(1+n))
+	l.lastGrant++
+	resp.Count, resp.Grant = 1+n, l.lastGrant
+	b.grants = append(b.grants, grantEntry{number: l.lastGrant, count: 1 + n, ahead: n, expiresAt: now + withDrift(l.cfg.Validity)})
+	return resp
+}
+
+// giveBack puts tokens back that were not used, if they are still valid.
+func (l *ledger) giveBack(now time.Duration, rs []returned) {
+	for _, r := range rs {
+		b, ok := l.buckets[r.Account]
+		if !ok {
+			continue
+		}
+		b.refill(now, l)
+		for i := range b.grants {
+			g := &b.grants[i]
+			if g.number != r.Grant {
+				continue
+			}
+			n := min(r.Count, g.count)
+			fromAhead := min(n, g.ahead)
+			g.count -= n
+			g.ahead -= fromAhead
+			b.ahead -= fromAhead
+			b.level += float64(n)
+			b.ideal += float64(n)
+			b.refill(now, l)
+		}
+	}
+}
+
+// prune removes the buckets that are as a new one would be.
+func (l *ledger) prune(now time.Duration) {
+	if now < l.prunedAt+pruneInterval {
+		return
+	}
+	l.prunedAt = now
+	for name, b := range l.buckets {
+		b.refill(now, l)
+		if b.level == b.capacity() && now > l.startedAt+l.cfg.Window {
+			delete(l.buckets, name)
+		}
+	}
+}
