lender, platform, forwarder, router: tokens for the requests of accounts with a limit

The daemon that has the client takes one token for each request of an account with a rate, where [allotment] window is above 0: 429 with the time until there is room when the account is known to be above its limit, 503 otherwise.

Pure tests of buckets, lease, tolerance and holdings pass; nothing measured with processes yet.

--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -24,6 +24,7 @@
 	"cornelwood.example/internal/control/follower"
 	"cornelwood.example/internal/control/registrar"
 	"cornelwood.example/internal/control/relayer"
+	"cornelwood.example/internal/peer/lender"
 	"cornelwood.example/internal/peer/linker"
 	"cornelwood.example/internal/route/delegator"
 	"cornelwood.example/internal/route/forwarder"
@@ -75,9 +76,11 @@
 	forwarder              *forwarder.Forwarder
 	linker                 *linker.Linker
 	relayer                *relayer.Relayer
-	registrar              *registrar.Registrar
-	followers              []suture.Service
-	server                 *http.Server
+	// lender is nil when no limits of accounts are enforced.
+	lender    *lender.Lender
+	registrar *registrar.Registrar
+	followers []suture.Service
+	server    *http.Server
 	// leaving is true from the start of the shutdown on.
 	leaving atomic.Bool
 	active  *activeConns
@@ -154,6 +157,7 @@
 	r.selector = selector.New(self.Zone, peers, r.log.Named("route"), time.Now)
 	d := delegator.New(delegator.Default(), peers, r.selector, peers)
 	r.forwarder = forwarder.New(forwarderConfig(settings), self, r.pauses, r.picker, r.conns, d, r.log.Named("route"), forwarder.NewMetrics(r.reg))
+	r.buildLender(settings)
 	srv := delegator.NewServer(r.forwarder)
 	r.linker.HandleStream(gatherStream, func(ctx context.Context, s *linker.Stream) error { return srv.Serve(ctx, s) })
 	r.linker.Handle(probeCall, func(context.Context, netip.AddrPort, []byte) (any, error) {
@@ -242,6 +246,9 @@
 	sup.Add(r.registrar)
 	sup.Add(r.relayer)
 	sup.Add(r.selector)
+	if r.lender != nil {
+		sup.Add(r.lender)
+	}
 	sup.Add(r.pauses.sentry)
 	for _, f := range r.followers {
 		sup.Add(f)
--- a/internal/daemon/router/shutdown.go
+++ b/internal/daemon/router/shutdown.go
@@ -37,6 +37,10 @@
 	r.leaving.Store(true)
 	r.forwarder.SetLeaving()
 	r.log.Info("leaving", "instance", settings.Daemon.ID, "grace", grace)
+	if r.lender != nil {
+		// The store may not answer; the rest of the shutdown does not wait for it.
+		go r.lender.Release()
+	}
 	r.registrar.Deregister()
 	time.Sleep(time.Until(at(acceptFraction)))
 	r.forwarder.Refuse()
--- /dev/null
+++ b/internal/peer/lender/ledger_test.go
@@ -0,0 +1,254 @@
+package lender
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// testConfig returns the default times with the tolerance of the deployment with accounts.
+func testConfig() *Config {
+	cfg := Default()
+	cfg.Window, cfg.Overage, cfg.Slack = 5*time.Second, 0.1, 20
+	return &cfg
+}
+
+// TestLedgerBound takes tokens at random times, also in advance, uses them as late as is allowed and returns some. The uses
+// in any window must stay within rate x window + burst without any tolerance. It guards against counting the refill twice:
+// for the tokens that are held and for the bucket.
+func TestLedgerBound(t *testing.T) {
+	cfg := testConfig()
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		limit := &Limit{Account: "a", Rate: 10 + float64(seed%3)*20, Burst: 1 + float64(seed%7)*8, Version: 1}
+		l := newLedger(cfg, 0, false)
+		var uses []time.Duration
+		var held []time.Duration
+		for now := time.Duration(0); now < 20*time.Second; now += 5 * time.Millisecond {
+			for len(held) > 0 && held[0] <= now {
+				held = held[1:]
+				uses = append(uses, now)
+			}
+			// Demand comes in waves: the bucket is full after each pause.
+			if now/(700*time.Millisecond)%3 == 0 || rng.IntN(3) > 0 {
+				continue
+			}
+			resp := l.take(now, limit, rng.IntN(20))
+			if resp.Count == 0 {
+				continue
+			}
+			uses = append(uses, now)
+			back := 0
+			if resp.Count > 1 {
+				back = rng.IntN(resp.Count)
+				l.giveBack(now, []returned{{Account: "a", Grant: resp.Grant, Count: back}, {Account: "a", Grant: resp.Grant + 1, Count: 5}})
+			}
+			for range resp.Count - 1 - back {
+				held = append(held, now+cfg.Validity-time.Millisecond)
+			}
+		}
+		bound := limit.Rate*cfg.Window.Seconds() + limit.Burst
+		first := 0
+		for i, at := range uses {
+			for uses[first]+cfg.Window <= at {
+				first++
+			}
+			if n := i - first + 1; float64(n) > bound {
+				t.Fatalf("seed %d: %d uses in the window up to %s, want %g at most", seed, n, at, bound)
+			}
+		}
+		if total := 0.8 * limit.Rate * 20 / 3; float64(len(uses)) < total {
+			t.Errorf("seed %d: %d uses, want %g at least", seed, len(uses), total)
+		}
+	}
+}
+
+// TestLedgerStart checks a new lender: its buckets are empty, it may use its credit at most once for each account, and it
+// calls an account above its limit only when that is so whatever was granted before.
+func TestLedgerStart(t *testing.T) {
+	cfg := testConfig()
+	limit := &Limit{Account: "a", Rate: 2, Burst: 2, Version: 1}
+	for name, tt := range map[string]struct {
+		hasCredit bool
+		at        time.Duration
+		// want holds the results of successive requests: granted, unknown or exceeded.
+		want []string
+	}{
+		"without credit":         {false, 0, []string{"unknown", "unknown"}},
+		"with credit":            {true, 0, []string{"granted", "granted", "exceeded"}},
+		"after half a second":    {false, 500 * time.Millisecond, []string{"granted", "granted", "unknown"}[1:]},
+		"credit after a window":  {true, time.Minute, []string{"granted", "granted", "exceeded"}},
+		"full after a few times": {false, time.Minute, []string{"granted", "granted", "exceeded"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLedger(cfg, 0, tt.hasCredit)
+			var got []string
+			for range tt.want {
+				resp := l.take(tt.at, limit, 0)
+				switch {
+				case resp.Count > 0:
+					got = append(got, "granted")
+				case resp.Exceeded:
+					got = append(got, "exceeded")
+				default:
+					got = append(got, "unknown")
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("results (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestLedgerWait checks that there is room after the time that a refusal names, also for an account with less than one
+// request a second and a burst below one.
+func TestLedgerWait(t *testing.T) {
+	for _, limit := range []Limit{{Account: "a", Rate: 0.7, Burst: 0.7, Version: 1}, {Account: "a", Rate: 30, Burst: 30, Version: 1}} {
+		l := newLedger(testConfig(), 0, false)
+		now := time.Minute
+		resp := l.take(now, &limit, 0)
+		for resp.Count > 0 {
+			resp = l.take(now, &limit, 0)
+		}
+		if early := l.take(now+resp.Wait*9/10, &limit, 0); early.Count > 0 {
+			t.Errorf("rate %g: a token before the time", limit.Rate)
+		}
+		if l.take(now+resp.Wait+time.Millisecond, &limit, 0).Count != 1 {
+			t.Errorf("rate %g: no token after %s", limit.Rate, resp.Wait)
+		}
+	}
+}
+
+// TestLedgerVersion checks that a lower limit counts at once, and an older one that arrives late does not.
+func TestLedgerVersion(t *testing.T) {
+	l := newLedger(testConfig(), 0, false)
+	old, lower := Limit{Account: "a", Rate: 50, Burst: 50, Version: 1}, Limit{Account: "a", Rate: 1, Burst: 1, Version: 2}
+	l.take(time.Minute, &old, 0)
+	l.take(time.Minute, &lower, 0)
+	if resp := l.take(time.Minute, &old, 0); resp.Count > 0 || resp.Wait < 900*time.Millisecond {
+		t.Errorf("%+v after the limit was lowered, want no token for a second", resp)
+	}
+}
+
+// TestLedgerBounded checks that buckets are removed when they are full, and that their number is bounded.
+func TestLedgerBounded(t *testing.T) {
+	l := newLedger(testConfig(), 0, false)
+	for i := range 2 * maxBuckets {
+		l.take(time.Minute, &Limit{Account: string(rune(i + 1000)), Rate: 1, Burst: 1, Version: 1}, 0)
+	}
+	if len(l.buckets) != maxBuckets {
+		t.Errorf("%d buckets, want %d", len(l.buckets), maxBuckets)
+	}
+	l.take(3*time.Minute, &Limit{Account: "a", Rate: 1, Burst: 1, Version: 1}, 0)
+	if len(l.buckets) != 1 {
+		t.Errorf("%d buckets after two idle minutes, want 1", len(l.buckets))
+	}
+}
+
+// TestTolerance checks the grants without a lender: none within a window of the start, and no more than this daemon's part
+// in any window.
+func TestTolerance(t *testing.T) {
+	cfg := testConfig()
+	limit := &Limit{Account: "a", Rate: 30, Burst: 30, Version: 1}
+	const zones = 3
+	tol := newTolerance(cfg, 0)
+	var grants []time.Duration
+	for now := time.Duration(0); now < 30*time.Second; now += 10 * time.Millisecond {
+		if tol.take(now, limit, zones) {
+			grants = append(grants, now)
+		}
+	}
+	if grants[0] < cfg.Window {
+		t.Errorf("a grant %s after the start, want none within %s", grants[0], cfg.Window)
+	}
+	// All daemons of all zones together stay within half of the tolerance of 0.1 x 180 + 20, 3 each.
+	most := int(localShare * cfg.tolerance(limit) / (localDaemons * zones))
+	for i := most; i < len(grants); i++ {
+		if grants[i]-grants[i-most] < cfg.Window {
+			t.Fatalf("more than %d grants within %s", most, grants[i]-grants[i-most])
+		}
+	}
+	if len(grants) < 4*most {
+		t.Errorf("%d grants in 30 s, want %d at least", len(grants), 4*most)
+	}
+	tol.prune(time.Hour)
+	if len(tol.grants) != 0 {
+		t.Error("grants kept beyond the window")
+	}
+}
+
+// TestHoldings checks the daemon that asks: tokens held in advance are used until their end and then returned, refusals
+// count until there is room, and a new version of the limit ends them.
+func TestHoldings(t *testing.T) {
+	cfg := testConfig()
+	limit := &Limit{Account: "a", Rate: 30, Burst: 30, Version: 1}
+	take := func(h *holdings, at time.Duration) string {
+		tk, refused, _ := h.take(at, limit)
+		switch {
+		case tk != nil:
+			return "token"
+		case refused != nil:
+			return "refused for " + refused.Wait.String()
+		default:
+			return "ask"
+		}
+	}
+	t.Run("tokens", func(t *testing.T) {
+		h := newHoldings(cfg)
+		got := []string{take(h, 0)}
+		h.add("a", 7, 3, 0)
+		got = append(got, take(h, 200*time.Millisecond), take(h, cfg.Validity-1), take(h, cfg.Validity))
+		if diff := cmp.Diff([]string{"ask", "token", "token", "ask"}, got); diff != "" {
+			t.Errorf("results (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("returns", func(t *testing.T) {
+		h := newHoldings(cfg)
+		take(h, 0)
+		h.add("a", 7, 2, 0)
+		h.sweep(cfg.Validity - returnMargin - 1)
+		if rs := h.drain(); len(rs) > 0 {
+			t.Errorf("returned early: %+v", rs)
+		}
+		h.sweep(cfg.Validity - returnMargin)
+		want := []returned{{Account: "a", Grant: 7, Count: 1}, {Account: "a", Grant: 7, Count: 1}}
+		if diff := cmp.Diff(want, h.drain()); diff != "" {
+			t.Errorf("returns (-want +got):\n%s", diff)
+		}
+		if got := take(h, cfg.Validity-1); got != "ask" {
+			t.Errorf("%s after the tokens were returned", got)
+		}
+	})
+	t.Run("refusals", func(t *testing.T) {
+		h := newHoldings(cfg)
+		take(h, 0)
+		h.refuse(0, 100*time.Millisecond, &RefusedError{Account: "a", Wait: 100 * time.Millisecond, Exceeded: true})
+		got := []string{take(h, 40*time.Millisecond), take(h, 100*time.Millisecond)}
+		h.refuse(0, time.Second, &RefusedError{Account: "a", Wait: time.Second})
+		newer := *limit
+		newer.Version++
+		limit = &newer
+		got = append(got, take(h, 200*time.Millisecond))
+		if diff := cmp.Diff([]string{"refused for 60ms", "ask", "ask"}, got); diff != "" {
+			t.Errorf("results (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("demand", func(t *testing.T) {
+		h := newHoldings(cfg)
+		ahead := 0
+		for now := time.Duration(0); now < 5*time.Second; now += 20 * time.Millisecond {
+			_, _, ahead = h.take(now, limit)
+		}
+		// 50 requests a second for 0.3 s.
+		if ahead < 13 || ahead > 17 {
+			t.Errorf("%d tokens in advance, want about 15", ahead)
+		}
+		h.sweep(time.Minute)
+		if len(h.accounts) != 0 {
+			t.Error("an account without demand is kept")
+		}
+	})
+}
--- a/internal/peer/lender/lender.go
+++ b/internal/peer/lender/lender.go
@@ -125,7 +125,7 @@
 		logLimiter: rate.NewLimiter(logLinesPerSecond, logBurst), suspects: make(map[string]time.Duration),
 	}
 	now := clock()
-	l.core = newCore(&l.cfg, self, rand.Uint64()|1, now)
+	l.core = newCore(&l.cfg, self, newTerm(), now)
 	l.holdings = newHoldings(&l.cfg)
 	l.missedAt = now - wantedTime
 	l.prunedAt = now
@@ -550,3 +550,9 @@
 		l.sendPing(ctx, &outgoing{to: *successor, message: ping{Lease: known}})
 	}
 }
+
+// newTerm returns a random term, above 0 and small enough for a store that holds numbers as floating point.
+func newTerm() uint64 {
+	const bits = 53
+	return rand.Uint64N(1<<bits-1) + 1
+}
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -84,8 +84,10 @@
 	picker    *picker.Picker
 	exchanger Exchanger
 	stats     *stats
-	log       hclog.Logger
-	metrics   *Metrics
+	// allotter is nil when no limits of accounts are enforced.
+	allotter Allotter
+	log      hclog.Logger
+	metrics  *Metrics
 	// logLimiter bounds the rate of log lines about requests.
 	logLimiter *rate.Limiter
 	// gathers counts the queries that this daemon gathers for others now.
@@ -114,6 +116,7 @@
 	v := f.views.View()
 	f.stats.setFleet(len(v.Members()), v.GathererCount())
 	name, a := f.answer(ctx, req, v)
+	f.returnToken(req, &a)
 	a.RetryAfter = a.heldFor + jitterRetryAfter(a.RetryAfter, rand.Float64())
 	f.recordAnswer(req, name, v, &a)
 	return a
@@ -159,6 +162,9 @@
 			return rt.Name, refuseNotRun(f.cfg.RetryAfter, reasonStopping)
 		}
 	}
+	if a, ok := f.takeToken(ctx, req, v); !ok {
+		return rt.Name, a
+	}
 	timeout := rt.EffectiveTimeout(req.ClientTimeout)
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/internal/route/forwarder/request.go
+++ b/internal/route/forwarder/request.go
@@ -4,6 +4,9 @@
 	"io"
 	"net/http"
 	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/peer/lender"
 )
 
 // Request is one client request.
@@ -23,6 +26,10 @@
 	// ClientTimeout is how long the client waits from when it sent the request; 0 when it does not say.
 	ClientTimeout time.Duration
 	Arrived       time.Time
+	// Account is the client account; nil when the request has none.
+	Account *declarer.Account
+	// grant is the token that was taken for the request.
+	grant lender.Grant
 }
 
 // Answer is the final answer to a request.
