--- a/internal/peer/lender/ledger_test.go
+++ b/internal/peer/lender/ledger_test.go
@@ -20,34 +20,41 @@
 // for the tokens that are held and for the bucket.
 func TestLedgerBound(t *testing.T) {
 	cfg := testConfig()
+	const (
+		cycle = 10 * time.Second
+		idle  = 3 * time.Second
+	)
 	for seed := range uint64(60) {
 		rng := rand.New(rand.NewPCG(seed, 1))
-		limit := &Limit{Account: "a", Rate: 10 + float64(seed%3)*20, Burst: 1 + float64(seed%7)*8, Version: 1}
+		limit := &Limit{Account: "a", Rate: 10 + float64(seed%3)*30, Burst: 1 + float64(seed%7)*8, Version: 1}
 		l := newLedger(cfg, 0, false)
-		var uses []time.Duration
-		var held []time.Duration
-		for now := time.Duration(0); now < 20*time.Second; now += 5 * time.Millisecond {
+		var uses, held []time.Duration
+		for now := time.Duration(0); now < 3*cycle; now += 5 * time.Millisecond {
 			for len(held) > 0 && held[0] <= now {
 				held = held[1:]
 				uses = append(uses, now)
 			}
-			// Demand comes in waves: the bucket is full after each pause.
-			if now/(700*time.Millisecond)%3 == 0 || rng.IntN(3) > 0 {
+			// The bucket is full. Tokens are taken in advance, and nothing else until it is full again. Then all is taken.
+			at := now % cycle
+			if at < idle || at > idle && at < idle+cfg.Validity-5*time.Millisecond {
 				continue
 			}
-			resp := l.take(now, limit, rng.IntN(20))
+			resp := l.take(now, limit, rng.IntN(30))
 			if resp.Count == 0 {
 				continue
 			}
 			uses = append(uses, now)
 			back := 0
-			if resp.Count > 1 {
+			if at > idle && resp.Count > 1 {
 				back = rng.IntN(resp.Count)
 				l.giveBack(now, []returned{{Account: "a", Grant: resp.Grant, Count: back}, {Account: "a", Grant: resp.Grant + 1, Count: 5}})
 			}
 			for range resp.Count - 1 - back {
 				held = append(held, now+cfg.Validity-time.Millisecond)
 			}
+			if b := l.buckets["a"]; b.ahead > b.maxAhead() {
+				t.Fatalf("seed %d: %d tokens held in advance, want %d at most", seed, b.ahead, b.maxAhead())
+			}
 		}
 		bound := limit.Rate*cfg.Window.Seconds() + limit.Burst
 		first := 0
@@ -59,12 +66,51 @@
 				t.Fatalf("seed %d: %d uses in the window up to %s, want %g at most", seed, n, at, bound)
 			}
 		}
-		if total := 0.8 * limit.Rate * 20 / 3; float64(len(uses)) < total {
+		if total := 0.9 * limit.Rate * 3 * (cycle - idle).Seconds(); float64(len(uses)) < total {
 			t.Errorf("seed %d: %d uses, want %g at least", seed, len(uses), total)
 		}
 	}
 }
 
+// TestLedgerReturns checks that no more tokens are put back than a grant had, once, and none after their end.
+func TestLedgerReturns(t *testing.T) {
+	cfg := testConfig()
+	limit := &Limit{Account: "a", Rate: 0.001, Burst: 10, Version: 1}
+	for name, tt := range map[string]struct {
+		returns []returned
+		after   time.Duration
+		// want is the number of tokens of an empty bucket after the return; grant 1 had three tokens and grant 2 one.
+		want int
+	}{
+		"none":            {nil, 0, 0},
+		"one":             {[]returned{{"a", 1, 1}}, 0, 1},
+		"more than there": {[]returned{{"a", 1, 9}}, 0, 3},
+		"twice":           {[]returned{{"a", 1, 2}, {"a", 1, 2}}, 0, 3},
+		"other grant":     {[]returned{{"a", 2, 3}}, 0, 1},
+		"unknown grant":   {[]returned{{"a", 99, 3}}, 0, 0},
+		"other account":   {[]returned{{"b", 1, 3}}, 0, 0},
+		"late":            {[]returned{{"a", 1, 3}}, time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLedger(cfg, 0, false)
+			start := 4 * time.Hour
+			if resp := l.take(start, limit, 9); resp.Count != 3 || resp.Grant != 1 {
+				t.Fatalf("%+v, want grant 1 of three tokens", resp)
+			}
+			for l.take(start, limit, 0).Count == 1 {
+			}
+			l.giveBack(start+tt.after, tt.returns)
+			got := 0
+			for l.take(start+2*time.Second, limit, 0).Count == 1 {
+				got++
+			}
+			if got != tt.want {
+				t.Errorf("%d tokens, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestLedgerStart checks a new lender: its buckets are empty, it may use its credit at most once for each account, and it
 // calls an account above its limit only when that is so whatever was granted before.
 func TestLedgerStart(t *testing.T) {
--- a/internal/peer/lender/lender.go
+++ b/internal/peer/lender/lender.go
@@ -39,6 +39,8 @@
 	// remembered: until a successor may have begun.
 	unknownWait  = 300 * time.Millisecond
 	unknownRetry = 50 * time.Millisecond
+	// minRemembered is how long a refusal counts at least: it bounds the calls for an account far above a high limit.
+	minRemembered = 20 * time.Millisecond
 	// wantedTime is how long a request without a lender makes this daemon look for one.
 	wantedTime = 2 * time.Second
 	// logLinesPerSecond and logBurst bound the lines about single refusals.
@@ -186,8 +188,8 @@
 	refused := &RefusedError{Account: limit.Account, Wait: unknownWait, Reason: reasonUnknown}
 	remembered := unknownRetry
 	if resp != nil && resp.IsLender && resp.Count == 0 {
-		refused.Wait, refused.Exceeded, refused.Reason = resp.Wait, resp.Exceeded, reasonLender
-		remembered = resp.Wait
+		refused.Wait, refused.Exceeded, refused.Reason = max(resp.Wait, minRemembered), resp.Exceeded, reasonLender
+		remembered = refused.Wait
 	}
 	l.holdings.refuse(now, remembered, refused)
 	l.metrics.countRefusal(source, refused.Exceeded)
