lender, searcher: refused requests count towards being above the limit

An account that sends too much from the first moment of a new lender on was refused with 503 for ever: the bucket that tells whether it is above its limit was drained by granted requests only. Every request drains it now.

The stand-in searcher tells when each request first ran.

--- a/internal/peer/lender/ledger.go
+++ b/internal/peer/lender/ledger.go
@@ -35,8 +35,8 @@
 	limit     Limit
 	level     float64
 	updatedAt time.Duration
-	// ideal is the level that a bucket would have that was full when this daemon became the lender. An account is known to
-	// be above its limit when this one is empty, too.
+	// ideal is the level that a bucket would have that was full when this daemon became the lender, and from which every
+	// request takes a token. An account is known to be above its limit when this one is empty, too.
 	ideal  float64
 	credit float64
 	grants []grantEntry
@@ -126,6 +126,7 @@
 	default:
 		resp.Wait = time.Duration((1 - b.level) / b.limit.Rate * float64(time.Second))
 		resp.Exceeded = b.ideal < 1
+		b.ideal = max(0, b.ideal-1)
 		return resp
 	}
 	n := max(0, min(ahead, b.maxAhead()-b.ahead, int(b.level*aheadShare)))
--- a/internal/standin/searcher/stub.go
+++ b/internal/standin/searcher/stub.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -23,13 +24,15 @@
 	holdOff  time.Duration
 	runs     map[string]int
 	lastRun  time.Time
+	// firstRuns holds when each request first ran, by its ID.
+	firstRuns map[string]time.Time
 	// refusals holds the times of the requests that were refused while shedding.
 	refusals []time.Time
 }
 
 // NewStub returns a Stub whose service time is delay.
 func NewStub(name string, delay time.Duration) *Stub {
-	return &Stub{name: name, delay: delay, runs: make(map[string]int)}
+	return &Stub{name: name, delay: delay, runs: make(map[string]int), firstRuns: make(map[string]time.Time)}
 }
 
 // SetDelay changes the service time of each request.
@@ -78,6 +81,13 @@
 	return out
 }
 
+// FirstRuns returns when each request first ran, by its ID.
+func (s *Stub) FirstRuns() map[string]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.firstRuns)
+}
+
 // LastRun returns when a request last started to run; the zero time when none has.
 func (s *Stub) LastRun() time.Time {
 	s.mu.Lock()
@@ -107,6 +117,9 @@
 	if !shedding && !misdirected {
 		s.runs[req.RequestID]++
 		s.lastRun = time.Now()
+		if _, known := s.firstRuns[req.RequestID]; !known {
+			s.firstRuns[req.RequestID] = s.lastRun
+		}
 	}
 	s.mu.Unlock()
 	switch {
