lender: slow daemons and failing stores are asked less often

A daemon that did not answer is passed over for 0.25 s, also in the own zone, and asked last. A successor repeated its write each 0.1 s while the store was away; calls that fail are now 0.3 s apart at least.

--- a/internal/peer/lender/config.go
+++ b/internal/peer/lender/config.go
@@ -26,6 +26,8 @@
 	CandidateTime, CandidateStep time.Duration
 	// ReadInterval is the time between two reads of the store by a daemon that waits for the lease.
 	ReadInterval time.Duration
+	// FailurePause is the time after a failed call to the store in which there is no other one.
+	FailurePause time.Duration
 	// LenderTimeout bounds a call to the lender, LocalTimeout one to a daemon of the own zone.
 	LenderTimeout, LocalTimeout time.Duration
 }
@@ -47,6 +49,7 @@
 		CandidateTime:    time.Second,
 		CandidateStep:    400 * time.Millisecond,
 		ReadInterval:     time.Second,
+		FailurePause:     300 * time.Millisecond,
 		// Half of the shortest latency goal is left when the lender does not answer.
 		LenderTimeout: 40 * time.Millisecond,
 		LocalTimeout:  30 * time.Millisecond,
--- a/internal/peer/lender/lease.go
+++ b/internal/peer/lender/lease.go
@@ -38,6 +38,8 @@
 	until     time.Duration
 	startedAt time.Duration
 	writtenAt time.Duration
+	// failedAt is when a call to the store last failed.
+	failedAt time.Duration
 	// nominee is the daemon that is, or will be, the successor. acceptedAt is when the last ping was sent that it
 	// accepted, mayBeNamed is true when a lease that names it may be in the store.
 	nominee     *declarer.Member
@@ -124,7 +126,7 @@
 // next returns the call to the store that is due, or nil. index is this daemon's place in the ranking of the fleet, and
 // isWanted true when requests of this daemon find no lender.
 func (l *lease) next(now time.Duration, index int, isWanted bool) *storeCall {
-	if l.isCalling || l.isReleased {
+	if l.isCalling || l.isReleased || l.failedAt > 0 && now < l.failedAt+l.cfg.FailurePause {
 		return nil
 	}
 	c := l.decide(now, index, isWanted)
@@ -302,8 +304,8 @@
 }
 
 // onFailed takes the failure of a call. A write that may have been applied stays unsettled.
-func (l *lease) onFailed(c *storeCall, mayBeApplied bool) {
-	l.isCalling = false
+func (l *lease) onFailed(now time.Duration, c *storeCall, mayBeApplied bool) {
+	l.isCalling, l.failedAt = false, now
 	if c.isRead {
 		return
 	}
--- a/internal/peer/lender/lender.go
+++ b/internal/peer/lender/lender.go
@@ -33,7 +33,7 @@
 	storeTimeout = 500 * time.Millisecond
 	// pingTimeout bounds a ping. A later answer would not lengthen the fence by much.
 	pingTimeout = 250 * time.Millisecond
-	// suspectTime is how long a lender that did not answer is asked only if no daemon of the own zone knows another one.
+	// suspectTime is how long a daemon that did not answer is not asked.
 	suspectTime = 250 * time.Millisecond
 	// unknownWait is how long a request waits that was refused without a lender, and unknownRetry how long the refusal is
 	// remembered: until a successor may have begun.
@@ -107,7 +107,7 @@
 	mu       sync.Mutex
 	core     *core
 	holdings *holdings
-	// suspects holds until when a lender that did not answer counts as lost, by ID.
+	// suspects holds until when a daemon that did not answer is not asked, by ID.
 	suspects map[string]time.Duration
 	// missedAt is when a request last found no lender.
 	missedAt time.Duration
@@ -213,7 +213,7 @@
 func (l *Lender) ask(ctx context.Context, limit *Limit, ahead int) (*takeResponse, string, time.Duration) {
 	req := &takeRequest{Limit: limit, Ahead: ahead}
 	asked := make(map[string]bool)
-	if resp, sentAt := l.askLender(ctx, req, asked); resp != nil {
+	if resp, sentAt := l.askLender(ctx, req, asked, false); resp != nil {
 		return resp, sourceLender, sentAt
 	}
 	local := &takeRequest{Limit: limit, Local: true}
@@ -221,6 +221,9 @@
 		resp, sentAt := l.call(ctx, &m, local, l.cfg.LocalTimeout)
 		switch {
 		case resp == nil:
+			if ctx.Err() == nil {
+				l.suspect(&m)
+			}
 			continue
 		case resp.IsLender:
 			return resp, sourceLender, sentAt
@@ -228,10 +231,14 @@
 			return resp, sourceLocal, sentAt
 		}
 		// Its answer may have named another lender.
-		if resp, sentAt := l.askLender(ctx, req, asked); resp != nil {
+		if resp, sentAt := l.askLender(ctx, req, asked, false); resp != nil {
 			return resp, sourceLender, sentAt
 		}
 	}
+	// One that did not answer a short time ago may have been slow only.
+	if resp, sentAt := l.askLender(ctx, req, asked, true); resp != nil {
+		return resp, sourceLender, sentAt
+	}
 	l.mu.Lock()
 	l.missedAt = l.clock()
 	l.mu.Unlock()
@@ -241,11 +248,12 @@
 // maxLenders is the number of lenders that one request may ask: one that is known, and those that are named instead.
 const maxLenders = 3
 
-// askLender asks the lender that is known, and those that it or others name, unless they were asked before.
-func (l *Lender) askLender(ctx context.Context, req *takeRequest, asked map[string]bool) (*takeResponse, time.Duration) {
+// askLender asks the lender that is known, and those that it or others name, unless they were asked before. One that did not
+// answer a short time ago is asked only if mayBeSilent is true.
+func (l *Lender) askLender(ctx context.Context, req *takeRequest, asked map[string]bool, mayBeSilent bool) (*takeResponse, time.Duration) {
 	for len(asked) < maxLenders {
-		m, ok := l.lender()
-		if !ok || asked[m.ID] {
+		m, isHeard := l.lender()
+		if m.ID == "" || asked[m.ID] || !isHeard && !mayBeSilent {
 			return nil, 0
 		}
 		asked[m.ID] = true
@@ -263,33 +271,40 @@
 	return nil, 0
 }
 
-// lender returns the daemon that is to be asked: the holder of the newest lease that is known, unless it did not answer a
-// short time ago.
-func (l *Lender) lender() (declarer.Member, bool) {
+// lender returns the holder of the newest lease that is known, with an empty ID when there is none, and false when it did not
+// answer a short time ago.
+func (l *Lender) lender() (m declarer.Member, isHeard bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	m := l.core.lease.known.Record.Holder
-	return m, m.ID != "" && l.clock() >= l.suspects[m.ID]
+	m = l.core.lease.known.Record.Holder
+	return m, l.clock() >= l.suspects[m.ID]
 }
 
-// suspect notes that a lender did not answer.
+// suspect notes that a daemon did not answer.
 func (l *Lender) suspect(m *declarer.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, known := l.suspects[m.ID]; !known {
-		l.log.Info("lender does not answer", "lender", m.ID, "zone", m.Zone)
+		l.log.Info("daemon does not answer requests for tokens", "daemon", m.ID, "zone", m.Zone, "lender", l.core.lease.known.Record.Holder.ID)
 	}
 	l.suspects[m.ID] = l.clock() + suspectTime
 }
 
-// localDaemons returns the daemons of the own zone that grant without a lender.
+// localDaemons returns the daemons of the own zone that grant without a lender, but those that did not answer a short time ago.
 func (l *Lender) localDaemons() []declarer.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rank()
+	now, n := l.clock(), 0
 	var out []declarer.Member
 	for _, m := range l.ranked {
-		if m.Zone == l.self.Zone && len(out) < localDaemons {
+		if m.Zone != l.self.Zone {
+			continue
+		}
+		if n++; n > localDaemons {
+			break
+		}
+		if now >= l.suspects[m.ID] {
 			out = append(out, m)
 		}
 	}
@@ -448,8 +463,8 @@
 
 // flush returns unused tokens to the lender.
 func (l *Lender) flush(ctx context.Context) {
-	m, ok := l.lender()
-	if !ok {
+	m, isHeard := l.lender()
+	if m.ID == "" || !isHeard {
 		return
 	}
 	l.mu.Lock()
@@ -469,7 +484,7 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if err != nil {
-			l.core.lease.onFailed(c, false)
+			l.core.lease.onFailed(l.clock(), c, false)
 			l.log.Warn("lease not read", "error", err)
 			return
 		}
@@ -494,7 +509,7 @@
 		l.log.Info("lease not written: another one is stored", "reason", c.reason, "holder", conflict.Current.Record.Holder.ID, "revision", conflict.Current.Revision)
 	default:
 		mayBeApplied := !errors.As(err, &unavailable) || unavailable.MaybeApplied
-		l.core.lease.onFailed(c, mayBeApplied)
+		l.core.lease.onFailed(now, c, mayBeApplied)
 		l.log.Warn("lease not known to be written", "reason", c.reason, "maybeapplied", mayBeApplied, "error", err, "left", l.core.lease.until-now)
 	}
 }
