lender: small accounts are not refused for requests at random times

With a capacity of the burst, one second's requests, an account of one request a second at 0.6 of its limit was refused 24 times in 100, and one of two a second 4.7 times. The capacity exceeds the burst by a fifth of the tolerance, and the grants of the last window are counted besides, so that a window stays within rate x window + burst while one daemon is the lender.

--- a/internal/peer/lender/config.go
+++ b/internal/peer/lender/config.go
@@ -63,10 +63,14 @@
 
 const (
 	// creditShare is the part of the tolerance that a new lender may grant while it does not know what was granted before.
-	creditShare = 0.3
-	// localShare is the part of the tolerance that all zones together may grant without a lender. The rest is for requests
-	// that reach a searcher later than their tokens were granted.
-	localShare = 0.5
+	creditShare = 0.25
+	// localShare is the part of the tolerance that all zones together may grant without a lender.
+	localShare = 0.45
+	// extraShare is the part of the tolerance by which a bucket exceeds the burst. While one daemon is the lender its count
+	// of the window keeps the limit all the same; only when another one follows it, which does not know the count, may the
+	// requests of a window exceed the limit by it. The rest is for requests that reach a searcher later than their tokens
+	// were granted.
+	extraShare = 0.2
 	// localDaemons is the number of daemons of a zone that grant without a lender, each from its own part.
 	localDaemons = 2
 )
--- a/internal/peer/lender/lease.go
+++ b/internal/peer/lender/lease.go
@@ -9,7 +9,7 @@
 // lease decides when this daemon is the lender. It makes no calls: next returns what to do, and the on... methods take the
 // outcomes. All times are of this daemon's boot clock.
 //
-// At most one daemon grants at a time:
+// At most one daemon grants at a time (docs/design/allotments.md):
 //   - A holder grants until LeaseTime after it sent its last write that succeeded. Anyone else waits until it has seen the
 //     same revision for that time, and writes on condition of that revision.
 //   - A holder that may have named a successor grants only until FenceTime after it sent the last ping that the successor
