--- a/internal/peer/lender/lease.go
+++ b/internal/peer/lender/lease.go
@@ -164,7 +164,7 @@
 		return l.acquire("the answer to a write of this process was lost")
 	case l.known.Revision != 0 && rec.Holder.ID == "" && rec.names(l.self.ID):
 		return l.acquire("the lender stopped and named this daemon")
-	case l.isHeirNow(now):
+	case l.mayReplaceHolder(now):
 		return l.acquire("the lender has not been heard and had named this daemon")
 	}
 	wait := l.cfg.CandidateTime + time.Duration(min(index, maxCandidates))*l.cfg.CandidateStep
@@ -197,8 +197,8 @@
 // maxCandidates is the number of daemons that apply for the lease without a request that needs it.
 const maxCandidates = 4
 
-// isHeirNow reports whether this daemon may replace the holder that named it.
-func (l *lease) isHeirNow(now time.Duration) bool {
+// mayReplaceHolder reports whether this daemon may replace the holder that named it.
+func (l *lease) mayReplaceHolder(now time.Duration) bool {
 	return l.known.Revision != 0 && l.known.Record.names(l.self.ID) && l.promisedTo == l.known.Record.Term &&
 		l.promisedTo != 0 && now >= l.promisedAt+l.cfg.TakeoverTime
 }
--- a/internal/peer/lender/lease_test.go
+++ b/internal/peer/lender/lease_test.go
@@ -9,32 +9,32 @@
 )
 
 var (
-	holderA = declarer.Member{ID: "a", Zone: "x", Peer: netip.MustParseAddrPort("10.0.0.1:1")}
-	heirB   = declarer.Member{ID: "b", Zone: "y", Peer: netip.MustParseAddrPort("10.0.0.2:1")}
+	holderA    = declarer.Member{ID: "a", Zone: "x", Peer: netip.MustParseAddrPort("10.0.0.1:1")}
+	successorB = declarer.Member{ID: "b", Zone: "y", Peer: netip.MustParseAddrPort("10.0.0.2:1")}
 )
 
 const testStart = time.Hour
 
 // ofHolder returns a lease of the holder a that names b.
 func ofHolder(revision uint64) Lease {
-	return Lease{Record: Record{Holder: holderA, Term: 5, Sequence: revision, Successor: &heirB}, Revision: revision}
+	return Lease{Record: Record{Holder: holderA, Term: 5, Sequence: revision, Successor: &successorB}, Revision: revision}
 }
 
-// newHeir returns the lease state of b after it accepted a ping of a.
-func newHeir(t *testing.T) *lease {
+// newSuccessor returns the lease state of b after it accepted a ping of a.
+func newSuccessor(t *testing.T) *lease {
 	t.Helper()
-	l := newLease(testConfig(), heirB, 9, testStart)
+	l := newLease(testConfig(), successorB, 9, testStart)
 	if !l.onPing(testStart, &ping{Lease: ofHolder(3), Nominee: true}) {
 		t.Fatal("the first ping was not accepted")
 	}
 	return l
 }
 
-// TestHeirKeepsPromise checks that a successor writes only once its takeover time has passed, and accepts no ping while its
+// TestSuccessorKeepsPromise checks that a successor writes only once its takeover time has passed, and accepts no ping while its
 // write may be applied: the holder would go on granting beside it.
-func TestHeirKeepsPromise(t *testing.T) {
+func TestSuccessorKeepsPromise(t *testing.T) {
 	cfg := testConfig()
-	l := newHeir(t)
+	l := newSuccessor(t)
 	if c := l.next(testStart+cfg.FenceTime, 1, false); c != nil {
 		t.Fatalf("%+v within the fence", c)
 	}
@@ -56,9 +56,9 @@
 	}
 }
 
-// TestHeirAfterRefusedWrite checks that a successor whose write was surely not applied accepts pings again.
-func TestHeirAfterRefusedWrite(t *testing.T) {
-	l := newHeir(t)
+// TestSuccessorAfterRefusedWrite checks that a successor whose write was surely not applied accepts pings again.
+func TestSuccessorAfterRefusedWrite(t *testing.T) {
+	l := newSuccessor(t)
 	at := testStart + testConfig().TakeoverTime
 	l.onFailed(at, l.next(at, 1, false), false)
 	if !l.onPing(at, &ping{Lease: ofHolder(3), Nominee: true}) {
@@ -88,7 +88,7 @@
 // TestLostAnswerIsTakenUp checks that a daemon whose write was applied without an answer does not wait for its own lease.
 func TestLostAnswerIsTakenUp(t *testing.T) {
 	cfg := testConfig()
-	l := newHeir(t)
+	l := newSuccessor(t)
 	at := testStart + cfg.TakeoverTime
 	c := l.next(at, 1, false)
 	l.onFailed(at, c, true)
@@ -112,7 +112,7 @@
 	for _, isMoved := range []bool{false, true} {
 		self := holderA
 		if isMoved {
-			self.Peer = heirB.Peer
+			self.Peer = successorB.Peer
 		}
 		l := newLease(cfg, self, 6, testStart)
 		at := testStart + cfg.CandidateTime
@@ -129,7 +129,7 @@
 func TestCreditOncePerWindow(t *testing.T) {
 	cfg := testConfig()
 	for held, want := range map[time.Duration]bool{time.Second: false, 2 * cfg.Window: false, 3 * cfg.Window: true} {
-		l := newHeir(t)
+		l := newSuccessor(t)
 		l.known.Record.Held = held
 		if c := l.next(testStart+cfg.TakeoverTime, 1, false); c.hasCredit != want {
 			t.Errorf("credit %t after a lender of %s, want %t", c.hasCredit, held, want)
@@ -146,13 +146,13 @@
 	l.onStored(at, l.next(at, 0, false), Lease{})
 	l.onWritten(at, l.next(at, 0, false), 50)
 	at += cfg.RenewInterval
-	l.onStored(at, l.next(at, 0, false), Lease{Revision: 20, Record: Record{Holder: heirB, Term: 2, Sequence: 9}})
+	l.onStored(at, l.next(at, 0, false), Lease{Revision: 20, Record: Record{Holder: successorB, Term: 2, Sequence: 9}})
 	at += cfg.RenewInterval
 	c := l.next(at, 0, false)
 	if !l.mayGrant(at) || c == nil || c.condition != 20 {
 		t.Errorf("granting %t, call %+v, want a write on condition of revision 20", l.mayGrant(at), c)
 	}
-	other := newHeir(t)
+	other := newSuccessor(t)
 	at = testStart + 2*time.Second
 	other.promisedTo = 0
 	other.onStored(at, other.next(at, 1, false), Lease{})
