--- a/internal/route/forwarder/allotment_test.go
+++ b/internal/route/forwarder/allotment_test.go
@@ -4,30 +4,53 @@
 	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/control/follower"
 	"cornelwood.example/internal/peer/lender"
 )
 
 // fakeAllotter grants everything, or refuses with an error, and counts the tokens.
 type fakeAllotter struct {
 	refused *lender.RefusedError
-	taken   int
-	version uint64
+	// meanwhile is called while a request waits for its token.
+	meanwhile func()
+	taken     int
+	version   uint64
 }
 
 func (f *fakeAllotter) Take(_ context.Context, _ *declarer.Account, version uint64) (lender.Grant, error) {
 	f.taken++
 	f.version = version
+	if f.meanwhile != nil {
+		f.meanwhile()
+	}
 	if f.refused != nil {
 		return lender.Grant{}, f.refused
 	}
 	return lender.Grant{}, nil
 }
 
+// declareLimited adds an account with the key "k", and makes all routes public for requests without one.
+func (s *setup) declareLimited(account *declarer.Account) {
+	routing := testRouting(4)
+	routing.Version = 2
+	for i := range routing.Routes {
+		routing.Routes[i].Public = true
+	}
+	if account != nil {
+		declared := *account
+		declared.Keys = []string{"k"}
+		routing.Accounts = []declarer.Account{declared}
+	}
+	s.locator.Routings().Replace([]follower.Item[*declarer.Routing]{{Name: "main", Value: routing}}, 2)
+	synctest.Wait()
+}
+
 // TestTokens checks that one token is taken for each request of an account with a limit, whatever its attempts, and that
 // a refusal is 429 only when the account is known to be above its limit. Nothing may reach a searcher then.
 func TestTokens(t *testing.T) {
@@ -58,7 +81,10 @@
 				allotter := &fakeAllotter{refused: tt.refused}
 				s.SetAllotter(allotter)
 				req := &Request{ID: "r", Method: http.MethodGet, Host: "h", Path: tt.path, Target: tt.path, ClientTimeout: timeout, Arrived: time.Now()}
-				req.Account = tt.account
+				s.declareLimited(tt.account)
+				if tt.account != nil {
+					req.Key = "k"
+				}
 				a := s.Handle(s.t.Context(), req)
 				s.assertAnswer(a, tt.status)
 				s.assertSent(tt.sent)
@@ -72,3 +98,18 @@
 		})
 	}
 }
+
+// TestKeyWithdrawnDuringTake covers a key that is withdrawn while its request waits for a token: it must not be sent.
+func TestKeyWithdrawnDuringTake(t *testing.T) {
+	withForwarder(t, 4, func(s *setup) {
+		s.declareAccounts(2, "k2")
+		routing := *s.locator.View().Matcher.Routing()
+		routing.Version = 3
+		routing.Accounts = []declarer.Account{{Name: "other", Keys: []string{"k2"}, Rate: 1}}
+		s.locator.Routings().Replace([]follower.Item[*declarer.Routing]{{Name: "main", Value: &routing}}, 3)
+		synctest.Wait()
+		s.SetAllotter(&fakeAllotter{meanwhile: func() { s.declareAccounts(4) }})
+		s.assertAnswer(s.Handle(s.t.Context(), requestWith("k2", "/get/x")), http.StatusUnauthorized)
+		s.assertSent(0)
+	})
+}
