--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -30,6 +30,7 @@
 	"cornelwood.example/internal/route/forwarder"
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
+	"cornelwood.example/internal/route/promoter"
 	"cornelwood.example/internal/route/selector"
 	"cornelwood.example/internal/settings/reader"
 	"cornelwood.example/internal/time/sentry"
@@ -74,9 +75,12 @@
 	pauses                 *pauseGuard
 	keys                   *keyGuard
 	selector               *selector.Selector
-	forwarder              *forwarder.Forwarder
-	linker                 *linker.Linker
-	relayer                *relayer.Relayer
+	// gate and promoter carry out roll-outs; nil where there are none.
+	gate      *promoter.Gate
+	promoter  *promoter.Promoter
+	forwarder *forwarder.Forwarder
+	linker    *linker.Linker
+	relayer   *relayer.Relayer
 	// lender is nil when no limits of accounts are enforced.
 	lender    *lender.Lender
 	registrar *registrar.Registrar
@@ -164,6 +168,7 @@
 	r.selector = selector.New(self.Zone, peers, r.log.Named("route"), time.Now)
 	d := delegator.New(delegator.Default(), peers, r.selector, peers)
 	r.forwarder = forwarder.New(forwarderConfig(settings), self, r.keys, r.picker, r.conns, d, r.log.Named("route"), forwarder.NewMetrics(r.reg))
+	r.forwarder.UseGate(r.gate)
 	r.buildLender(settings)
 	srv := delegator.NewServer(r.forwarder)
 	r.linker.HandleStream(gatherStream, func(ctx context.Context, s *linker.Stream) error { return srv.Serve(ctx, s) })
@@ -197,6 +202,9 @@
 		follower.New("searchers", cfg, r.store.Searchers(), relayer.NewCache("searchers", r.locator.Searchers(), r.relayer), r.relayer),
 		follower.New("closures", cfg, r.store.Closures(), relayer.NewCache("closures", r.locator.Closures(), r.relayer), r.relayer),
 	}
+	if settings.Rollout.Share > 0 {
+		r.buildRollouts(settings, cfg)
+	}
 }
 
 // storeCheckTimeout bounds a check of the store, which answers in milliseconds.
@@ -261,6 +269,9 @@
 		sup.Add(r.lender)
 	}
 	sup.Add(r.pauses.sentry)
+	if r.promoter != nil {
+		sup.Add(r.promoter)
+	}
 	for _, f := range r.followers {
 		sup.Add(f)
 	}
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -27,6 +27,10 @@
 	gathered  map[string]bool
 	// selfSufficient caches IsSelfSufficient by zone.
 	selfSufficient *sync.Map
+	// trials holds the roll-outs that are running, by service.
+	trials map[string]*Trial
+	// awaitsRollouts is true while the roll-outs have not been received and are needed.
+	awaitsRollouts bool
 	// routingAt is the boot clock's time at which the call to the store was sent that last confirmed the desired state, 0 if
 	// it is not known.
 	routingAt time.Duration
@@ -86,6 +90,8 @@
 		return false, "no desired state received yet"
 	case !v.listed:
 		return false, "no list of searchers received yet"
+	case v.awaitsRollouts:
+		return false, "no list of roll-outs received yet"
 	default:
 		return true, ""
 	}
