--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -24,6 +24,7 @@
 	"cornelwood.example/internal/control/follower"
 	"cornelwood.example/internal/control/registrar"
 	"cornelwood.example/internal/control/relayer"
+	"cornelwood.example/internal/peer/lender"
 	"cornelwood.example/internal/peer/linker"
 	"cornelwood.example/internal/route/delegator"
 	"cornelwood.example/internal/route/forwarder"
@@ -81,6 +82,8 @@
 	forwarder *forwarder.Forwarder
 	linker    *linker.Linker
 	relayer   *relayer.Relayer
+	// lender is nil when no limits of accounts are enforced.
+	lender    *lender.Lender
 	registrar *registrar.Registrar
 	followers []suture.Service
 	server    *http.Server
@@ -174,6 +177,7 @@
 	r.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "cornelwood_requests_waiting", Help: "Requests that wait for room at the searchers.",
 	}, func() float64 { return float64(r.forwarder.Waiting()) }))
+	r.buildLender(settings)
 	srv := delegator.NewServer(r.forwarder)
 	r.linker.HandleStream(gatherStream, func(ctx context.Context, s *linker.Stream) error { return srv.Serve(ctx, s) })
 	r.linker.Handle(probeCall, func(context.Context, netip.AddrPort, []byte) (any, error) {
@@ -269,6 +273,9 @@
 	sup.Add(r.registrar)
 	sup.Add(r.relayer)
 	sup.Add(r.selector)
+	if r.lender != nil {
+		sup.Add(r.lender)
+	}
 	sup.Add(r.pauses.sentry)
 	if r.promoter != nil {
 		sup.Add(r.promoter)
--- a/internal/route/estimator/estimator.go
+++ b/internal/route/estimator/estimator.go
@@ -51,6 +51,10 @@
 	// tellingAverage is the average number of own requests in flight from which fewer of them now say that the others have
 	// fewer as well: a daemon with a request now and then has none most of the time.
 	tellingAverage = 0.5
+	// maxUneven is the multiple of this daemon's own average in flight that each other daemon may have. What is reported beyond it
+	// is not believed: a report that comes over two ways after a daemon or a link has failed counts twice, and those of some
+	// seconds that come together count as load of now. On the quotes deployment such reports showed a load of 100.
+	maxUneven = 3
 	// retention is how long a searcher without samples is kept.
 	retention = time.Minute
 )
@@ -142,16 +146,17 @@
 }
 
 // InFlight returns the number of requests that all daemons have in flight to a searcher: the own ones and the average of the
-// others, or less when this daemon has less in flight than on average, since the others then have as well.
+// others, or less when this daemon has less in flight than on average, since the others then have as well. See Load for slots and
+// senders.
 //
 // Load pattern: all daemons see the same load of a second ago, and would send and refuse in turns.
-func (e *Estimator) InFlight(searcher string) float64 {
+func (e *Estimator) InFlight(searcher string, slots, senders int) float64 {
 	st := e.searchers[searcher]
 	if st == nil {
 		return 0
 	}
 	now := e.now()
-	others := st.loadAtTime(now)
+	others := st.othersAt(now, slots, senders)
 	if average := st.averageAt(now); others > 0 && st.own < average {
 		others *= 1 - min(1, average/tellingAverage)*(1-st.own/average)
 	}
@@ -230,13 +235,26 @@
 	return 1 + (1/st.base-1)*st.certainty(e.now())
 }
 
-// Load returns the average number of requests that other daemons have in flight to a searcher.
-func (e *Estimator) Load(searcher string) float64 {
+// Load returns the average number of requests that other daemons have in flight to a searcher with the declared slots. senders is
+// the number of daemons that send to it, 0 if that is not known.
+func (e *Estimator) Load(searcher string, slots, senders int) float64 {
 	st := e.searchers[searcher]
 	if st == nil {
 		return 0
 	}
-	return st.loadAtTime(e.now())
+	return st.othersAt(e.now(), slots, senders)
+}
+
+// othersAt returns the load by other daemons as far as it is likely beside the own one: a searcher whose slots are in use is, more
+// only if this daemon has requests in flight to it as well.
+//
+// Load pattern: daemons that restart one after the other, or a zone that was cut off, whose reports arrive twice or together.
+func (st *estimate) othersAt(now time.Time, slots, senders int) float64 {
+	load := st.loadAtTime(now)
+	if senders == 0 {
+		return load
+	}
+	return min(load, float64(slots)+maxUneven*st.averageAt(now)*float64(senders-1))
 }
 
 // sweep deletes the estimates of searchers without recent samples.
--- a/internal/route/estimator/estimator_test.go
+++ b/internal/route/estimator/estimator_test.go
@@ -116,11 +116,11 @@
 		s.Observe("a", Sample{Busy: 8 * 300 * time.Millisecond})
 		s.now = s.now.Add(300 * time.Millisecond)
 	}
-	if got := s.Load("a"); got < 6 || got > 10 {
+	if got := s.Load("a", 0, 0); got < 6 || got > 10 {
 		t.Errorf("load %.1f, want about 8", got)
 	}
 	s.now = s.now.Add(5 * time.Second)
-	if got := s.Load("a"); got > 0.1 {
+	if got := s.Load("a", 0, 0); got > 0.1 {
 		t.Errorf("load %.1f after 5 s without reports, want none", got)
 	}
 }
@@ -150,7 +150,7 @@
 		low, high float64
 	}{{2, 6, 9}, {5, 9, 12}, {1, 3, 4.5}, {0, 0, 0}} {
 		s.Count("a", tt.own)
-		if got := s.InFlight("a"); got < tt.low || got > tt.high {
+		if got := s.InFlight("a", 0, 0); got < tt.low || got > tt.high {
 			t.Errorf("%d own requests: %.1f in flight, want %g to %g", tt.own, got, tt.low, tt.high)
 		}
 	}
@@ -159,7 +159,24 @@
 	s.Count("b", 1)
 	s.now = s.now.Add(50 * time.Millisecond)
 	s.Count("b", 0)
-	if got := s.InFlight("b"); got < 5 {
+	if got := s.InFlight("b", 0, 0); got < 5 {
 		t.Errorf("%.1f in flight for a daemon that has a request now and then, want those of the others, about 5.5", got)
 	}
 }
+
+// TestUnlikelyLoad guards against a load that is reported several times over, and refuses requests that the searchers have room for.
+func TestUnlikelyLoad(t *testing.T) {
+	const slots, senders = 4, 11
+	now := time.Unix(1000, 0)
+	e := New(func() time.Time { return now })
+	e.Observe("a", Sample{Busy: 400 * time.Second})
+	if got := e.Load("a", slots, senders); got > slots {
+		t.Errorf("load %.1f beside a daemon without requests, want the slots, %d, at most", got, slots)
+	}
+	e.Count("a", 2)
+	now = now.Add(5 * time.Second)
+	e.Observe("a", Sample{Busy: 30 * time.Second})
+	if got := e.Load("a", slots, senders); got < 29 {
+		t.Errorf("load %.1f beside a daemon with two requests in flight, want all of the 30 that are reported", got)
+	}
+}
--- a/internal/route/forwarder/request.go
+++ b/internal/route/forwarder/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/peer/lender"
 	"cornelwood.example/internal/web/gauger"
 )
 
@@ -34,6 +35,8 @@
 	Arrived       time.Time
 	// Transit is what was measured of the request's way from its client.
 	Transit gauger.Transit
+	// grant is the token that was taken for the request.
+	grant lender.Grant
 }
 
 // accountName returns the name of the request's account, empty when there is none.
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -174,7 +174,7 @@
 			daemons = sameZone
 		}
 		s := Searcher{
-			Searcher: e.Searcher, WarmAt: e.warmAt,
+			Searcher: e.Searcher, WarmAt: e.warmAt, Senders: all,
 			MaxIdleConns: maxIdleConns(limit.Connections, e.Zone == l.self.Zone, daemons),
 		}
 		if limit.ColdRate > 0 {
--- a/internal/route/picker/health.go
+++ b/internal/route/picker/health.go
@@ -55,8 +55,8 @@
 	failureRate float64
 	outcomeAt   time.Time
 	inFlight    map[*Exchange]struct{}
-	// slots is the number of requests that the searcher declares to run at once.
-	slots int
+	// slots is the number of requests that the searcher declares to run at once, senders the number of daemons that send to it.
+	slots, senders int
 	// dialFailures counts consecutive failures to connect; no request is sent before backoffUntil.
 	dialFailures int
 	backoffUntil time.Time
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -158,7 +158,7 @@
 // it has no limit.
 func (p *Picker) load(s *locator.Searcher) (load, limit float64) {
 	limit, _ = p.estimator.Limit(s.ID, s.Slots)
-	load = p.estimator.Load(s.ID)
+	load = p.estimator.Load(s.ID, s.Slots, s.Senders)
 	if h := p.health[s.ID]; h != nil {
 		load += float64(len(h.inFlight))
 	}
@@ -179,7 +179,7 @@
 		}
 		relative := 0.0
 		if limit, _ := p.estimator.Limit(searchers[i].ID, searchers[i].Slots); limit > 0 {
-			relative = p.estimator.InFlight(searchers[i].ID) / (limit + 1)
+			relative = p.estimator.InFlight(searchers[i].ID, searchers[i].Slots, searchers[i].Senders) / (limit + 1)
 		}
 		if !found || relative < lowest {
 			lowest, found = relative, true
@@ -195,7 +195,7 @@
 	n := 0
 	for id, h := range p.health {
 		limit, _ := p.estimator.Limit(id, h.slots)
-		if limit > 0 && p.estimator.Load(id)+float64(len(h.inFlight)) >= limit {
+		if limit > 0 && p.estimator.Load(id, h.slots, h.senders)+float64(len(h.inFlight)) >= limit {
 			n++
 		}
 	}
@@ -204,7 +204,7 @@
 
 func (p *Picker) start(s *locator.Searcher, average time.Duration, now time.Time) *Exchange {
 	h := p.healthOf(s.ID)
-	h.slots = s.Slots
+	h.slots, h.senders = s.Slots, s.Senders
 	// The first request after a backoff is a probe.
 	h.probing = h.dialFailures > 0
 	e := &Exchange{picker: p, searcher: s.ID, health: h, start: now, average: average}
--- a/internal/standin/searcher/stub.go
+++ b/internal/standin/searcher/stub.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -27,6 +28,8 @@
 	accounts map[string]string
 	keys     int
 	lastRun  time.Time
+	// firstRuns holds when each request first ran, by its ID.
+	firstRuns map[string]time.Time
 	// refusals holds the times of the requests that were refused while shedding.
 	refusals []time.Time
 	// failing is the share of the requests that get a failure after they have run.
@@ -38,7 +41,10 @@
 
 // NewStub returns a Stub whose service time is delay.
 func NewStub(name string, delay time.Duration) *Stub {
-	return &Stub{name: name, delay: delay, runs: make(map[string]int), accounts: make(map[string]string)}
+	return &Stub{
+		name: name, delay: delay, runs: make(map[string]int), accounts: make(map[string]string),
+		firstRuns: make(map[string]time.Time),
+	}
 }
 
 // SetDelay changes the service time of each request.
@@ -115,6 +121,13 @@
 	return out
 }
 
+// FirstRuns returns when each request first ran, by its ID.
+func (s *Stub) FirstRuns() map[string]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.firstRuns)
+}
+
 // Account returns the name of the account of a request that ran, and false when the request did not run.
 func (s *Stub) Account(id string) (string, bool) {
 	s.mu.Lock()
@@ -160,6 +173,9 @@
 		s.runs[req.RequestID]++
 		s.accounts[req.RequestID] = req.Account
 		s.lastRun = time.Now()
+		if _, known := s.firstRuns[req.RequestID]; !known {
+			s.firstRuns[req.RequestID] = s.lastRun
+		}
 		s.starts = append(s.starts, s.lastRun)
 		s.inFlight++
 	}
