--- a/internal/route/admitter/fleet_test.go
+++ b/internal/route/admitter/fleet_test.go
@@ -42,7 +42,7 @@
 
 // load returns the load of a searcher as a daemon sees it.
 func (f *fleet) load(d, i int) float64 {
-	return f.estimators[d].InFlight(strconv.Itoa(i, slots, len(f.estimators))) / (slots + 1)
+	return f.estimators[d].InFlight(strconv.Itoa(i), slots, len(f.estimators)) / (slots + 1)
 }
 
 // least returns the least loaded searcher of a shard.
