evictor: bounds of connections and of memory for incomplete requests

Clients that open connections and send heads or bodies that do not end made a process hold more memory and descriptors than it has. The new package holds the connections of each listener and one budget of memory for the process; its decisions which connection or body gives way are pure functions. Nothing uses it yet.

--- /dev/null
+++ b/internal/web/evictor/evictor.go
@@ -0,0 +1,279 @@
+package evictor
+
+import (
+	"context"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
+
+	"cornelwood.example/internal/time/sleeper"
+)
+
+const (
+	// sweepInterval is the time between two checks of the limits of time. It adds to them.
+	sweepInterval = 250 * time.Millisecond
+	// Bounds on log lines; what is beyond them appears only in the metrics.
+	logLinesPerSecond = 5
+	logBurst          = 20
+	// receiveBytes is the receive buffer of an accepted connection, which the kernel doubles. Without it a client that
+	// is not read from can make the kernel hold several MB, which count as memory of the process.
+	receiveBytes = 32 << 10
+)
+
+// Reasons for which a connection gives way, as in log lines and metrics.
+const (
+	reasonConns = "connections"
+	reasonBytes = "memory"
+	reasonHead  = "head size"
+)
+
+// Evictor holds the memory budget of a process and its Groups. It is a suture service whose Serve enforces limits of time.
+type Evictor struct {
+	bytes int64
+	log   hclog.Logger
+	lines *rate.Limiter
+
+	evicted *prometheus.CounterVec
+	refused *prometheus.CounterVec
+
+	mu     sync.Mutex
+	used   int64
+	groups []*Group
+	// unlogged holds the arguments of log lines. Serve writes them, since a log may block.
+	unlogged [][]any
+}
+
+// New returns an Evictor with a budget of bytes, which registers its metrics with reg.
+func New(bytes int64, log hclog.Logger, reg prometheus.Registerer) *Evictor {
+	e := &Evictor{
+		bytes: bytes, log: log, lines: rate.NewLimiter(logLinesPerSecond, logBurst),
+		evicted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cornelwood_evicted_total", Help: "Connections closed, and bodies refused, by listener, phase and the bound that was reached.",
+		}, []string{"listener", "phase", "bound"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cornelwood_connections_refused_total", Help: "New connections closed because none could give way, by listener.",
+		}, []string{"listener"}),
+	}
+	used := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "cornelwood_request_bytes", Help: "Bytes of heads and bodies of requests that are held now.",
+	}, func() float64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return float64(e.used)
+	})
+	reg.MustRegister(e.evicted, e.refused, used)
+	return e
+}
+
+// Descriptors returns the number of files and sockets that the process may have open: the configured number, or the one that
+// the system allows if that is 0.
+func Descriptors(configured int) int {
+	if configured > 0 {
+		return configured
+	}
+	var l unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil || l.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(l.Cur)
+}
+
+// String names the service for its supervisor.
+func (e *Evictor) String() string {
+	return "evictor"
+}
+
+// Serve closes connections that exceed a limit of time, until ctx ends.
+func (e *Evictor) Serve(ctx context.Context) error {
+	for {
+		if err := sleeper.Sleep(ctx, sweepInterval); err != nil {
+			return err
+		}
+		e.sweep(time.Now())
+		e.writeLog()
+	}
+}
+
+// sweep closes the connections that exceed a limit of time, and takes changed limits over.
+func (e *Evictor) sweep(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, g := range e.groups {
+		l := g.limits()
+		g.headBytes.Store(int64(l.HeadBytes))
+		for c := range g.conns {
+			if bound := overdue(c.state, l, now); bound != "" {
+				e.evict(c, bound, now)
+			}
+		}
+	}
+}
+
+// Group is the connections of one listener.
+type Group struct {
+	e        *Evictor
+	name     string
+	maxConns int
+	limits   func() Limits
+	// headBytes is Limits.HeadBytes as of the last sweep.
+	headBytes atomic.Int64
+	// hasMessages is true when connections carry messages between daemons, not requests.
+	hasMessages bool
+	// conns is guarded by the Evictor's mutex, as is the state of each connection.
+	conns map[*Conn]struct{}
+}
+
+// Group returns a new Group of at most maxConns connections. limits returns the limits in force.
+func (e *Evictor) Group(name string, maxConns int, limits func() Limits) *Group {
+	g := &Group{e: e, name: name, maxConns: maxConns, limits: limits, conns: make(map[*Conn]struct{})}
+	g.headBytes.Store(int64(limits().HeadBytes))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.groups = append(e.groups, g)
+	return g
+}
+
+// MessageGroup returns a new Group of at most maxConns connections that carry messages between daemons.
+func (e *Evictor) MessageGroup(name string, maxConns int) *Group {
+	g := e.Group(name, maxConns, func() Limits { return Limits{} })
+	g.hasMessages = true
+	return g
+}
+
+// Listener returns a listener whose connections belong to the group. It bounds their receive buffers.
+func (g *Group) Listener(lis net.Listener) net.Listener {
+	if tcp, ok := lis.(*net.TCPListener); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			// Accepted connections inherit the size. Without it they work, too.
+			_ = raw.Control(func(fd uintptr) {
+				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes)
+			})
+		}
+	}
+	return &listener{Listener: lis, g: g}
+}
+
+type listener struct {
+	net.Listener
+	g *Group
+}
+
+// Accept returns the next connection that the group has room for.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.g.admit(nc, time.Now()); c != nil {
+			return c, nil
+		}
+		nc.Close()
+	}
+}
+
+// admit returns a new connection of the group, for which another one may have to give way; nil if none can.
+func (g *Group) admit(nc net.Conn, now time.Time) *Conn {
+	c := &Conn{Conn: nc, g: g, state: State{Phase: Unused, Since: now}}
+	g.e.mu.Lock()
+	defer g.e.mu.Unlock()
+	if len(g.conns) >= g.maxConns {
+		var victim *Conn
+		for o := range g.conns {
+			if MayGiveConn(o.state) && (victim == nil || GivesConn(o.state, victim.state, now)) {
+				victim = o
+			}
+		}
+		if victim == nil {
+			g.e.refused.WithLabelValues(g.name).Inc()
+			return nil
+		}
+		g.e.evict(victim, reasonConns, now)
+	}
+	g.conns[c] = struct{}{}
+	return c
+}
+
+// evict closes a connection at once. e.mu is held.
+func (e *Evictor) evict(c *Conn, bound string, now time.Time) {
+	e.record(c, bound, now)
+	e.remove(c)
+	c.Conn.Close()
+}
+
+// refuseBody makes reading the body of a connection fail, so that its request is refused. e.mu is held.
+func (e *Evictor) refuseBody(c *Conn, now time.Time) {
+	e.record(c, reasonBytes, now)
+	e.release(c)
+	c.setPhase(Ending, now)
+	// The error means that the connection is closed already.
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// record counts and logs that a connection gives way. e.mu is held.
+func (e *Evictor) record(c *Conn, bound string, now time.Time) {
+	e.evicted.WithLabelValues(c.g.name, c.state.Phase.String(), bound).Inc()
+	if len(e.unlogged) >= logBurst || !e.lines.AllowN(now, 1) {
+		return
+	}
+	e.unlogged = append(e.unlogged, []any{
+		"listener", c.g.name, "phase", c.state.Phase.String(), "bound", bound, "held", c.state.Bytes,
+		"age", now.Sub(c.state.Since), "connections", len(c.g.conns), "bytes", e.used, "remote", c.RemoteAddr().String(),
+	})
+}
+
+// writeLog writes the log lines since its last call.
+func (e *Evictor) writeLog() {
+	e.mu.Lock()
+	lines := e.unlogged
+	e.unlogged = nil
+	e.mu.Unlock()
+	for _, args := range lines {
+		e.log.Info("connection gave way", args...)
+	}
+}
+
+// remove removes a connection from its group. e.mu is held.
+func (e *Evictor) remove(c *Conn) {
+	e.release(c)
+	c.isGone = true
+	delete(c.g.conns, c)
+}
+
+// release returns what a connection holds to the budget. e.mu is held.
+func (e *Evictor) release(c *Conn) {
+	e.used -= c.state.Bytes
+	c.state.Bytes = 0
+}
+
+// reserve adds n bytes to what a connection holds. While the budget is used up, the slowest gives way, which may be the
+// connection itself. e.mu is held.
+func (e *Evictor) reserve(c *Conn, n int64, now time.Time) {
+	c.state.Bytes += n
+	e.used += n
+	for e.used > e.bytes {
+		var victim *Conn
+		for _, g := range e.groups {
+			for o := range g.conns {
+				if MayGiveBytes(o.state) && (victim == nil || GivesBytes(o.state, victim.state)) {
+					victim = o
+				}
+			}
+		}
+		switch {
+		case victim == nil:
+			return
+		case victim.state.Phase == Body:
+			e.refuseBody(victim, now)
+		default:
+			e.evict(victim, reasonBytes, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/web/evictor/policy.go
@@ -0,0 +1,186 @@
+package evictor
+
+import (
+	"time"
+)
+
+// Phase is what a connection is doing.
+type Phase int
+
+// The phases of a connection.
+const (
+	// Unused means that no byte has been read.
+	Unused Phase = iota
+	// Head means that a part of a request's head, or of a message between daemons, has been read.
+	Head
+	// Body means that the head is complete and the body is not: the request has not run.
+	Body
+	// Running means that the request is complete and not yet answered.
+	Running
+	// Idle means that the last request or message has been handled and no byte of the next one has been read.
+	Idle
+	// Ending means that the connection has given way and gets its last answer.
+	Ending
+)
+
+// String returns the phase as in log lines and metrics.
+func (p Phase) String() string {
+	return [...]string{"unused", "head", "body", "running", "idle", "ending"}[p]
+}
+
+// State is what a decision knows of a connection.
+type State struct {
+	Phase Phase
+	// Since is the start of the phase. In the phase Body it is the time at which the last progressBytes were complete.
+	Since time.Time
+	// Bytes is the memory that the connection holds of the budget.
+	Bytes int64
+}
+
+const (
+	// headGrace is the time that an ordinary client may need between connecting and the end of its head: a round trip to
+	// a client takes 6 ms, a lost packet is repeated after 200 ms.
+	headGrace = 250 * time.Millisecond
+	// progressBytes is the part of a body after which it counts as progressing. A client that sends single bytes makes no
+	// progress for thousands of reads.
+	progressBytes = 4 << 10
+)
+
+// Limits are limits of one connection; 0 means none.
+type Limits struct {
+	// HeadBytes bounds a request's head.
+	HeadBytes int
+	// HeadTimeout bounds the time from the first byte of a head to its end.
+	HeadTimeout time.Duration
+	// IdleTimeout bounds the time without a request.
+	IdleTimeout time.Duration
+}
+
+// connRank returns the order in which connections give way to new ones, the lowest first; -1 means never.
+//
+// Load pattern: a crowd of clients opens connections and sends nothing, or heads or bodies that do not end, while ordinary
+// clients keep idle connections and open a few.
+func connRank(s State, now time.Time) int {
+	late := now.Sub(s.Since) >= headGrace
+	switch {
+	case s.Phase == Ending:
+		return 0
+	case (s.Phase == Unused || s.Phase == Head) && late:
+		return 1
+	case s.Phase == Idle:
+		return 2
+	case s.Phase == Body && late:
+		return 3
+	case s.Phase == Unused || s.Phase == Head:
+		return 4
+	case s.Phase == Body:
+		return 5
+	}
+	return -1
+}
+
+// GivesConn reports whether a connection in state a gives way to a new connection before one in state b.
+func GivesConn(a, b State, now time.Time) bool {
+	ra, rb := connRank(a, now), connRank(b, now)
+	if ra < 0 || rb < 0 {
+		return ra > rb
+	}
+	return ra < rb || ra == rb && a.Since.Before(b.Since)
+}
+
+// MayGiveConn reports whether a connection may give way to a new one. One whose request is complete is answered first.
+func MayGiveConn(s State) bool {
+	return s.Phase != Running
+}
+
+// MayGiveBytes reports whether a connection may give way when the budget is used up: it holds a part of a request that has
+// not run.
+func MayGiveBytes(s State) bool {
+	return s.Bytes > 0 && (s.Phase == Head || s.Phase == Body)
+}
+
+// GivesBytes reports whether a connection in state a gives its memory up before one in state b: the slowest first, which is
+// the one whose last progress is the oldest.
+//
+// Load pattern: many large bodies arrive at once, most stop just short of their end and stay open, or trickle.
+func GivesBytes(a, b State) bool {
+	if ma, mb := MayGiveBytes(a), MayGiveBytes(b); ma != mb {
+		return ma
+	}
+	return a.Since.Before(b.Since)
+}
+
+// overdue returns the limit of time that a connection has exceeded; empty for none.
+func overdue(s State, l Limits, now time.Time) string {
+	age := now.Sub(s.Since)
+	switch {
+	case s.Phase == Head && l.HeadTimeout > 0 && age >= l.HeadTimeout:
+		return "head timeout"
+	case (s.Phase == Idle || s.Phase == Unused) && l.IdleTimeout > 0 && age >= l.IdleTimeout:
+		return "idle timeout"
+	}
+	return ""
+}
+
+// Shares are the bounds of a process's listeners.
+type Shares struct {
+	// Bytes is the budget for what clients and daemons have sent in part, and for bodies of running requests.
+	Bytes int64
+	// Clients, Peers and Checks bound the connections of each kind of listener.
+	Clients, Peers, Checks int
+}
+
+const (
+	// reservedDescriptors are the descriptors reserved for files.
+	reservedDescriptors = 200
+	// clientShare and peerShare are the shares of the other descriptors for clients and for accepted connections of other
+	// daemons. The rest is for connections to searchers, daemons and the store.
+	clientShare, peerShare = 0.4, 0.2
+	// maxChecks bounds connections to the address for checks, at which a load balancer and a few collectors of metrics call.
+	// checkShare is their share of the descriptors where that is less.
+	maxChecks  = 64
+	checkShare = 0.06
+	// bytesShare is the share of the memory for what has been sent in part: at 136 MB, 65 bodies of 262,144 bytes.
+	bytesShare = 0.125
+	// connShare is the share of the memory for connections of clients, or else for those of daemons. A
+	// connection takes connBytes: two buffers of 4 KB, a stack of 8 KB, and receiveBytes in the kernel, doubled.
+	connShare = 0.3
+	connBytes = 24<<10 + 2*receiveBytes
+	// minConns keeps a process of very low limits in service.
+	minConns = 8
+	// defaultBytes is the budget of a process without a limit of memory: 1,000 bodies of 262,144 bytes.
+	defaultBytes = 256 << 20
+)
+
+// Settings are the limits of a process as an operator sets them; 0 means unspecified.
+type Settings struct {
+	MemoryMB, Descriptors int
+	// Connections is the number of connections of clients, BufferMB the budget; both follow from the others if unspecified.
+	Connections, BufferMB int
+}
+
+// Derive returns the bounds that follow from the settings. Descriptors must be specified.
+func Derive(set Settings) Shares {
+	free := float64(max(set.Descriptors-reservedDescriptors, 0))
+	memory := int64(set.MemoryMB) << 20
+	s := Shares{
+		Bytes:   defaultBytes,
+		Clients: int(free * clientShare),
+		Peers:   int(free * peerShare),
+		Checks:  min(int(free*checkShare), maxChecks),
+	}
+	if memory > 0 {
+		conns := int(float64(memory) * connShare / connBytes)
+		s.Bytes = int64(float64(memory) * bytesShare)
+		s.Clients = min(s.Clients, conns)
+		s.Peers = min(s.Peers, conns)
+	}
+	if set.BufferMB > 0 {
+		s.Bytes = int64(set.BufferMB) << 20
+	}
+	if set.Connections > 0 {
+		s.Clients = set.Connections
+	}
+	s.Clients, s.Peers, s.Checks = max(s.Clients, minConns), max(s.Peers, minConns), max(s.Checks, minConns)
+	return s
+}
