forwarder: read a body in pieces, refuse one that gave way as not run

io.ReadAll doubles its buffer and held more than had arrived. A body that gave way is answered with 503.

--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -138,9 +137,11 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := readBody(req.Body, limit)
+	body, err := readBody(req.Body, req.ContentLength, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case isEvicted(err):
+		return rt.Name, refuseNotRun(f.cfg.RetryAfter, err.Error())
 	case errors.As(err, &tooLarge):
 		return rt.Name, refuse(http.StatusRequestEntityTooLarge, err.Error())
 	case err != nil:
@@ -169,15 +170,3 @@
 	}
 	return rt.Name, f.single(ctx, req, body, rt, v, deadline)
 }
-
-// readBody reads a body of at most limit bytes; a longer one is an *http.MaxBytesError.
-func readBody(r io.Reader, limit int64) ([]byte, error) {
-	if r == nil {
-		return nil, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
-	return body, err
-}
--- a/internal/route/forwarder/request.go
+++ b/internal/route/forwarder/request.go
@@ -18,8 +18,9 @@
 	// Header holds the headers to pass on.
 	Header http.Header
 	Body   io.Reader
-	// HasBody distinguishes an empty body from none.
-	HasBody bool
+	// HasBody distinguishes an empty body from none. ContentLength is the size of the body; -1 if the client does not say.
+	HasBody       bool
+	ContentLength int64
 	// ClientTimeout is how long the client waits from when it sent the request; 0 when it does not say.
 	ClientTimeout time.Duration
 	Arrived       time.Time
