connector: do not copy a large body for each attempt

Each attempt copied the head and a body of more than 8 KB into one buffer, for a query once for each shard. Both are written with one writev now.

--- a/internal/upstream/connector/conn.go
+++ b/internal/upstream/connector/conn.go
@@ -163,7 +163,8 @@
 		written <- nil
 	} else {
 		go func() {
-			_, err := c.Write(append(head, req.Body...))
+			// The body is not copied: attempts of one request share it.
+			_, err := (&net.Buffers{head, req.Body}).WriteTo(c.Conn)
 			written <- err
 		}()
 	}
