reader: settings of clients' connections and of the memory for requests, section [process] of a daemon

[process] connections and buffer replace the values that follow from memory and descriptors. The product's own daemon gets the section, too.

--- a/internal/settings/reader/entry.go
+++ b/internal/settings/reader/entry.go
@@ -44,6 +44,10 @@
 	MemoryMB int
 	// Descriptors is the number of files and sockets that the process may have open; 0 means not known.
 	Descriptors int
+	// Connections is the highest number of clients' connections, BufferMB the memory in MB for requests that are not
+	// complete and for bodies; 0 means that they follow from MemoryMB and Descriptors.
+	Connections int
+	BufferMB    int
 	// Share is the part of a processor core that the process gets; 0 means unspecified.
 	Share float64
 }
@@ -139,11 +143,10 @@
 			{key: "address", required: true, help: "IP address and port of the store", parse: address(&s.Store.Address)},
 			{key: "bootstrap", defaultValue: "false", help: "true when the whole deployment starts for the first time, so that the store holds no record of this daemon; saves a call", parse: boolean(&s.Store.Bootstrap)},
 		}},
-		{"process", "process limits", []field{
-			{key: "memory", defaultValue: "0", help: "memory use in MB at which the process is killed; 0 for no limit", parse: integer(&s.Process.MemoryMB, 0, maxMemoryMB)},
-			{key: "descriptors", defaultValue: "0", help: "files and sockets that the process may have open; 0 if not known", parse: integer(&s.Process.Descriptors, 0, maxDescriptors)},
-			{key: "share", defaultValue: "0", help: "part of a processor core that the process gets, by which daemons are chosen to gather queries; 0 if not known", parse: number(&s.Process.Share, 0, maxShare)},
-		}},
+		{"process", "process limits", append(
+			processFields(&s.Process),
+			field{key: "share", defaultValue: "0", help: "part of a processor core that the process gets, by which daemons are chosen to gather queries; 0 if not known", parse: number(&s.Process.Share, 0, maxShare)},
+		)},
 		{"account", "keys of client accounts", []field{
 			{key: "strict", defaultValue: "false", help: "true when a key counts only while the desired state is known to be current", parse: boolean(&s.Account.Strict)},
 			{key: "revoke", defaultValue: "0s", help: "time after its withdrawal from which no daemon may use a key; 0 if not specified", parse: duration(&s.Account.Revoke, 0)},
--- a/internal/settings/reader/settings.go
+++ b/internal/settings/reader/settings.go
@@ -19,6 +19,7 @@
 	Peer     Peer
 	Platform Platform
 	Group    Group
+	Process  Process
 	Shutdown Shutdown
 	Policy   Policy
 }
@@ -229,6 +230,7 @@
 			{key: "fence", defaultValue: "1s", help: "time without contact after which a daemon stops admitting requests", parse: duration(&s.Group.Fence, minInterval)},
 			{key: "takeover", defaultValue: "2s", help: "time without contact to a daemon after which others take its upstreams over", parse: duration(&s.Group.Takeover, minInterval)},
 		}},
+		{"process", "process limits", processFields(&s.Process)},
 		{"shutdown", "graceful shutdown", []field{
 			{key: "lag", defaultValue: "2s", help: "how long the load balancer may continue to send requests after /ready fails", parse: duration(&s.Shutdown.Lag, 0)},
 			{key: "drain", defaultValue: "30s", help: "time for requests in flight to finish", parse: duration(&s.Shutdown.Drain, 0)},
@@ -254,6 +256,16 @@
 	}
 }
 
+// processFields returns the keys of the section [process], for both kinds of daemons.
+func processFields(p *Process) []field {
+	return []field{
+		{key: "memory", defaultValue: "0", help: "memory use in MB at which the process is killed; 0 for no limit", parse: integer(&p.MemoryMB, 0, maxMemoryMB)},
+		{key: "descriptors", defaultValue: "0", help: "files and sockets that the process may have open; 0 for the limit of the system", parse: integer(&p.Descriptors, 0, maxDescriptors)},
+		{key: "connections", defaultValue: "0", help: "highest number of clients' connections, on each address for them; 0 for 0.4 of the descriptors but 200, and at most 3 for each MB of memory", parse: integer(&p.Connections, 0, maxDescriptors)},
+		{key: "buffer", defaultValue: "0", help: "memory in MB for requests that are not complete and for the bodies of those that run; 0 for an eighth of the memory, or 256 if that has no limit", parse: integer(&p.BufferMB, 0, maxMemoryMB)},
+	}
+}
+
 // logFields returns the keys of the section [log], for both kinds of daemons.
 func logFields(l *Log) []field {
 	return []field{
