router, assembler, linker: bound connections and incomplete requests of every listener

The limits header_bytes, header_ms and idle_ms of the desired state were decoded and not enforced, nothing bounded connections, and bodies were held without bound. Each listener has a group of the evictor now; limits follow the desired state in force.

--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -35,6 +35,7 @@
 	"cornelwood.example/internal/settings/reader"
 	"cornelwood.example/internal/upstream/dispatcher"
 	"cornelwood.example/internal/upstream/prober"
+	"cornelwood.example/internal/web/evictor"
 	"cornelwood.example/internal/web/server"
 	"cornelwood.example/platform"
 )
@@ -58,6 +59,8 @@
 	gatherer   *gatherer.Gatherer
 	ticketer   *ticketer.Ticketer
 
+	evictor   *evictor.Evictor
+	shares    evictor.Shares
 	callers   *server.Server
 	operators *server.Server
 	// callerCtx is the parent of the contexts of callers' requests. endCalls cancels it, so that each is answered with what
@@ -87,6 +90,7 @@
 		return nil, nil, err
 	}
 	d.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d.buildEvictor()
 	if err := d.build(); err != nil {
 		d.close()
 		return nil, nil, err
@@ -117,7 +121,8 @@
 // supervise starts every service under one supervisor. The returned channel is closed when all have ended.
 func (d *Daemon) supervise(ctx context.Context) <-chan struct{} {
 	sup := suture.New(d.self.ID, suture.Spec{EventHook: d.logEvent})
-	sup.Add(d.linker.Server(d.listeners.peer))
+	sup.Add(d.evictor)
+	sup.Add(d.linker.Server(d.evictor.MessageGroup("peers", d.shares.Peers).Listener(d.listeners.peer)))
 	sup.Add(d.reconciler)
 	sup.Add(d.watcher())
 	sup.Add(d.dispatcher)
@@ -222,13 +227,13 @@
 	callers := receiver.New(recorder.NewQuerier(d.gatherer, d.views, queryRecorder), d.ticketer, healthChecker{d}, metrics)
 	callerServer := receiver.Server(callers)
 	callerServer.BaseContext = func(net.Listener) context.Context { return d.callerCtx }
-	d.callers = server.New("callers", d.listeners.caller, callerServer)
+	d.callers = d.server("callers", d.listeners.caller, callerServer)
 	commands := commander.New(store, d.reconciler, d.views, d.log.Named("operator"), commander.NewMetrics(d.reg))
 	operators := queryRecorder.Handler(d.self.ID, commands)
 	if d.settings.Peer.Faults {
 		operators = d.blocker.Handler(operators)
 	}
-	d.operators = server.New("operators", d.listeners.operator, receiver.Server(operators))
+	d.operators = d.server("operators", d.listeners.operator, receiver.Server(operators))
 	return nil
 }
 
--- /dev/null
+++ b/internal/daemon/router/limits.go
@@ -0,0 +1,58 @@
+package router
+
+import (
+	"net"
+	"net/http"
+
+	"cornelwood.example/internal/settings/reader"
+	"cornelwood.example/internal/web/evictor"
+)
+
+// buildEvictor creates the evictor, which bounds the connections of all listeners and the memory of incomplete requests.
+func (r *Router) buildEvictor(settings *reader.EntrySettings) {
+	p := &settings.Process
+	r.shares = evictor.Derive(evictor.Settings{
+		MemoryMB: p.MemoryMB, Descriptors: evictor.Descriptors(p.Descriptors), Connections: p.Connections, BufferMB: p.BufferMB,
+	})
+	r.evictor = evictor.New(r.shares.Bytes, r.log.Named("limits"), r.reg)
+	r.log.Info("limits of clients", "connections", r.shares.Clients, "peers", r.shares.Peers, "checks", r.shares.Checks, "buffer", r.shares.Bytes)
+}
+
+// bound makes a server enforce limits, and returns the listener that it must serve.
+func (r *Router) bound(name string, conns int, lis net.Listener, srv *http.Server, limits func() evictor.Limits) net.Listener {
+	g := r.evictor.Group(name, conns, limits)
+	g.Bound(srv)
+	return g.Listener(lis)
+}
+
+// peerGroup returns the group of the connections that other daemons open. They have no limits of their own: a daemon keeps
+// idle links for as long as it wants.
+func (r *Router) peerGroup() *evictor.Group {
+	return r.evictor.MessageGroup("peers", r.shares.Peers)
+}
+
+// checkLimits returns the limits of connections to the address for checks.
+func checkLimits() evictor.Limits {
+	return evictor.Limits{HeadBytes: maxHeaderBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// limits returns the limits of clients' connections: those of the desired state in force, and defaults for what it leaves
+// open.
+func (r *Router) limits() evictor.Limits {
+	l := checkLimits()
+	v := r.locator.View()
+	if v.Matcher == nil {
+		return l
+	}
+	set := v.Matcher.Routing().Limits
+	if set.HeaderBytes > 0 {
+		l.HeadBytes = set.HeaderBytes
+	}
+	if set.HeaderTimeout.Duration > 0 {
+		l.HeadTimeout = set.HeaderTimeout.Duration
+	}
+	if set.IdleTimeout.Duration > 0 {
+		l.IdleTimeout = set.IdleTimeout.Duration
+	}
+	return l
+}
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -33,6 +33,7 @@
 	"cornelwood.example/internal/settings/reader"
 	"cornelwood.example/internal/time/sentry"
 	"cornelwood.example/internal/upstream/connector"
+	"cornelwood.example/internal/web/evictor"
 	"cornelwood.example/internal/web/server"
 	"cornelwood.example/platform"
 )
@@ -43,8 +44,8 @@
 	// gcPercent lets the heap grow to five times the live heap: the live heap is a few MB, and collections
 	// cost processor time.
 	gcPercent = 400
-	// readHeaderTimeout, idleTimeout and maxHeaderBytes bound a client connection. They exceed what a
-	// desired state allows clients.
+	// readHeaderTimeout, idleTimeout and maxHeaderBytes bound a client connection where the desired state sets no
+	// bounds, and connections to the address for checks.
 	readHeaderTimeout = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
@@ -78,6 +79,8 @@
 	registrar              *registrar.Registrar
 	followers              []suture.Service
 	server                 *http.Server
+	evictor                *evictor.Evictor
+	shares                 evictor.Shares
 	// leaving is true from the start of the shutdown on.
 	leaving atomic.Bool
 	active  *activeConns
@@ -117,6 +120,7 @@
 		Name: "cornelwood_store_calls_total", Help: "Calls to the metadata store by kind and result.",
 	}, []string{"call", "result"})
 	r.reg.MustRegister(storeCalls)
+	r.buildEvictor(settings)
 	var closer func()
 	r.store, closer = platform.NewClient(settings.Store.Address, func(call string, err error) {
 		result := "answered"
@@ -135,13 +139,7 @@
 		Name: "cornelwood_searcher_connections_opened_total", Help: "Connections opened to searchers.",
 	}, func() float64 { return float64(r.conns.Opened()) }))
 	r.buildForwarder(settings)
-	r.server = &http.Server{
-		Handler:           platform.NewFrontend(r.forwarder, r.isClosing),
-		ConnState:         r.active.track,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	r.server = &http.Server{Handler: platform.NewFrontend(r.forwarder, r.isClosing), ConnState: r.active.track}
 }
 
 // buildForwarder creates the forwarder, and what it needs to leave queries to other daemons.
@@ -238,7 +236,8 @@
 		r.log.Error("service ended", "event", e.String())
 	}})
 	sup.Add(r.locator)
-	sup.Add(r.linker.Server(r.peers))
+	sup.Add(r.evictor)
+	sup.Add(r.linker.Server(r.peerGroup().Listener(r.peers)))
 	sup.Add(r.registrar)
 	sup.Add(r.relayer)
 	sup.Add(r.selector)
@@ -246,10 +245,10 @@
 	for _, f := range r.followers {
 		sup.Add(f)
 	}
-	sup.Add(server.New("callers", r.callers, r.server))
+	sup.Add(server.New("callers", r.bound("callers", r.shares.Clients, r.callers, r.server, r.limits), r.server))
 	metrics := promhttp.HandlerFor(r.reg, promhttp.HandlerOpts{})
-	checks := &http.Server{Handler: platform.NewHealthHandler(r.ready, metrics), ReadHeaderTimeout: readHeaderTimeout}
-	sup.Add(server.New("checks", r.checks, checks))
+	checks := &http.Server{Handler: platform.NewHealthHandler(r.ready, metrics)}
+	sup.Add(server.New("checks", r.bound("checks", r.shares.Checks, r.checks, checks, checkLimits), checks))
 	sup.Add(&sweeper{r.conns})
 	done := make(chan struct{})
 	go func() {
--- a/internal/peer/linker/peerconn.go
+++ b/internal/peer/linker/peerconn.go
@@ -18,6 +18,11 @@
 	recvBytes atomic.Int64
 }
 
+// messageCounter is an accepted connection that learns when a message is complete.
+type messageCounter interface {
+	MessageDone()
+}
+
 func newPeerConn(l *Linker, conn net.Conn) *peerConn {
 	return &peerConn{Conn: conn, l: l}
 }
@@ -52,8 +57,11 @@
 	return true
 }
 
-// countBytes adds the bytes since its last call to the metrics of p.
+// countBytes adds the bytes since its last call to the metrics of p. It is called after each message.
 func (w *peerConn) countBytes(p purpose) {
 	w.l.metrics.sentBytes[p].Add(float64(w.sentBytes.Swap(0)))
 	w.l.metrics.recvBytes[p].Add(float64(w.recvBytes.Swap(0)))
+	if m, ok := w.Conn.(messageCounter); ok {
+		m.MessageDone()
+	}
 }
