--- a/cmd/cornelwood/abuse_test.go
+++ b/cmd/cornelwood/abuse_test.go
@@ -382,7 +382,7 @@
 }
 
 // daemonLimits is the part of the settings that bounds a daemon's process.
-const daemonLimits = ""
+var daemonLimits = fmt.Sprintf("[process]\nmemory = %d\ndescriptors = %d\n", abuseMemoryMB, abuseDescriptors)
 
 // startBoundedDaemon starts a daemon of the product alone, with low limits of memory and descriptors.
 func startBoundedDaemon(t *testing.T) *daemon {
