--- a/internal/contract/answerer/refusal.go
+++ b/internal/contract/answerer/refusal.go
@@ -20,6 +20,7 @@
 	CodeNoSnapshot Code = "no_snapshot"
 	CodeDeadline   Code = "deadline"
 	CodeLeaving    Code = "leaving"
+	CodeNoMemory   Code = "no_memory"
 	CodeBadTicket  Code = "bad_ticket"
 	CodeNoIssuer   Code = "no_issuer"
 	CodeConflict   Code = "conflict"
--- a/internal/peer/linker/peerconn.go
+++ b/internal/peer/linker/peerconn.go
@@ -44,6 +44,13 @@
 	return n, err
 }
 
+// messageDone tells an accepted connection that a message has been read completely.
+func (w *peerConn) messageDone() {
+	if m, ok := w.Conn.(messageCounter); ok {
+		m.MessageDone()
+	}
+}
+
 // dropsWrites reports whether writes are dropped.
 func (w *peerConn) dropsWrites() bool {
 	if w.isCut.Load() {
@@ -57,11 +64,8 @@
 	return true
 }
 
-// countBytes adds the bytes since its last call to the metrics of p. It is called after each message.
+// countBytes adds the bytes since its last call to the metrics of p.
 func (w *peerConn) countBytes(p purpose) {
 	w.l.metrics.sentBytes[p].Add(float64(w.sentBytes.Swap(0)))
 	w.l.metrics.recvBytes[p].Add(float64(w.recvBytes.Swap(0)))
-	if m, ok := w.Conn.(messageCounter); ok {
-		m.MessageDone()
-	}
 }
--- a/internal/peer/linker/server.go
+++ b/internal/peer/linker/server.go
@@ -61,6 +61,7 @@
 		return err
 	}
 	l.metrics.recv[use].Inc()
+	w.messageDone()
 	if req.From.IsValid() {
 		w.peer.Store(&req.From)
 	}
--- a/internal/peer/linker/session.go
+++ b/internal/peer/linker/session.go
@@ -56,6 +56,7 @@
 		}
 		s.l.metrics.recv[purposeExchange].Inc()
 		s.w.countBytes(purposeExchange)
+		s.w.messageDone()
 		if err := f.Check(); err != nil {
 			return err
 		}
--- a/internal/peer/linker/stream.go
+++ b/internal/peer/linker/stream.go
@@ -92,6 +92,7 @@
 		return err
 	}
 	s.l.metrics.recv[s.use].Inc()
+	s.w.messageDone()
 	s.w.countBytes(s.use)
 	return Decode(body, out)
 }
--- a/internal/web/decoder/decoder.go
+++ b/internal/web/decoder/decoder.go
@@ -59,8 +59,11 @@
 		large  *http.MaxBytesError
 		typ    *json.UnmarshalTypeError
 		syntax *json.SyntaxError
+		given  interface{ Evicted() bool }
 	)
 	switch {
+	case errors.As(err, &given) && given.Evicted():
+		return &answerer.RefusalError{Code: answerer.CodeNoMemory, Outcome: answerer.NotRun, Reason: err.Error()}
 	case errors.As(err, &large):
 		return &answerer.RefusalError{
 			Code: answerer.CodeTooLarge, Outcome: answerer.NotRun,
--- a/internal/web/evictor/conn.go
+++ b/internal/web/evictor/conn.go
@@ -1,6 +1,7 @@
 package evictor
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -19,6 +20,8 @@
 	// discardBytes and discardTime bound what is read after a head that is too large, so that its client reads the answer.
 	discardBytes = 256 << 10
 	discardTime  = 200 * time.Millisecond
+	// lingerTime is the time between the last answer and the end of a connection that has given way.
+	lingerTime = 200 * time.Millisecond
 )
 
 // tooLargeAnswer is the answer to a head that is too large to be read.
@@ -46,8 +49,8 @@
 	// isDelivering is true while bytes that are read belong to no head or message.
 	isDelivering atomic.Bool
 	// The fields below are guarded by the Evictor's mutex.
-	state  State
-	isGone bool
+	state               State
+	isGone, isLingering bool
 	// pending is the number of bytes of the head or message that have been read, progress the number of bytes of the
 	// body since Since.
 	pending  int64
@@ -111,14 +114,30 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, discardBytes)
 }
 
-// Close closes the connection.
+// Close closes the connection. One that has given way is closed after lingerTime, unless it gives way again: it has unread
+// bytes, for which the kernel would reset it at once, and its client would not get the answer.
 func (c *Conn) Close() error {
 	c.g.e.mu.Lock()
+	defer c.g.e.mu.Unlock()
+	if !c.isGone && c.state.Phase == Ending {
+		if !c.isLingering {
+			c.isLingering = true
+			time.AfterFunc(lingerTime, c.closeNow)
+		}
+		return c.CloseWrite()
+	}
 	c.g.e.remove(c)
-	c.g.e.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// closeNow closes the connection at once.
+func (c *Conn) closeNow() {
+	c.g.e.mu.Lock()
+	defer c.g.e.mu.Unlock()
+	c.g.e.remove(c)
+	c.Conn.Close()
+}
+
 // CloseWrite closes the sending side. Package http does so before it closes a connection with unread bytes.
 func (c *Conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -127,7 +146,7 @@
 	return nil
 }
 
-// MessageDone tells that a message has been read completely or written.
+// MessageDone tells that a message has been read completely.
 func (c *Conn) MessageDone() {
 	c.finish(Idle)
 }
@@ -194,6 +213,12 @@
 	err error
 }
 
+// Evicted reports whether the body has given way.
+func (b *body) Evicted() bool {
+	var e *EvictedError
+	return errors.As(b.err, &e)
+}
+
 // Read reads into p. It fails with an *EvictedError when the body has given way.
 func (b *body) Read(p []byte) (int, error) {
 	if b.err != nil {
--- a/internal/web/evictor/evictor.go
+++ b/internal/web/evictor/evictor.go
@@ -38,6 +38,7 @@
 type Evictor struct {
 	bytes int64
 	log   hclog.Logger
+	reg   prometheus.Registerer
 	lines *rate.Limiter
 
 	evicted *prometheus.CounterVec
@@ -53,7 +54,7 @@
 // New returns an Evictor with a budget of bytes, which registers its metrics with reg.
 func New(bytes int64, log hclog.Logger, reg prometheus.Registerer) *Evictor {
 	e := &Evictor{
-		bytes: bytes, log: log, lines: rate.NewLimiter(logLinesPerSecond, logBurst),
+		bytes: bytes, log: log, reg: reg, lines: rate.NewLimiter(logLinesPerSecond, logBurst),
 		evicted: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cornelwood_evicted_total", Help: "Connections closed, and bodies refused, by listener, phase and the bound that was reached.",
 		}, []string{"listener", "phase", "bound"}),
@@ -137,6 +138,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.groups = append(e.groups, g)
+	e.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "cornelwood_connections", Help: "Accepted connections that are open, by listener.", ConstLabels: prometheus.Labels{"listener": name},
+	}, func() float64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return float64(len(g.conns))
+	}))
 	return g
 }
 
