--- a/cmd/cornelwood/abuse_test.go
+++ b/cmd/cornelwood/abuse_test.go
@@ -497,3 +497,60 @@
 		}
 	})
 }
+
+// TestRefusedBodyHasNotRun uses up the memory for bodies with some that stop just short of their end. A body that arrives then must
+// be served, and each of the others that gives way must be refused with 503 on a connection that closes, must not have run, and
+// must be named in the log.
+func TestRefusedBodyHasNotRun(t *testing.T) {
+	const stalled = 6
+	s := newEntrySite(t)
+	s.declareLimits(1, abuseLimits)
+	// The memory holds three of the bodies.
+	s.settingsText += "[process]\nbuffer = 1\n"
+	if err := os.WriteFile(s.settings, []byte(s.settingsText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.daemon = startProcess(t, "entry", "cornelwood", "entry", "--settings", s.settings)
+	s.eventually("ready", entryTimeout, func() bool { return s.readyStatus() == http.StatusOK })
+	answers := make(chan response, stalled)
+	var ends []*io.PipeWriter
+	for range stalled {
+		r, w := io.Pipe()
+		ends = append(ends, w)
+		go func() { answers <- s.sendBody(&http.Client{Transport: &http.Transport{}}, http.MethodPost, "/p/1", r) }()
+		if err := writeMuch(w, crowdBodyBytes-bodyRest, 16<<10); err != nil {
+			t.Fatal(err)
+		}
+	}
+	closeAll := func() {
+		for _, w := range ends {
+			w.Close()
+		}
+	}
+	// A client whose connection was closed waits for its own body.
+	defer time.AfterFunc(abuseRecovery, closeAll).Stop()
+	s.assertStatus(s.sendBody(&http.Client{}, http.MethodPost, "/p/1", bytes.NewReader(filler)), http.StatusOK)
+	s.eventually("refusing bodies", abuseRecovery, func() bool { return len(answers) >= stalled-4 })
+	s.eventually("logged", entryTimeout, func() bool { return s.hasLogged("connection gave way") })
+	closeAll()
+	refused := 0
+	for range stalled {
+		a := <-answers
+		if a.status == http.StatusOK {
+			continue
+		}
+		refused++
+		s.assertStatus(a, http.StatusServiceUnavailable)
+		if !a.closing {
+			t.Error("the refusal does not close the connection")
+		}
+		for name, p := range s.searchers {
+			if p.Runs()[a.id] > 0 {
+				t.Errorf("request %s was refused and ran at searcher %s", a.id, name)
+			}
+		}
+	}
+	if refused < stalled-4 || refused == stalled {
+		t.Errorf("%d of %d bodies refused, want those beyond the memory", refused, stalled)
+	}
+}
