--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -227,13 +227,13 @@
 	callers := receiver.New(recorder.NewQuerier(d.gatherer, d.views, queryRecorder), d.ticketer, healthChecker{d}, metrics)
 	callerServer := receiver.Server(callers)
 	callerServer.BaseContext = func(net.Listener) context.Context { return d.callerCtx }
-	d.callers = d.server("callers", d.listeners.caller, callerServer)
+	d.callers = d.server("callers", d.shares.Clients, d.listeners.caller, callerServer)
 	commands := commander.New(store, d.reconciler, d.views, d.log.Named("operator"), commander.NewMetrics(d.reg))
 	operators := queryRecorder.Handler(d.self.ID, commands)
 	if d.settings.Peer.Faults {
 		operators = d.blocker.Handler(operators)
 	}
-	d.operators = d.server("operators", d.listeners.operator, receiver.Server(operators))
+	d.operators = d.server("operators", d.shares.Checks, d.listeners.operator, receiver.Server(operators))
 	return nil
 }
 
--- a/internal/daemon/assembler/limits.go
+++ b/internal/daemon/assembler/limits.go
@@ -26,8 +26,8 @@
 
 // server returns the service of an HTTP server on a listener, bounded by the evictor. Limits of time and of heads are those of
 // the server.
-func (d *Daemon) server(name string, lis net.Listener, srv *http.Server) *server.Server {
-	g := d.evictor.Group(name, d.shares.Clients, noLimits)
+func (d *Daemon) server(name string, conns int, lis net.Listener, srv *http.Server) *server.Server {
+	g := d.evictor.Group(name, conns, noLimits)
 	g.Bound(srv)
 	return server.New(name, g.Listener(lis), srv)
 }
