--- a/cmd/cornelwood/entry_soak_test.go
+++ b/cmd/cornelwood/entry_soak_test.go
@@ -98,7 +98,9 @@
 
 // soakOptions holds what differs between the soaks.
 type soakOptions struct {
-	daemons int
+	// settings is the text of further sections of the daemons' settings.
+	settings string
+	daemons  int
 	// gathered is true when few daemons gather the queries of the others.
 	gathered bool
 	// clients is the number of clients, soakClients at least.
@@ -157,6 +159,8 @@
 	// liveSearchers holds the names of each service's searchers that are not draining.
 	liveSearchers map[string][]string
 	latestVersion int
+	// accounts is the JSON text of the client accounts.
+	accounts string
 	// declaredAt holds the time at which the store confirmed each version.
 	declaredAt map[int]time.Time
 	requests   []requestRecord
@@ -285,7 +289,7 @@
 }
 
 // declareVersion writes the next version N of the desired state. Its route "/vN/" replaces the one of the version
-// before.
+// before, and its route "p" needs no key.
 func (k *entrySoak) declareVersion() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -303,9 +307,9 @@
 	common := fmt.Sprintf(`"host":%q,"timeout_ms":%d,"goal_ms":200,"attempts":%d`, entryHost, k.options.timeout.Milliseconds(), soakAttempts)
 	spec := fmt.Sprintf(`{"version":%d,"routes":[
 		{"name":"q","path_prefix":"/q/","kind":"idempotent","gather":[%s],"top_k":%d,"min_shard_ratio":0.6,%s},
-		{"name":"p","path_prefix":"/p/","kind":"non_idempotent","service":"one",%s},
-		{"name":"v","path_prefix":"/v%d/","kind":"idempotent","service":"one",%s}],"services":[%s]}`,
-		k.latestVersion, strings.Join(shards, ","), soakTopK, common, common, k.latestVersion, common, strings.TrimSuffix(services, ","))
+		{"name":"p","path_prefix":"/p/","public":true,"kind":"non_idempotent","service":"one",%s},
+		{"name":"v","path_prefix":"/v%d/","kind":"idempotent","service":"one",%s}],"services":[%s],"tenants":[%s]}`,
+		k.latestVersion, strings.Join(shards, ","), soakTopK, common, common, k.latestVersion, common, strings.TrimSuffix(services, ","), k.accounts)
 	k.store.Set(platform.KindConfig, platform.ConfigName, json.RawMessage(spec))
 	k.declaredAt[k.latestVersion] = time.Now()
 }
@@ -330,7 +334,7 @@
 		settings: filepath.Join(k.dir, id+".ini"), storeProxy: startProxy(k.t, store),
 	}
 	text := fmt.Sprintf("[daemon]\nid = %s\nzone = %s\nregion = r\n[log]\njson = true\n[caller]\nlisten = %s\nchecks = %s\npeers = %s:%s\n"+
-		"[process]\nshare = %g\n[store]\naddress = %s\n[shutdown]\ngrace = %s\n", id, zone, d.callerAddr, d.checkAddr, host, ports[2], share, d.storeProxy.addr(), soakGracePeriod)
+		"[process]\nshare = %g\n[store]\naddress = %s\n[shutdown]\ngrace = %s\n%s", id, zone, d.callerAddr, d.checkAddr, host, ports[2], share, d.storeProxy.addr(), soakGracePeriod, k.options.settings)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		k.t.Fatal(err)
 	}
--- a/internal/route/forwarder/body_test.go
+++ b/internal/route/forwarder/body_test.go
@@ -70,7 +70,3 @@
 		}
 	}
 }
-
-type readerFunc func([]byte) (int, error)
-
-func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -16,6 +16,7 @@
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/relayer"
+	"cornelwood.example/internal/route/authorizer"
 	"cornelwood.example/internal/route/matcher"
 )
 
@@ -33,7 +34,10 @@
 	updates chan func()
 	view    atomic.Pointer[View]
 
-	matcher     *matcher.Matcher
+	matcher    *matcher.Matcher
+	authorizer *authorizer.Authorizer
+	// routingAt is View.routingAt.
+	routingAt   time.Duration
 	searchers   map[string]*entry
 	closedZones map[string]bool
 	members     map[string]declarer.Member
@@ -125,9 +129,11 @@
 // publish replaces the view by one of the current state.
 func (l *Locator) publish() {
 	v := &View{
-		Matcher:  l.matcher,
-		services: make(map[string][]Searcher),
-		listed:   l.listed,
+		Matcher:    l.matcher,
+		Authorizer: l.authorizer,
+		routingAt:  l.routingAt,
+		services:   make(map[string][]Searcher),
+		listed:     l.listed,
 
 		selfSufficient: &sync.Map{},
 		revision:       l.revision,
@@ -218,6 +224,12 @@
 	return &routingSink{l}
 }
 
+// ConfirmRouting records that the desired states received so far are the store's as of a time of the boot clock. It takes effect
+// after them.
+func (l *Locator) ConfirmRouting(at time.Duration) {
+	l.enqueue(func() { l.routingAt = at })
+}
+
 // Searchers returns the sink of searchers.
 func (l *Locator) Searchers() relayer.Sink[declarer.Searcher] {
 	return &searcherSink{l}
