--- a/internal/web/evictor/conn.go
+++ b/internal/web/evictor/conn.go
@@ -94,7 +94,7 @@
 		c.setPhase(Head, now)
 	}
 	if limit := c.g.headBytes.Load(); limit > 0 && c.pending > limit+readAhead {
-		e.record(c, reasonHead, now)
+		e.record(c, boundHead, now)
 		e.release(c)
 		c.setPhase(Ending, now)
 		return false
--- a/internal/web/evictor/evictor.go
+++ b/internal/web/evictor/evictor.go
@@ -30,11 +30,13 @@
 	backlog = 1024
 )
 
-// Reasons for which a connection gives way, as in log lines and metrics.
+// Bounds at which a connection gives way, as in log lines and metrics.
 const (
-	reasonConns = "connections"
-	reasonBytes = "memory"
-	reasonHead  = "head size"
+	boundConns    = "connections"
+	boundBytes    = "memory"
+	boundHead     = "head size"
+	boundHeadTime = "head timeout"
+	boundIdleTime = "idle timeout"
 )
 
 // Evictor holds the memory budget of a process and its Groups. It is a suture service whose Serve enforces limits of time.
@@ -207,7 +209,7 @@
 			g.e.refused.WithLabelValues(g.name).Inc()
 			return nil
 		}
-		g.e.evict(victim, reasonConns, now)
+		g.e.evict(victim, boundConns, now)
 	}
 	g.conns[c] = struct{}{}
 	return c
@@ -222,7 +224,7 @@
 
 // refuseBody makes reading the body of a connection fail, so that its request is refused. e.mu is held.
 func (e *Evictor) refuseBody(c *Conn, now time.Time) {
-	e.record(c, reasonBytes, now)
+	e.record(c, boundBytes, now)
 	e.release(c)
 	c.setPhase(Ending, now)
 	// The error means that the connection is closed already.
@@ -232,7 +234,8 @@
 // record counts and logs that a connection gives way. e.mu is held.
 func (e *Evictor) record(c *Conn, bound string, now time.Time) {
 	e.evicted.WithLabelValues(c.g.name, c.state.Phase.String(), bound).Inc()
-	if len(e.unlogged) >= logBurst || !e.lines.AllowN(now, 1) {
+	// Ordinary clients leave idle connections, too.
+	if bound == boundIdleTime || len(e.unlogged) >= logBurst || !e.lines.AllowN(now, 1) {
 		return
 	}
 	e.unlogged = append(e.unlogged, []any{
@@ -285,7 +288,7 @@
 		case victim.state.Phase == Body:
 			e.refuseBody(victim, now)
 		default:
-			e.evict(victim, reasonBytes, now)
+			e.evict(victim, boundBytes, now)
 		}
 	}
 }
--- a/internal/web/evictor/policy.go
+++ b/internal/web/evictor/policy.go
@@ -115,9 +115,9 @@
 	age := now.Sub(s.Since)
 	switch {
 	case s.Phase == Head && l.HeadTimeout > 0 && age >= l.HeadTimeout:
-		return "head timeout"
+		return boundHeadTime
 	case (s.Phase == Idle || s.Phase == Unused) && l.IdleTimeout > 0 && age >= l.IdleTimeout:
-		return "idle timeout"
+		return boundIdleTime
 	}
 	return ""
 }
