--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -24,11 +24,13 @@
 	"cornelwood.example/internal/control/follower"
 	"cornelwood.example/internal/control/registrar"
 	"cornelwood.example/internal/control/relayer"
+	"cornelwood.example/internal/peer/lender"
 	"cornelwood.example/internal/peer/linker"
 	"cornelwood.example/internal/route/delegator"
 	"cornelwood.example/internal/route/forwarder"
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
+	"cornelwood.example/internal/route/promoter"
 	"cornelwood.example/internal/route/selector"
 	"cornelwood.example/internal/settings/reader"
 	"cornelwood.example/internal/time/sentry"
@@ -74,14 +76,20 @@
 	pauses                 *pauseGuard
 	keys                   *keyGuard
 	selector               *selector.Selector
-	forwarder              *forwarder.Forwarder
-	linker                 *linker.Linker
-	relayer                *relayer.Relayer
-	registrar              *registrar.Registrar
-	followers              []suture.Service
-	server                 *http.Server
-	evictor                *evictor.Evictor
-	shares                 evictor.Shares
+	// gate and promoter carry out roll-outs; nil where there are none.
+	gate      *promoter.Gate
+	promoter  *promoter.Promoter
+	forwarder *forwarder.Forwarder
+	linker    *linker.Linker
+	relayer   *relayer.Relayer
+	// lender is nil when no limits of accounts are enforced.
+	lender    *lender.Lender
+	registrar *registrar.Registrar
+	followers []suture.Service
+	server    *http.Server
+	// evictor bounds the connections of clients and other daemons by shares.
+	evictor *evictor.Evictor
+	shares  evictor.Shares
 	// leaving is true from the start of the shutdown on.
 	leaving atomic.Bool
 	active  *activeConns
@@ -159,6 +167,8 @@
 	r.selector = selector.New(self.Zone, peers, r.log.Named("route"), time.Now)
 	d := delegator.New(delegator.Default(), peers, r.selector, peers)
 	r.forwarder = forwarder.New(forwarderConfig(settings), self, r.keys, r.picker, r.conns, d, r.log.Named("route"), forwarder.NewMetrics(r.reg))
+	r.forwarder.UseGate(r.gate)
+	r.buildLender(settings)
 	srv := delegator.NewServer(r.forwarder)
 	r.linker.HandleStream(gatherStream, func(ctx context.Context, s *linker.Stream) error { return srv.Serve(ctx, s) })
 	r.linker.Handle(probeCall, func(context.Context, netip.AddrPort, []byte) (any, error) {
@@ -191,6 +201,9 @@
 		follower.New("searchers", cfg, r.store.Searchers(), relayer.NewCache("searchers", r.locator.Searchers(), r.relayer), r.relayer),
 		follower.New("closures", cfg, r.store.Closures(), relayer.NewCache("closures", r.locator.Closures(), r.relayer), r.relayer),
 	}
+	if settings.Rollout.Share > 0 {
+		r.buildRollouts(settings, cfg)
+	}
 }
 
 // storeCheckTimeout bounds a check of the store, which answers in milliseconds.
@@ -252,7 +265,13 @@
 	sup.Add(r.registrar)
 	sup.Add(r.relayer)
 	sup.Add(r.selector)
+	if r.lender != nil {
+		sup.Add(r.lender)
+	}
 	sup.Add(r.pauses.sentry)
+	if r.promoter != nil {
+		sup.Add(r.promoter)
+	}
 	for _, f := range r.followers {
 		sup.Add(f)
 	}
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	"cornelwood.example/internal/route/authorizer"
 	"cornelwood.example/internal/route/locator"
 	"cornelwood.example/internal/route/picker"
+	"cornelwood.example/internal/route/promoter"
 	"cornelwood.example/internal/upstream/connector"
 )
 
@@ -84,8 +85,12 @@
 	picker    *picker.Picker
 	exchanger Exchanger
 	stats     *stats
-	log       hclog.Logger
-	metrics   *Metrics
+	// allotter is nil when no limits of accounts are enforced.
+	allotter Allotter
+	// gate chooses between the versions of a service during its roll-out; nil where there are no roll-outs.
+	gate    *promoter.Gate
+	log     hclog.Logger
+	metrics *Metrics
 	// logLimiter bounds the rate of log lines about requests.
 	logLimiter *rate.Limiter
 	// gathers counts the queries that this daemon gathers for others now.
@@ -104,6 +109,11 @@
 	}
 }
 
+// UseGate makes the Forwarder choose between versions of a service by gate. Call it before Handle.
+func (f *Forwarder) UseGate(gate *promoter.Gate) {
+	f.gate = gate
+}
+
 // SetExtraPercent changes the number of extra requests allowed for 100 first requests.
 func (f *Forwarder) SetExtraPercent(percent int) {
 	f.stats.setPercent(percent)
@@ -114,6 +124,7 @@
 	v := f.views.View()
 	f.stats.setFleet(len(v.Members()), v.GathererCount())
 	name, a := f.answer(ctx, req, v)
+	f.returnToken(req, &a)
 	a.RetryAfter = a.heldFor + jitterRetryAfter(a.RetryAfter, rand.Float64())
 	f.recordAnswer(req, name, v, &a)
 	return a
@@ -154,6 +165,10 @@
 			return name, *refusal
 		}
 	}
+	name := rt.Name
+	if rt, v, refusal = f.allot(ctx, req, rt, v); refusal != nil {
+		return name, *refusal
+	}
 	timeout := rt.EffectiveTimeout(req.ClientTimeout)
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/internal/route/forwarder/request.go
+++ b/internal/route/forwarder/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/peer/lender"
 )
 
 // Request is one client request.
@@ -32,6 +33,8 @@
 	// ClientTimeout is how long the client waits from when it sent the request; 0 when it does not say.
 	ClientTimeout time.Duration
 	Arrived       time.Time
+	// grant is the token that was taken for the request.
+	grant lender.Grant
 }
 
 // accountName returns the name of the request's account, empty when there is none.
