--- a/internal/peer/linker/peerconn.go
+++ b/internal/peer/linker/peerconn.go
@@ -18,6 +18,11 @@
 	recvBytes atomic.Int64
 }
 
+// messageCounter is an accepted connection that learns when a message is complete.
+type messageCounter interface {
+	MessageDone()
+}
+
 func newPeerConn(l *Linker, conn net.Conn) *peerConn {
 	return &peerConn{Conn: conn, l: l}
 }
@@ -39,6 +44,13 @@
 	return n, err
 }
 
+// messageDone tells an accepted connection that a message has been read completely.
+func (w *peerConn) messageDone() {
+	if m, ok := w.Conn.(messageCounter); ok {
+		m.MessageDone()
+	}
+}
+
 // dropsWrites reports whether writes are dropped.
 func (w *peerConn) dropsWrites() bool {
 	if w.isCut.Load() {
