storer, commander: a write whose condition is of another era is refused

Cause: a revision of an era that the store has left may be that of another object state now. The error says whether the write was sent; the commander reads again when it was not, and reports the change as unsettled when it may have been applied.

--- a/internal/control/storer/errors.go
+++ b/internal/control/storer/errors.go
@@ -31,6 +31,28 @@
 	return fmt.Sprintf("object %s does not exist", e.Key)
 }
 
+// EraError reports that the condition of a write is a revision of an era that the store has
+// left: it was restored from an older copy, and the revision means nothing now. The caller
+// reads the object again.
+type EraError struct {
+	// Call is the name of the call, such as "put".
+	Call string
+	// Expected is the era of the condition, and Current that of the store.
+	Expected, Current uint64
+	// MaybeApplied is true when the answer to the write showed the new era, so that the write
+	// may have been applied. When it is false, nothing was sent.
+	MaybeApplied bool
+}
+
+// Error returns the call, both eras, and whether the write may have been applied.
+func (e *EraError) Error() string {
+	applied := "not sent"
+	if e.MaybeApplied {
+		applied = "may have been applied"
+	}
+	return fmt.Sprintf("store: %s %s: its condition is of era %d, the store is in era %d", e.Call, applied, e.Expected, e.Current)
+}
+
 // RejectedError reports that the store refused a call as invalid. A write was not
 // applied.
 type RejectedError struct {
--- a/internal/operator/commander/change.go
+++ b/internal/operator/commander/change.go
@@ -161,6 +161,14 @@
 			}
 			return c.settleLost(ctx, ch, cur, ce.Current)
 		}
+		var ee *storer.EraError
+		if errors.As(err, &ee) {
+			if isLost || ee.MaybeApplied {
+				// The versions before and after cannot be compared, so that it is not known what became of the write.
+				return declarer.Object{}, unsettled(ch.key, ch.id, lastChange(&cur))
+			}
+			return declarer.Object{}, &supersededError{}
+		}
 		if !isLost && !mayBeApplied(err) {
 			return declarer.Object{}, platformRefusal(err)
 		}
