platform, registrar, keeper: the era of the store

Cause: a restored store continues with revisions that the daemons know already, and has lost what they wrote since the copy. The stand-in can be restored from a copy.

--- a/internal/standin/keeper/faultystore.go
+++ b/internal/standin/keeper/faultystore.go
@@ -19,6 +19,11 @@
 
 var _ platform.ObjectStore = (*faultyStore)(nil)
 
+// Era returns the era of the store.
+func (s *faultyStore) Era() uint64 {
+	return s.k.store.Era()
+}
+
 // List returns the objects of a kind and the revision that they are read at, with the faults OldReads and Lag applied.
 func (s *faultyStore) List(kind string) ([]platform.Object, uint64) {
 	if kind == platform.KindDaemons {
@@ -62,8 +67,8 @@
 	for {
 		h := s.k.store.readHistory(kind)
 		out, next, visible, faultsChanged := s.visibleEvents(&h, from)
-		if from < h.compacted || len(out) > 0 || timedOut {
-			return out, visible, from >= h.compacted
+		if h.lacks(from) || len(out) > 0 || timedOut {
+			return out, visible, !h.lacks(from)
 		}
 		from = next
 		select {
--- a/internal/standin/keeper/memorystore.go
+++ b/internal/standin/keeper/memorystore.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,8 +26,10 @@
 	// compacted is the revision up to which the history is dropped.
 	compacted uint64
 	revision  uint64
-	down      bool
-	calls     int
+	// era rises with each Restore.
+	era   uint64
+	down  bool
+	calls int
 	// changed is closed and replaced at each change, cut at each call of CutWatches.
 	changed, cut chan struct{}
 }
@@ -50,6 +53,7 @@
 	down, cut := s.down, s.cut
 	s.mu.Unlock()
 	if down {
+		platform.WriteEra(w.Header(), s.Era())
 		http.Error(w, "try later", http.StatusServiceUnavailable)
 		return
 	}
@@ -95,6 +99,54 @@
 	s.wakeLocked()
 }
 
+// Copy is the content of a MemoryStore at one moment.
+type Copy struct {
+	objects             map[string]map[string]platform.Object
+	history             map[string][]platform.ObjectChange
+	compacted, revision uint64
+}
+
+// Copy returns a copy of the content.
+func (s *MemoryStore) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{objects: cloneContent(s.objects), history: cloneHistory(s.history), compacted: s.compacted, revision: s.revision}
+}
+
+// Restore replaces the content by a copy and begins a new era: what was written since the copy is gone, its revisions are assigned
+// again, and watches from one of them end and report that their history is gone.
+func (s *MemoryStore) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.history = cloneContent(c.objects), cloneHistory(c.history)
+	s.compacted, s.revision = c.compacted, c.revision
+	s.era++
+	s.wakeLocked()
+}
+
+func cloneContent(objects map[string]map[string]platform.Object) map[string]map[string]platform.Object {
+	out := make(map[string]map[string]platform.Object, len(objects))
+	for kind, byName := range objects {
+		out[kind] = maps.Clone(byName)
+	}
+	return out
+}
+
+func cloneHistory(history map[string][]platform.ObjectChange) map[string][]platform.ObjectChange {
+	out := make(map[string][]platform.ObjectChange, len(history))
+	for kind, changes := range history {
+		out[kind] = slices.Clone(changes)
+	}
+	return out
+}
+
+// Era returns the number of times that the store was restored from a copy.
+func (s *MemoryStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Calls returns the number of HTTP calls so far.
 func (s *MemoryStore) Calls() int {
 	s.mu.Lock()
@@ -171,6 +223,12 @@
 	changed <-chan struct{}
 }
 
+// lacks reports whether the store does not have the history since a revision: it was compacted, or the store was restored
+// from a copy older than the revision.
+func (h *kindHistory) lacks(from uint64) bool {
+	return from < h.compacted || from > h.revision
+}
+
 // readHistory returns the present history of a kind.
 func (s *MemoryStore) readHistory(kind string) kindHistory {
 	s.mu.Lock()
@@ -190,8 +248,8 @@
 	for {
 		h := s.readHistory(kind)
 		out := slices.DeleteFunc(h.changes, func(ch platform.ObjectChange) bool { return ch.Revision <= from })
-		if from < h.compacted || len(out) > 0 {
-			return out, h.revision, from >= h.compacted
+		if h.lacks(from) || len(out) > 0 {
+			return out, h.revision, !h.lacks(from)
 		}
 		select {
 		case <-h.changed:
