relayer: cached state is ordered by era, then revision

Cause: state of an older copy has higher or equal revisions and would replace newer state, or be ignored. Change: state and polls carry positions. State of a lower era is not applied and does not count as fresh; a peer that knows another era gets the full list. An object that the copy lacks or has in an older value can be kept (KeepNewer); meanwhile the date of the state is not renewed, nor by a confirmation that lacks a change that is known.

--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/follower"
 	"cornelwood.example/internal/peer/linker"
 	"cornelwood.example/internal/time/sentry"
@@ -18,6 +19,11 @@
 // A peer that was away for longer gets the full list.
 const removalRetention = 30 * time.Second
 
+// heldRelayTime is how long after the start of an era each answer to a peer has the objects that are kept from an earlier one: a peer
+// that read the store itself may lack them. A peer polls every 0.35 s, and one that was out of reach for as long as the store
+// takes to be written again (2.2 s) gets them, too. Longer would cost a large desired state in each answer.
+const heldRelayTime = 5 * time.Second
+
 // Sink receives the state of one kind of object. Its methods are called one at a time.
 type Sink[T any] interface {
 	// Replace receives the first full list, as of a revision of the store.
@@ -35,6 +41,9 @@
 
 // Cache holds the objects of one kind, whether this daemon read them from the store or
 // a peer relayed them. It is safe for concurrent use.
+//
+// Its revisions are positions (declarer.Position), so that state of a later era of the store
+// replaces any of an earlier one, and never the other way round.
 type Cache[T any] struct {
 	kind string
 	// neverStale is true when the cached state counts as fresh at any age.
@@ -68,6 +77,15 @@
 	whole []byte
 	// lostAt is when the store stopped answering, zero while it answers.
 	lostAt time.Time
+	// onEra is called with the era of the cached state when that has changed.
+	onEra func(era uint64)
+	// isOlder reports whether a value must not replace one of an earlier era; nil means that any may.
+	isOlder func(value, than T) bool
+	// eraAt is when the cached state reached its present era.
+	eraAt time.Time
+	// ignoresConfirm is true when the last answer of the store did not show the cached state, so that its Confirm does
+	// not count.
+	ignoresConfirm bool
 }
 
 // tombstone records that an object was removed.
@@ -89,6 +107,7 @@
 		clock:      r.cfg.Clock,
 		items:      make(map[string]follower.Item[T]),
 		tombstones: make(map[string]tombstone),
+		onEra:      r.observeEra,
 	}
 	r.caches = append(r.caches, c)
 	return c
@@ -108,16 +127,31 @@
 	c.maxAge, c.onDated = maxAge, onDated
 }
 
+// KeepNewer keeps an object when the store has been restored from a copy that lacks it, or that has a value of which isOlder is true,
+// until the store has one that is not older. Meanwhile peers get the kept object, and the state's date is not renewed: the store does
+// not confirm it. Call it before Serve.
+func (c *Cache[T]) KeepNewer(isOlder func(value, than T) bool) {
+	c.isOlder = isOlder
+}
+
 // Confirm records when the call to the store was sent that confirmed the state.
 func (c *Cache[T]) Confirm(asked time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.date(asked)
+	if !c.ignoresConfirm {
+		c.date(asked)
+	}
 }
 
-// date records that the state includes all that the store had confirmed at a time of the clock.
+// isOutdated reports whether state as of a revision is of an era that the store has left.
+func (c *Cache[T]) isOutdated(revision uint64) bool {
+	return c.listed && declarer.Era(revision) < declarer.Era(c.revision)
+}
+
+// date records that the state includes all that the store had confirmed at a time of the clock. State that is kept from an earlier era
+// is not confirmed by the store.
 func (c *Cache[T]) date(at time.Duration) {
-	if c.maxAge > 0 && at > c.dated {
+	if c.maxAge > 0 && at > c.dated && !c.holdsAny() {
 		c.dated = at
 		c.onDated(at)
 	}
@@ -128,8 +162,11 @@
 	return c.maxAge == 0 || c.dated > 0 && c.clock()-c.dated <= c.maxAge
 }
 
-// acceptsAge reports whether a peer's state is young enough to count as fresh.
+// acceptsAge reports whether a peer's state is young enough to count as fresh, and not of an era that the store has left.
 func (c *Cache[T]) acceptsAge(u *update) bool {
+	if revision, _ := c.Revision(); declarer.Era(u.Revision) < declarer.Era(revision) {
+		return false
+	}
 	return c.maxAge == 0 || u.Asked > 0 && u.Asked <= c.maxAge
 }
 
@@ -146,6 +183,9 @@
 func (c *Cache[T]) Replace(items []follower.Item[T], revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ignoresConfirm = c.isOutdated(revision) || c.listed && c.changedSince(revision); c.isOutdated(revision) {
+		return
+	}
 	c.setLost(nil)
 	c.replace(items, revision, 0)
 }
@@ -157,15 +197,22 @@
 		for _, it := range items {
 			c.items[it.Name] = it
 		}
-		c.listed, c.whole = true, nil
+		c.listed, c.whole, c.eraAt = true, nil, time.Now()
 		// What was removed before is not known here: peers with older state get the full list.
 		c.compactedRevision = revision
 		c.confirm(revision, age)
+		c.onEra(declarer.Era(revision))
 		c.sink.Replace(items, revision)
 		c.sink.Confirm(c.revision)
 		c.changed.raise()
 		return
 	}
+	if declarer.Era(revision) > declarer.Era(c.revision) {
+		// What changed between the two eras is not known one by one: peers of an earlier era get the full list.
+		c.compactedRevision, c.whole, c.eraAt = revision, nil, time.Now()
+		clear(c.tombstones)
+		c.onEra(declarer.Era(revision))
+	}
 	inList := make(map[string]bool, len(items))
 	var changes []follower.Change[T]
 	for _, it := range items {
@@ -184,6 +231,9 @@
 func (c *Cache[T]) Apply(changes []follower.Change[T], revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ignoresConfirm = c.isOutdated(revision) || c.listed && c.changedSince(revision); c.isOutdated(revision) {
+		return
+	}
 	c.setLost(nil)
 	c.apply(changes, revision, 0)
 }
@@ -209,6 +259,9 @@
 // whether it did. revision is that of the list or watch that showed the change.
 func (c *Cache[T]) applyChange(ch *follower.Change[T], revision uint64) bool {
 	current, exists := c.items[ch.Name]
+	if exists && c.keeps(&current, ch, revision) {
+		return false
+	}
 	deleted, isDeleted := c.tombstones[ch.Name]
 	if ch.Removed {
 		if !exists || ch.Revision < current.Revision {
@@ -219,6 +272,11 @@
 		c.tombstones[ch.Name] = tombstone{objectRevision: ch.Revision, removalRevision: revision, at: time.Now()}
 		return true
 	}
+	if exists && c.isKeptByPeer(&current, ch) {
+		c.whole = nil
+		c.items[ch.Name] = ch.Item
+		return true
+	}
 	if exists && ch.Revision <= current.Revision || isDeleted && ch.Revision <= deleted.objectRevision {
 		return false
 	}
@@ -232,6 +290,39 @@
 	return true
 }
 
+// keeps reports whether an object stays as it is although the store has an older value, or none, since it was restored from a copy.
+// revision is that of the list or watch that showed the change.
+func (c *Cache[T]) keeps(current *follower.Item[T], ch *follower.Change[T], revision uint64) bool {
+	if c.isOlder == nil || current.Err != nil || declarer.Era(current.Revision) >= declarer.Era(revision) {
+		return false
+	}
+	return ch.Removed || ch.Err != nil || c.isOlder(ch.Value, current.Value)
+}
+
+// isKeptByPeer reports whether a change is an object that a peer keeps from an earlier era, newer than the one here.
+func (c *Cache[T]) isKeptByPeer(current *follower.Item[T], ch *follower.Change[T]) bool {
+	return c.isOlder != nil && !ch.Removed && ch.Err == nil && declarer.Era(ch.Revision) < declarer.Era(current.Revision) &&
+		(current.Err != nil || c.isOlder(current.Value, ch.Value))
+}
+
+// isHeld reports whether an object is kept from an earlier era than that of the cached state.
+func (c *Cache[T]) isHeld(it *follower.Item[T]) bool {
+	return declarer.Era(it.Revision) < declarer.Era(c.revision)
+}
+
+// holdsAny reports whether any object is kept from an earlier era.
+func (c *Cache[T]) holdsAny() bool {
+	if c.isOlder == nil {
+		return false
+	}
+	for _, it := range c.items {
+		if c.isHeld(&it) {
+			return true
+		}
+	}
+	return false
+}
+
 // confirm records that the store held nothing newer than revision age ago, and drops
 // the expired tombstones.
 func (c *Cache[T]) confirm(revision uint64, age time.Duration) {
@@ -303,6 +394,13 @@
 	return c.listed && (c.revision > revision && c.changedSince(revision) || revision == 0)
 }
 
+// isOutdatedFor reports whether a peer that knows a revision knows a later era of the store than this cache.
+func (c *Cache[T]) isOutdatedFor(revision uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return declarer.Era(revision) > declarer.Era(c.revision)
+}
+
 // changedSince reports whether an object was changed or removed after a revision.
 func (c *Cache[T]) changedSince(revision uint64) bool {
 	for _, it := range c.items {
@@ -330,11 +428,12 @@
 }
 
 // updateSince returns the update for a peer that knows a revision: the changes after it,
-// or the full list when the peer has none or the tombstones since then have been dropped.
+// or the full list when the peer has none or one of another era, or the tombstones since then have been dropped.
 func (c *Cache[T]) updateSince(revision uint64) (update, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	u := update{Kind: c.kind, Revision: c.revision, Age: time.Since(c.confirmedAt), Lost: !c.lostAt.IsZero(), Whole: revision == 0 || revision < c.compactedRevision}
+	isOtherEra := declarer.Era(revision) != declarer.Era(c.revision)
+	u := update{Kind: c.kind, Revision: c.revision, Age: time.Since(c.confirmedAt), Lost: !c.lostAt.IsZero(), Whole: revision == 0 || isOtherEra || revision < c.compactedRevision}
 	if c.dated > 0 {
 		u.Asked = max(1, c.clock()-c.dated)
 	}
@@ -344,8 +443,9 @@
 		return u, err
 	}
 	var entries []entry[T]
+	tellsHeld := time.Since(c.eraAt) < heldRelayTime
 	for _, it := range c.items {
-		if it.Revision > revision {
+		if it.Revision > revision || tellsHeld && c.isHeld(&it) {
 			entries = append(entries, encodeItem(it))
 		}
 	}
@@ -440,6 +540,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isOutdated(u.Revision) {
+		return nil
+	}
+	isDated := u.Asked > 0 && !(c.listed && c.changedSince(u.Revision))
 	if !u.Lost && u.Age < time.Since(c.confirmedAt) {
 		c.setLost(nil)
 	}
@@ -458,7 +562,7 @@
 	} else {
 		c.apply(changes, u.Revision, u.Age)
 	}
-	if u.Asked > 0 {
+	if isDated {
 		c.date(answered - u.Asked)
 	}
 	return nil
--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -89,6 +89,7 @@
 	name() string
 	Revision() (uint64, bool)
 	hasNewerThan(revision uint64) bool
+	isOutdatedFor(revision uint64) bool
 	isFresh(maxAge time.Duration) bool
 	isCurrent(maxAge time.Duration) bool
 	isLost() bool
@@ -161,6 +162,8 @@
 	self   declarer.Member
 	caller Caller
 	log    hclog.Logger
+	// onEra is called with the era of the store's state when a cache has reached a later one; nil means that nothing is.
+	onEra func(era uint64)
 	// cacheChanged is raised when a cache changes or the store stops answering.
 	cacheChanged signal
 	caches       []cache
@@ -205,6 +208,18 @@
 	}
 }
 
+// OnEra sets a function that is called with each era of the store that a cache reaches, which a peer may have relayed, or that a polling
+// peer knows. It may be called several times with the same one, from several goroutines. Call it before Serve.
+func (r *Relayer) OnEra(f func(era uint64)) {
+	r.onEra = f
+}
+
+func (r *Relayer) observeEra(era uint64) {
+	if r.onEra != nil && era > 0 {
+		r.onEra(era)
+	}
+}
+
 // String names the service for its supervisor.
 func (r *Relayer) String() string {
 	return "relayer"
@@ -603,6 +618,9 @@
 	if err := linker.Decode(body, &in); err != nil {
 		return nil, err
 	}
+	for _, revision := range in.Revisions {
+		r.observeEra(declarer.Era(revision))
+	}
 	r.observer.Merge(in.Observations)
 	r.recent.add(batch{source: in.From, zone: in.Zone, observations: in.Observations})
 	timeout := time.NewTimer(in.Wait)
@@ -652,7 +670,7 @@
 		return true
 	}
 	for _, c := range r.caches {
-		if c.hasNewerThan(in.Revisions[c.name()]) || !c.isFresh(r.cfg.MaxAge) {
+		if c.hasNewerThan(in.Revisions[c.name()]) || c.isOutdatedFor(in.Revisions[c.name()]) || !c.isFresh(r.cfg.MaxAge) {
 			return true
 		}
 	}
