locator: searchers, zones and daemons that a restored store lost

Cause: an older copy lacks searchers that run, lists searchers as ready that drain, and lacks zones that were taken out. Measured: tests of internal/route/locator pass.

--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -50,6 +50,20 @@
 	// graceUntil is when removals of entries take effect at once again after an outage of the store.
 	graceUntil time.Time
 	storeDown  bool
+	// heldZones holds the zones that stay out of service although a restored store has no record of it, and until when.
+	heldZones map[string]time.Time
+	// closuresRevision and membersRevision are the revisions of the last change of each.
+	closuresRevision, membersRevision uint64
+	// heldMembers holds the daemons that a restored store lacks, and until when they stay.
+	heldMembers map[string]time.Time
+	// departed holds the searchers that were removed in the last departedTime.
+	departed map[string]departure
+}
+
+// departure is the removal of a searcher whose process was that of born.
+type departure struct {
+	born int64
+	at   time.Time
 }
 
 // entry is a registered searcher.
@@ -59,6 +73,9 @@
 	// expiresAt is when a searcher whose entry was removed during or after an outage of the store is removed; zero
 	// for one that is registered.
 	expiresAt time.Time
+	// heldUntil is until when a searcher gets no request because a restored store lists it as it was before it left; zero
+	// for any other.
+	heldUntil time.Time
 }
 
 // New returns a Locator of the daemon self without any state.
@@ -71,6 +88,9 @@
 		closedZones: make(map[string]bool),
 		openings:    make(map[string]opening),
 		members:     make(map[string]declarer.Member),
+		heldZones:   make(map[string]time.Time),
+		heldMembers: make(map[string]time.Time),
+		departed:    make(map[string]departure),
 	}
 	l.view.Store(&View{})
 	return l
@@ -105,22 +125,29 @@
 	}
 }
 
-// expire removes the searchers that have expired and returns the time until the next one does, 0 when there is none.
-// None expires during an outage of the store.
+// expire ends what is kept or held for a time, and returns the time until the next end, 0 when there is none. Nothing ends
+// during an outage of the store, in which nobody can register.
 func (l *Locator) expire(now time.Time) time.Duration {
+	if l.storeDown {
+		return 0
+	}
 	var next time.Duration
+	hasExpired := func(at time.Time) bool {
+		left := at.Sub(now)
+		if left > 0 && (next == 0 || left < next) {
+			next = left
+		}
+		return left <= 0
+	}
+	l.expireHeld(hasExpired)
 	for id, e := range l.searchers {
-		if e.expiresAt.IsZero() || l.storeDown {
-			continue
+		if !e.heldUntil.IsZero() && hasExpired(e.heldUntil) {
+			e.heldUntil = time.Time{}
+			l.log.Info("searcher no longer held back", "searcher", id, "service", e.Service, "draining", e.Draining)
 		}
-		left := e.expiresAt.Sub(now)
-		if left <= 0 {
+		if !e.expiresAt.IsZero() && hasExpired(e.expiresAt) {
 			l.log.Info("searcher removed", "searcher", id, "service", e.Service, "reason", "not registered again after a store outage")
-			delete(l.searchers, id)
-			continue
-		}
-		if next == 0 || left < next {
-			next = left
+			l.remove(id, e)
 		}
 	}
 	return next
@@ -149,7 +176,7 @@
 	v.gathered = l.gatheredServices(limits)
 	memberCounts := l.membersByZone()
 	for _, e := range l.searchers {
-		if e.Draining || l.closedZones[e.Zone] {
+		if e.Draining || !e.heldUntil.IsZero() || l.closedZones[e.Zone] {
 			continue
 		}
 		limit := limits[e.Service]
--- /dev/null
+++ b/internal/route/locator/restore.go
@@ -0,0 +1,105 @@
+package locator
+
+import (
+	"maps"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/control/follower"
+)
+
+// departedTime is how long a removed searcher is remembered. The copy that a store is restored from is some seconds old.
+const departedTime = 30 * time.Second
+
+// isRestored reports whether a change as of a revision shows that the store was restored from an older copy since the revision known.
+func isRestored(known, revision uint64) bool {
+	return declarer.Era(revision) > declarer.Era(known)
+}
+
+// restoreSearchers prepares the first list of a new era: searchers that it lacks are kept as in an outage of the store.
+func (l *Locator) restoreSearchers(revision uint64) {
+	l.extendGrace()
+	l.log.Warn("store restored from an older copy", "kind", "searchers", "era", declarer.Era(revision), "revision", declarer.Revision(revision), "held", reregisterTime)
+}
+
+// extendGrace gives everything that is kept or held reregisterTime from now.
+func (l *Locator) extendGrace() {
+	l.graceUntil = time.Now().Add(reregisterTime)
+	for _, e := range l.searchers {
+		if !e.expiresAt.IsZero() {
+			e.expiresAt = l.graceUntil
+		}
+		if !e.heldUntil.IsZero() {
+			e.heldUntil = l.graceUntil
+		}
+	}
+	for zone := range l.heldZones {
+		l.heldZones[zone] = l.graceUntil
+	}
+	for id := range l.heldMembers {
+		l.heldMembers[id] = l.graceUntil
+	}
+}
+
+// holdRevived holds a searcher back that the first list of a new era has, if it was draining or removed in the same lifetime of its
+// process: that was written after the copy and is written again, which ends the hold.
+func (l *Locator) holdRevived(it follower.Item[declarer.Searcher], old *entry) {
+	e, known := l.searchers[it.Name]
+	if !known || e.Draining {
+		return
+	}
+	d, isDeparted := l.departed[it.Name]
+	isRevived := isDeparted && d.born == e.Born && time.Since(d.at) < departedTime
+	if old != nil {
+		if old.Searcher == e.Searcher {
+			// The same entry in a new era: the warm-up time does not begin again.
+			e.warmAt = old.warmAt
+		}
+		isRevived = (old.Draining || !old.heldUntil.IsZero()) && old.Born == e.Born
+	}
+	if isRevived {
+		e.heldUntil = l.graceUntil
+		l.log.Info("searcher held back: a restored store lists it as it was before it left", "searcher", it.Name, "service", e.Service, "revision", it.Revision)
+	}
+}
+
+// remove removes a searcher and remembers it for departedTime.
+func (l *Locator) remove(id string, e *entry) {
+	now := time.Now()
+	maps.DeleteFunc(l.departed, func(_ string, d departure) bool { return now.Sub(d.at) >= departedTime })
+	l.departed[id] = departure{born: e.Born, at: now}
+	delete(l.searchers, id)
+}
+
+// holdZones keeps the zones out of service that the first list of a new era lacks.
+func (l *Locator) holdZones(zones []string, revision uint64) {
+	until := time.Now().Add(reregisterTime)
+	for _, zone := range zones {
+		l.heldZones[zone] = until
+		l.log.Warn("availability zone stays out for now: the restored store has no record of it", "zone", zone, "era", declarer.Era(revision), "held", reregisterTime)
+	}
+}
+
+// expireHeld brings the zones back and removes the daemons whose hold has expired.
+func (l *Locator) expireHeld(hasExpired func(at time.Time) bool) {
+	closed := maps.Clone(l.closedZones)
+	var opened []string
+	for zone, until := range l.heldZones {
+		if hasExpired(until) {
+			delete(l.heldZones, zone)
+			delete(closed, zone)
+			opened = append(opened, zone)
+		}
+	}
+	if len(opened) > 0 {
+		l.setClosedZones(closed)
+		l.open(opened, l.closuresRevision)
+	}
+	for id, until := range l.heldMembers {
+		if hasExpired(until) {
+			delete(l.heldMembers, id)
+			delete(l.members, id)
+			l.log.Info("daemon removed", "daemon", id, "reason", "not registered again after the store was restored")
+		}
+	}
+}
--- a/internal/route/locator/sink.go
+++ b/internal/route/locator/sink.go
@@ -100,12 +100,20 @@
 		return
 	}
 	s.l.enqueue(func() {
+		restored := isRestored(s.l.revision, revision)
+		if restored {
+			s.l.restoreSearchers(revision)
+		}
 		for _, c := range changes {
 			if c.Removed {
 				s.l.deregister(c.Name)
 				continue
 			}
+			old := s.l.searchers[c.Name]
 			s.l.register(c.Item)
+			if restored {
+				s.l.holdRevived(c.Item, old)
+			}
 		}
 		s.l.revision = revision
 	})
@@ -130,12 +138,7 @@
 func (s *searcherSink) Regained(after time.Duration) {
 	s.l.enqueue(func() {
 		s.l.storeDown = false
-		s.l.graceUntil = time.Now().Add(reregisterTime)
-		for _, e := range s.l.searchers {
-			if !e.expiresAt.IsZero() {
-				e.expiresAt = s.l.graceUntil
-			}
-		}
+		s.l.extendGrace()
 		s.l.log.Info("store reachable again", "kind", "searchers", "after", after)
 	})
 }
@@ -175,7 +178,7 @@
 		return
 	}
 	l.log.Info("searcher removed", "searcher", id, "service", e.Service, "reason", "its entry was removed")
-	delete(l.searchers, id)
+	l.remove(id, e)
 }
 
 // closureSink receives the availability zones that operators have taken out.
@@ -184,8 +187,9 @@
 }
 
 // Replace closes the listed zones and reopens the others.
-func (s *closureSink) Replace(items []follower.Item[string], _ uint64) {
+func (s *closureSink) Replace(items []follower.Item[string], revision uint64) {
 	s.l.enqueue(func() {
+		s.l.closuresRevision = revision
 		closed := make(map[string]bool)
 		for _, it := range items {
 			if it.Err == nil {
@@ -206,8 +210,15 @@
 		for zone := range s.l.closedZones {
 			closed[zone] = true
 		}
-		var opened []string
+		restored := isRestored(s.l.closuresRevision, revision)
+		s.l.closuresRevision = revision
+		var opened, held []string
 		for _, c := range changes {
+			if c.Removed && restored {
+				held = append(held, c.Name)
+				continue
+			}
+			delete(s.l.heldZones, c.Name)
 			if c.Removed {
 				delete(closed, c.Name)
 				opened = append(opened, c.Name)
@@ -215,6 +226,7 @@
 			}
 			closed[c.Name] = true
 		}
+		s.l.holdZones(held, revision)
 		s.l.setClosedZones(closed)
 		s.l.open(opened, revision)
 	})
@@ -253,8 +265,9 @@
 }
 
 // Replace replaces all members by the listed ones.
-func (s *memberSink) Replace(items []follower.Item[declarer.Member], _ uint64) {
+func (s *memberSink) Replace(items []follower.Item[declarer.Member], revision uint64) {
 	s.l.enqueue(func() {
+		s.l.membersRevision = revision
 		clear(s.l.members)
 		for _, it := range items {
 			s.l.addMember(it)
@@ -262,10 +275,20 @@
 	})
 }
 
-// Apply adds and removes members.
-func (s *memberSink) Apply(changes []follower.Change[declarer.Member], _ uint64) {
+// Apply adds and removes members. Those that a restored store lacks stay until they have had time to register again.
+func (s *memberSink) Apply(changes []follower.Change[declarer.Member], revision uint64) {
+	if len(changes) == 0 {
+		return
+	}
 	s.l.enqueue(func() {
+		restored := isRestored(s.l.membersRevision, revision)
+		s.l.membersRevision = revision
 		for _, c := range changes {
+			if c.Removed && restored {
+				s.l.heldMembers[c.Name] = time.Now().Add(reregisterTime)
+				continue
+			}
+			delete(s.l.heldMembers, c.Name)
 			if c.Removed {
 				delete(s.l.members, c.Name)
 				continue
