--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -182,8 +182,12 @@
 	r.linker.Handle(relayer.CallName(), r.relayer.Handle)
 	members := relayer.NewCache("members", r.locator.Members(), r.relayer).NeverStale()
 	r.registrar = registrar.New(self, settings.Store.Bootstrap, r.store, r.log.Named("control"))
+	r.store.OnEra(r.observeEra)
+	// Most daemons call the store rarely and learn of an era from their peers.
+	r.relayer.OnEra(func(era uint64) { r.store.ObserveEra(era) })
 	cfg := follower.Default()
 	routings := relayer.NewCache("routing", r.locator.Routings(), r.relayer)
+	routings.KeepNewer(func(value, than *declarer.Routing) bool { return value.Version < than.Version })
 	if settings.Account.Strict {
 		routings.LimitAge(fraction(settings.Account.Revoke, keyReadyShare), r.locator.ConfirmRouting)
 	}
@@ -195,6 +199,12 @@
 	}
 }
 
+// observeEra records that the store has reached an era. It is called with each higher one.
+func (r *Router) observeEra(era uint64) {
+	r.log.Named("control").Info("era of the store known", "era", era)
+	r.registrar.ObserveEra(era)
+}
+
 // storeCheckTimeout bounds a check of the store, which answers in milliseconds.
 const storeCheckTimeout = 300 * time.Millisecond
 
