--- /dev/null
+++ b/internal/route/locator/restore_test.go
@@ -0,0 +1,178 @@
+package locator
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cornelwood.example/internal/contract/declarer"
+	"cornelwood.example/internal/control/follower"
+)
+
+// inEra returns the position of a revision in era 1.
+func inEra(revision uint64) uint64 {
+	p, err := declarer.Position(1, revision)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// withState returns a searcher in zone "a" with a state of its lifetime.
+func withState(id string, revision uint64, draining bool, born int64) follower.Item[declarer.Searcher] {
+	it := searcher(id, "a")
+	it.Revision, it.Value.Draining, it.Value.Born = revision, draining, born
+	return it
+}
+
+// present returns the changes that a list without removals causes.
+func present[T any](items ...follower.Item[T]) []follower.Change[T] {
+	var out []follower.Change[T]
+	for _, it := range items {
+		out = append(out, follower.Change[T]{Item: it})
+	}
+	return out
+}
+
+// TestRestoredSearchers guards against searchers that get no requests because a restored store lacks them, and against requests to those
+// that it lists as they were before they left.
+func TestRestoredSearchers(t *testing.T) {
+	removal := func(id string) follower.Change[declarer.Searcher] {
+		return follower.Change[declarer.Searcher]{Item: follower.Item[declarer.Searcher]{Name: id}, Removed: true}
+	}
+	for _, tt := range []struct {
+		name string
+		// before changes the searchers "s1" and "s2" at revision 10, restored is the first list of era 1, at revision 5, and
+		// after follows it.
+		before, restored, after []follower.Change[declarer.Searcher]
+		// want are the searchers that get requests after restored, after after, and after 2.2 s.
+		want [3]string
+	}{
+		{"missing", nil, []follower.Change[declarer.Searcher]{removal("s1")}, nil, [3]string{"s1 s2", "s1 s2", "s2"}},
+		{"missing, registers again", nil, []follower.Change[declarer.Searcher]{removal("s1")}, present(withState("s1", inEra(7), false, 1)), [3]string{"s1 s2", "s1 s2", "s1 s2"}},
+		{"missing and draining", present(withState("s1", 10, true, 1)), []follower.Change[declarer.Searcher]{removal("s1")}, nil, [3]string{"s2", "s2", "s2"}},
+		{"was draining, listed as ready", present(withState("s1", 10, true, 1)), present(withState("s1", inEra(5), false, 1)), nil, [3]string{"s2", "s2", "s1 s2"}},
+		{"was draining, drains again", present(withState("s1", 10, true, 1)), present(withState("s1", inEra(5), false, 1)), present(withState("s1", inEra(7), true, 1)), [3]string{"s2", "s2", "s2"}},
+		{"was draining, new lifetime", present(withState("s1", 10, true, 1)), present(withState("s1", inEra(5), false, 2)), nil, [3]string{"s1 s2", "s1 s2", "s1 s2"}},
+		{"had left, listed again", []follower.Change[declarer.Searcher]{removal("s1")}, present(withState("s1", inEra(5), false, 0)), nil, [3]string{"s2", "s2", "s1 s2"}},
+		{"had left, new lifetime", []follower.Change[declarer.Searcher]{removal("s1")}, present(withState("s1", inEra(5), false, 2)), nil, [3]string{"s1 s2", "s1 s2", "s1 s2"}},
+		{"unchanged", nil, present(withState("s1", inEra(2), false, 0)), nil, [3]string{"s1 s2", "s1 s2", "s1 s2"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withLocator(t, func(l *Locator) {
+				l.Searchers().Apply(tt.before, 10)
+				l.Searchers().Apply(tt.restored, inEra(5))
+				assertSearchers(t, l, tt.want[0])
+				time.Sleep(reregisterTime / 2)
+				l.Searchers().Apply(tt.after, inEra(7))
+				assertSearchers(t, l, tt.want[1])
+				time.Sleep(reregisterTime/2 + time.Millisecond)
+				assertSearchers(t, l, tt.want[2])
+			})
+		})
+	}
+}
+
+// TestRestoredWhileDown guards against a hold that ends while the store is away, when nobody can write again what the copy lacks.
+func TestRestoredWhileDown(t *testing.T) {
+	withLocator(t, func(l *Locator) {
+		l.Searchers().Apply(present(withState("s1", 10, true, 1)), 10)
+		l.Searchers().Apply(present(withState("s1", inEra(5), false, 1)), inEra(5))
+		l.Searchers().Lost(nil)
+		time.Sleep(2 * reregisterTime)
+		assertSearchers(t, l, "s2")
+		l.Searchers().Regained(time.Second)
+		time.Sleep(reregisterTime / 2)
+		assertSearchers(t, l, "s2")
+		time.Sleep(reregisterTime/2 + time.Millisecond)
+		assertSearchers(t, l, "s1 s2")
+	})
+}
+
+// TestRestoredWarmUp guards against a fleet that treats every searcher as cold again because its entry has a position of a new era.
+func TestRestoredWarmUp(t *testing.T) {
+	withLocator(t, func(l *Locator) {
+		cold := withState("s1", 10, false, 1)
+		cold.Value.ColdFor = 5 * time.Second
+		l.Searchers().Apply(present(cold), 10)
+		synctest.Wait()
+		warmAt := l.View().Searchers("svc")
+		time.Sleep(3 * time.Second)
+		cold.Revision = inEra(5)
+		l.Searchers().Apply(present(cold), inEra(5))
+		synctest.Wait()
+		for _, before := range warmAt {
+			for _, s := range l.View().Searchers("svc") {
+				if s.ID == before.ID && !s.WarmAt.Equal(before.WarmAt) {
+					t.Errorf("searcher %s is warm %s later than before the restore", s.ID, s.WarmAt.Sub(before.WarmAt))
+				}
+			}
+		}
+	})
+}
+
+// TestRestoredZones guards against requests to a zone that was taken out and that a restored store has no record of.
+func TestRestoredZones(t *testing.T) {
+	zone := func(revision uint64) follower.Item[string] {
+		return follower.Item[string]{Name: "a", Value: "a", Revision: revision}
+	}
+	for _, tt := range []struct {
+		name  string
+		after []follower.Change[string]
+		want  string
+	}{
+		{"not written again", nil, "s1 s2"},
+		{"taken out again", present(zone(inEra(7))), "s2"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withLocator(t, func(l *Locator) {
+				l.Closures().Replace(nil, 9)
+				l.Closures().Apply(change(zone(10), false), 10)
+				assertSearchers(t, l, "s2")
+				l.Closures().Apply(change(zone(10), true), inEra(5))
+				time.Sleep(reregisterTime / 2)
+				assertSearchers(t, l, "s2")
+				l.Closures().Apply(tt.after, inEra(7))
+				assertSearchers(t, l, "s2")
+				time.Sleep(reregisterTime/2 + time.Millisecond)
+				assertSearchers(t, l, tt.want)
+				// In the same era a zone returns at once.
+				l.Closures().Apply(change(zone(inEra(7)), true), inEra(9))
+				assertSearchers(t, l, "s1 s2")
+			})
+		})
+	}
+}
+
+// TestRestoredDesiredState guards against a desired state that goes back to that of the copy.
+func TestRestoredDesiredState(t *testing.T) {
+	withLocator(t, func(l *Locator) {
+		l.Routings().Apply(present(routing(2)), inEra(5))
+		synctest.Wait()
+		if v := l.View().Version(); v != 3 {
+			t.Errorf("version %d in force, want 3", v)
+		}
+	})
+}
+
+// TestRestoredMembers guards against daemons that are no longer polled because a restored store lacks their records.
+func TestRestoredMembers(t *testing.T) {
+	withLocator(t, func(l *Locator) {
+		it := follower.Item[declarer.Member]{Name: "m", Value: declarer.Member{ID: "m", Zone: "a"}}
+		l.Members().Replace([]follower.Item[declarer.Member]{it}, 10)
+		l.Members().Apply(change(it, true), inEra(5))
+		assertMembers := func(want int) {
+			t.Helper()
+			synctest.Wait()
+			if n := len(l.View().Members()); n != want {
+				t.Errorf("%d daemons known, want %d", n, want)
+			}
+		}
+		time.Sleep(reregisterTime / 2)
+		assertMembers(1)
+		time.Sleep(reregisterTime/2 + time.Millisecond)
+		assertMembers(0)
+		l.Members().Apply(change(it, false), inEra(7))
+		assertMembers(1)
+	})
+}
