locator, promoter: the status of a roll-out does not go back with the store

Cause: a restored store has an earlier status, or lacks the order: a version that was rolled back got requests again, and a completed one only its share. An order that was written again after its completion also turned away searchers of later versions. A completed order keeps the revision of its completion. Measured: TestRestoredRollouts, TestLostStatus; tests of internal/route pass.

--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -179,6 +179,7 @@
 	v.gathered = l.gatheredServices(limits)
 	memberCounts := l.membersByZone()
 	known := l.rollouts.knownRevision()
+	v.lostStatuses = l.lostStatuses()
 	v.trials, v.awaitsRollouts = l.newTrials(), l.rollouts.isFollowed && !l.rollouts.listed
 	awaits := false
 	for _, e := range l.searchers {
--- a/internal/route/locator/restore.go
+++ b/internal/route/locator/restore.go
@@ -36,6 +36,11 @@
 	for zone := range l.heldZones {
 		l.heldZones[zone] = l.graceUntil
 	}
+	for _, o := range l.rollouts.orders {
+		if !o.heldUntil.IsZero() {
+			o.heldUntil = l.graceUntil
+		}
+	}
 	for id := range l.heldMembers {
 		l.heldMembers[id] = l.graceUntil
 	}
@@ -80,7 +85,7 @@
 	}
 }
 
-// expireHeld brings the zones back and removes the daemons whose hold has expired.
+// expireHeld brings the zones back and removes the roll-outs and the daemons whose hold has expired.
 func (l *Locator) expireHeld(hasExpired func(at time.Time) bool) {
 	closed := maps.Clone(l.closedZones)
 	var opened []string
@@ -95,6 +100,11 @@
 		l.setClosedZones(closed)
 		l.open(opened, l.closuresRevision)
 	}
+	for name, o := range l.rollouts.orders {
+		if !o.heldUntil.IsZero() && hasExpired(o.heldUntil) {
+			l.withdraw(name, l.rollouts.revision)
+		}
+	}
 	for id, until := range l.heldMembers {
 		if hasExpired(until) {
 			delete(l.heldMembers, id)
@@ -103,3 +113,62 @@
 		}
 	}
 }
+
+// progress orders the statuses of one order: a status never goes back.
+func progress(r *declarer.Rollout) int {
+	switch {
+	case r.IsFinal():
+		return 3
+	case r.Moving:
+		return 2
+	case r.State != "":
+		return 1
+	default:
+		return 0
+	}
+}
+
+// keepStatus keeps the status of an order where a restored store has an earlier one, until it has been written again.
+func (l *Locator) keepStatus(o, old *order) {
+	if progress(&old.Rollout) >= progress(&o.Rollout) {
+		o.since = old.since
+	}
+	if progress(&old.Rollout) <= progress(&o.Rollout) {
+		return
+	}
+	o.State, o.Moving, o.Started, o.Reason = old.State, old.Moving, old.Started, old.Reason
+	o.behindSince = time.Now()
+	l.log.Warn("status of roll-out kept: the restored store has an earlier one", "rollout", o.Name, "service", o.Service, "target", o.Target,
+		"state", o.State, "moving", o.Moving, "era", declarer.Era(o.revision))
+}
+
+// holdOrder keeps an order that a restored store lacks until the operator has had time to write it again.
+func (l *Locator) holdOrder(o *order, revision uint64) {
+	o.heldUntil = time.Now().Add(reregisterTime)
+	l.log.Warn("roll-out kept for now: the restored store has no record of it", "rollout", o.Name, "service", o.Service, "target", o.Target,
+		"state", o.State, "era", declarer.Era(revision), "held", reregisterTime)
+}
+
+// lostStatuses returns the roll-outs of which the store has an earlier status than this daemon knows.
+func (l *Locator) lostStatuses() []LostStatus {
+	var lost []LostStatus
+	for _, o := range l.rollouts.orders {
+		if !o.behindSince.IsZero() {
+			lost = append(lost, LostStatus{Rollout: o.Rollout, Revision: o.revision, Since: o.behindSince})
+		}
+	}
+	return lost
+}
+
+// LostStatus is a status of a roll-out that a restored store has lost.
+type LostStatus struct {
+	Rollout declarer.Rollout
+	// Revision is the revision of the order in the store, and Since when this daemon learned of the loss.
+	Revision uint64
+	Since    time.Time
+}
+
+// LostStatuses returns the statuses that a restored store has lost. The slice must not be changed.
+func (v *View) LostStatuses() []LostStatus {
+	return v.lostStatuses
+}
--- a/internal/route/locator/restore_test.go
+++ b/internal/route/locator/restore_test.go
@@ -176,3 +176,65 @@
 		assertMembers(1)
 	})
 }
+
+// TestRestoredRollouts guards against a status that goes back with the copy, so that a bad version gets requests again or a good one
+// none, and against an order that is forgotten because the copy lacks it.
+func TestRestoredRollouts(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// known is the status that the copy lacks, restored what the copy has.
+		known    follower.Item[declarer.Rollout]
+		restored []follower.Item[declarer.Rollout]
+		// wantAny are the searchers that get any request after the restore, wantLost is the status to be written again.
+		wantAny  string
+		wantLost declarer.RolloutState
+	}{
+		{"completed, running again", rollout("v2", declarer.RolloutCompleted, false, 8), []follower.Item[declarer.Rollout]{rollout("v2", declarer.RolloutRunning, false, inEra(5))}, "new next", declarer.RolloutCompleted},
+		{"completed in the copy, too", rollout("v2", declarer.RolloutCompleted, false, 8), []follower.Item[declarer.Rollout]{rollout("v2", declarer.RolloutCompleted, false, inEra(5))}, "new next", ""},
+		{"rolled back, without a status again", rollout("v2", declarer.RolloutRolledBack, false, 8), []follower.Item[declarer.Rollout]{rollout("v2", "", false, inEra(5))}, "next old", declarer.RolloutRolledBack},
+		{"rolled back, order missing", rollout("v2", declarer.RolloutRolledBack, false, 8), nil, "next old", ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withRollouts(t, func(l *Locator) {
+				l.list(4, rollout("v2", "", false, 4))
+				l.addSearcher(versioned("new", "v2", 6))
+				l.list(8, tt.known)
+				l.addSearcher(versioned("next", "v3", 9))
+				l.confirm(9)
+				sink := &rolloutSink{l}
+				if tt.restored == nil {
+					sink.Apply(change(tt.known, true), inEra(5))
+				} else {
+					sink.Apply(present(tt.restored...), inEra(5))
+				}
+				assertVersions(t, l, tt.wantAny, "")
+				assertLost := func(want declarer.RolloutState) {
+					t.Helper()
+					got := declarer.RolloutState("")
+					for _, lost := range l.View().LostStatuses() {
+						got = lost.Rollout.State
+					}
+					if got != want {
+						t.Errorf("status to be written again %q, want %q", got, want)
+					}
+				}
+				assertLost(tt.wantLost)
+				// The operator writes the order again before the status is written; the store keeps the status of the copy.
+				again, wantLost := rollout("v2", "", false, inEra(7)), tt.wantLost
+				if tt.restored != nil {
+					again.Value = tt.restored[0].Value
+				} else {
+					wantLost = tt.known.Value.State
+				}
+				sink.Apply(present(again), inEra(7))
+				assertVersions(t, l, tt.wantAny, "")
+				assertLost(wantLost)
+				written := tt.known
+				written.Revision = inEra(8)
+				sink.Apply(present(written), inEra(8))
+				assertVersions(t, l, tt.wantAny, "")
+				assertLost("")
+			})
+		})
+	}
+}
--- a/internal/route/locator/rollouts.go
+++ b/internal/route/locator/rollouts.go
@@ -43,6 +43,14 @@
 	learnedAt, movedAt time.Time
 	// isVetoed is true when the deciding daemon has told that the version is bad.
 	isVetoed bool
+	// since is the revision by which a completed order counts as later than a searcher: that of its status, in the era in which
+	// that became known here.
+	since uint64
+	// behindSince is since when the store has an earlier status than the one known here, because it was restored from a copy;
+	// zero while it has that one.
+	behindSince time.Time
+	// heldUntil is until when an order stays that a restored store lacks; zero for any other.
+	heldUntil time.Time
 }
 
 // Trial is a roll-out that is running. It is immutable.
@@ -109,7 +117,12 @@
 // Apply applies changed roll-outs.
 func (s *rolloutSink) Apply(changes []follower.Change[declarer.Rollout], revision uint64) {
 	s.enqueue(revision, func(r *rollouts) {
+		restored := isRestored(r.revision, revision)
 		for _, c := range changes {
+			if c.Removed && restored && r.orders[c.Name] != nil {
+				s.l.holdOrder(r.orders[c.Name], revision)
+				continue
+			}
 			if c.Removed {
 				s.l.withdraw(c.Name, revision)
 				delete(r.faulty, c.Name)
@@ -189,14 +202,21 @@
 	if old != nil && it.Revision <= old.revision {
 		return
 	}
-	o := &order{Rollout: it.Value, revision: it.Revision, learnedAt: time.Now()}
+	o := &order{Rollout: it.Value, revision: it.Revision, learnedAt: time.Now(), since: it.Revision}
 	switch {
 	case old == nil:
+	case (isRestored(old.revision, it.Revision) || !old.behindSince.IsZero()) && old.Service == o.Service && old.Target == o.Target:
+		o.learnedAt, o.movedAt, o.isVetoed = old.learnedAt, old.movedAt, old.isVetoed
+		l.keepStatus(o, old)
 	case old.Service != o.Service || old.Target != o.Target || old.IsFinal() && !o.IsFinal():
 		// Another order, or the same one given again after the object was created anew.
 		l.withdraw(it.Name, it.Revision)
 	default:
 		o.learnedAt, o.movedAt, o.isVetoed = old.learnedAt, old.movedAt, old.isVetoed
+		if old.State == declarer.RolloutCompleted && o.State == declarer.RolloutCompleted {
+			// Written again: searchers that appeared after the completion stay.
+			o.since = old.since
+		}
 	}
 	if o.Moving && o.movedAt.IsZero() {
 		o.movedAt = time.Now()
@@ -211,7 +231,7 @@
 		add(r.accepted, o.Service, o.Target, true)
 	}
 	l.log.Info("roll-out changed", "rollout", o.Name, "service", o.Service, "target", o.Target, "limit", o.Limit,
-		"state", o.State, "moving", o.Moving, "reason", o.Reason, "revision", o.revision)
+		"state", o.State, "moving", o.Moving, "reason", o.Reason, "revision", o.revision, "behind", !o.behindSince.IsZero())
 }
 
 // withdraw removes a roll-out, as of a revision. The searchers of its version that are there stay without requests unless
@@ -295,7 +315,7 @@
 		return awaited
 	case o != nil && o.Target == e.Version:
 		return onTrial
-	case o != nil && e.appearedAt < o.revision:
+	case o != nil && e.appearedAt < o.since:
 		// The version that a completed roll-out replaced: its searchers stop at any moment.
 		return refused
 	case e.appearedAt <= r.withdrawn[e.Service][e.Version] && l.hasOtherVersion(e):
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -29,6 +29,8 @@
 	selfSufficient *sync.Map
 	// trials holds the roll-outs that are running, by service.
 	trials map[string]*Trial
+	// lostStatuses is LostStatuses.
+	lostStatuses []LostStatus
 	// awaitsRollouts is true while the roll-outs have not been received and are needed.
 	awaitsRollouts bool
 	// routingAt is the boot clock's time at which the call to the store was sent that last confirmed the desired state, 0 if
--- a/internal/route/promoter/promoter.go
+++ b/internal/route/promoter/promoter.go
@@ -136,6 +136,31 @@
 		if p.mustDecide(trials, time.Now()) {
 			p.decideAll(ctx, trials)
 		}
+		p.writeLost(ctx, time.Now())
+	}
+}
+
+// maxWriters is the number of first-ranked daemons that write a lost status again, each TakeoverStep later than the one before.
+const maxWriters = 4
+
+// writeLost writes the statuses again that a restored store has lost, so that a daemon that starts does not go back behind them.
+func (p *Promoter) writeLost(ctx context.Context, now time.Time) {
+	rank := len(p.rankedBefore())
+	if rank >= maxWriters {
+		return
+	}
+	for _, lost := range p.views.View().LostStatuses() {
+		if now.Sub(lost.Since) < time.Duration(rank)*p.cfg.TakeoverStep {
+			continue
+		}
+		r := lost.Rollout
+		revision, err := p.write(ctx, &r, lost.Revision)
+		if err != nil {
+			p.log.Warn("lost status of roll-out not written again", "rollout", r.Name, "state", r.State, "revision", lost.Revision, "error", err)
+			continue
+		}
+		p.log.Info("lost status of roll-out written again", "rollout", r.Name, "state", r.State, "revision", revision)
+		p.notify(ctx, &r, revision)
 	}
 }
 
--- a/internal/route/promoter/promoter_test.go
+++ b/internal/route/promoter/promoter_test.go
@@ -325,6 +325,28 @@
 	})
 }
 
+// TestLostStatus guards against a status that stays lost after the store was restored, so that a daemon that starts later goes back
+// behind it, and against a write on the revision of before.
+func TestLostStatus(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		t.Run(fmt.Sprintf("first daemon there %t", first), func(t *testing.T) {
+			withFleet(t, 3, func(f *fleet) {
+				f.set(func() { f.isBad = true })
+				time.Sleep(12 * time.Second)
+				if !first {
+					f.loseFirst()
+				}
+				restored, err := declarer.Position(1, 3)
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.set(func() { f.rollout, f.revision, f.history = order("", false), restored, nil })
+				f.assertHistory(3*time.Second, "rolled_back")
+			})
+		})
+	}
+}
+
 // TestPromoterRanks covers the choice of the deciding daemon: the first-ranked one, and the others in turn when it is silent.
 func TestPromoterRanks(t *testing.T) {
 	withFleet(t, 3, func(f *fleet) {
