--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -548,7 +548,7 @@
 	if c.isOutdated(u.Revision) {
 		return nil
 	}
-	isDated := u.Asked > 0 && !(c.listed && c.changedSince(u.Revision))
+	isDated := u.Asked > 0 && (!c.listed || !c.changedSince(u.Revision))
 	if !u.Lost && u.Age < time.Since(c.confirmedAt) {
 		c.setLost(nil)
 	}
--- a/internal/route/locator/restore_test.go
+++ b/internal/route/locator/restore_test.go
@@ -18,9 +18,9 @@
 	return p
 }
 
-// withState returns a searcher in zone "a" with a state of its lifetime.
-func withState(id string, revision uint64, draining bool, born int64) follower.Item[declarer.Searcher] {
-	it := searcher(id, "a")
+// withState returns the searcher "s1" with a state of its lifetime.
+func withState(revision uint64, draining bool, born int64) follower.Item[declarer.Searcher] {
+	it := searcher("s1", "a")
 	it.Revision, it.Value.Draining, it.Value.Born = revision, draining, born
 	return it
 }
@@ -49,14 +49,14 @@
 		want [3]string
 	}{
 		{"missing", nil, []follower.Change[declarer.Searcher]{removal("s1")}, nil, [3]string{"s1 s2", "s1 s2", "s2"}},
-		{"missing, registers again", nil, []follower.Change[declarer.Searcher]{removal("s1")}, present(withState("s1", inEra(7), false, 1)), [3]string{"s1 s2", "s1 s2", "s1 s2"}},
-		{"missing and draining", present(withState("s1", 10, true, 1)), []follower.Change[declarer.Searcher]{removal("s1")}, nil, [3]string{"s2", "s2", "s2"}},
-		{"was draining, listed as ready", present(withState("s1", 10, true, 1)), present(withState("s1", inEra(5), false, 1)), nil, [3]string{"s2", "s2", "s1 s2"}},
-		{"was draining, drains again", present(withState("s1", 10, true, 1)), present(withState("s1", inEra(5), false, 1)), present(withState("s1", inEra(7), true, 1)), [3]string{"s2", "s2", "s2"}},
-		{"was draining, new lifetime", present(withState("s1", 10, true, 1)), present(withState("s1", inEra(5), false, 2)), nil, [3]string{"s1 s2", "s1 s2", "s1 s2"}},
-		{"had left, listed again", []follower.Change[declarer.Searcher]{removal("s1")}, present(withState("s1", inEra(5), false, 0)), nil, [3]string{"s2", "s2", "s1 s2"}},
-		{"had left, new lifetime", []follower.Change[declarer.Searcher]{removal("s1")}, present(withState("s1", inEra(5), false, 2)), nil, [3]string{"s1 s2", "s1 s2", "s1 s2"}},
-		{"unchanged", nil, present(withState("s1", inEra(2), false, 0)), nil, [3]string{"s1 s2", "s1 s2", "s1 s2"}},
+		{"missing, registers again", nil, []follower.Change[declarer.Searcher]{removal("s1")}, present(withState(inEra(7), false, 1)), [3]string{"s1 s2", "s1 s2", "s1 s2"}},
+		{"missing and draining", present(withState(10, true, 1)), []follower.Change[declarer.Searcher]{removal("s1")}, nil, [3]string{"s2", "s2", "s2"}},
+		{"was draining, listed as ready", present(withState(10, true, 1)), present(withState(inEra(5), false, 1)), nil, [3]string{"s2", "s2", "s1 s2"}},
+		{"was draining, drains again", present(withState(10, true, 1)), present(withState(inEra(5), false, 1)), present(withState(inEra(7), true, 1)), [3]string{"s2", "s2", "s2"}},
+		{"was draining, new lifetime", present(withState(10, true, 1)), present(withState(inEra(5), false, 2)), nil, [3]string{"s1 s2", "s1 s2", "s1 s2"}},
+		{"had left, listed again", []follower.Change[declarer.Searcher]{removal("s1")}, present(withState(inEra(5), false, 0)), nil, [3]string{"s2", "s2", "s1 s2"}},
+		{"had left, new lifetime", []follower.Change[declarer.Searcher]{removal("s1")}, present(withState(inEra(5), false, 2)), nil, [3]string{"s1 s2", "s1 s2", "s1 s2"}},
+		{"unchanged", nil, present(withState(inEra(2), false, 0)), nil, [3]string{"s1 s2", "s1 s2", "s1 s2"}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			withLocator(t, func(l *Locator) {
@@ -76,8 +76,8 @@
 // TestRestoredWhileDown guards against a hold that ends while the store is away, when nobody can write again what the copy lacks.
 func TestRestoredWhileDown(t *testing.T) {
 	withLocator(t, func(l *Locator) {
-		l.Searchers().Apply(present(withState("s1", 10, true, 1)), 10)
-		l.Searchers().Apply(present(withState("s1", inEra(5), false, 1)), inEra(5))
+		l.Searchers().Apply(present(withState(10, true, 1)), 10)
+		l.Searchers().Apply(present(withState(inEra(5), false, 1)), inEra(5))
 		l.Searchers().Lost(nil)
 		time.Sleep(2 * reregisterTime)
 		assertSearchers(t, l, "s2")
@@ -92,7 +92,7 @@
 // TestRestoredWarmUp guards against a fleet that treats every searcher as cold again because its entry has a position of a new era.
 func TestRestoredWarmUp(t *testing.T) {
 	withLocator(t, func(l *Locator) {
-		cold := withState("s1", 10, false, 1)
+		cold := withState(10, false, 1)
 		cold.Value.ColdFor = 5 * time.Second
 		l.Searchers().Apply(present(cold), 10)
 		synctest.Wait()
--- a/internal/standin/keeper/restore_test.go
+++ b/internal/standin/keeper/restore_test.go
@@ -46,7 +46,7 @@
 		s.SetDown(down)
 		for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodDelete, http.MethodPatch} {
 			w := httptest.NewRecorder()
-			s.ServeHTTP(w, httptest.NewRequest(method, platform.ObjectsPath+"k/none", http.NoBody))
+			s.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), method, platform.ObjectsPath+"k/none", http.NoBody))
 			if era := w.Header().Get("Store-Era"); era != "1" {
 				t.Errorf("%s, down %t: era %q", method, down, era)
 			}
