--- a/internal/route/locator/restore.go
+++ b/internal/route/locator/restore.go
@@ -11,6 +11,10 @@
 // departedTime is how long a removed searcher is remembered. The copy that a store is restored from is some seconds old.
 const departedTime = 30 * time.Second
 
+// holdTime is how long what a restored store has lost stays out of use: reregisterTime until it is written again, and a second until
+// that is known here (0.63 s at most between two watches, 0.35 s for each hop between daemons).
+const holdTime = reregisterTime + time.Second
+
 // isRestored reports whether a change as of a revision shows that the store was restored from an older copy since the revision known.
 func isRestored(known, revision uint64) bool {
 	return declarer.Era(revision) > declarer.Era(known)
@@ -22,23 +26,24 @@
 	l.log.Warn("store restored from an older copy", "kind", "searchers", "era", declarer.Era(revision), "revision", declarer.Revision(revision), "held", reregisterTime)
 }
 
-// extendGrace gives everything that is kept or held reregisterTime from now.
+// extendGrace gives what is kept reregisterTime from now, and what is held holdTime.
 func (l *Locator) extendGrace() {
 	l.graceUntil = time.Now().Add(reregisterTime)
+	holdUntil := time.Now().Add(holdTime)
 	for _, e := range l.searchers {
 		if !e.expiresAt.IsZero() {
 			e.expiresAt = l.graceUntil
 		}
 		if !e.heldUntil.IsZero() {
-			e.heldUntil = l.graceUntil
+			e.heldUntil = holdUntil
 		}
 	}
 	for zone := range l.heldZones {
-		l.heldZones[zone] = l.graceUntil
+		l.heldZones[zone] = holdUntil
 	}
 	for _, o := range l.rollouts.orders {
 		if !o.heldUntil.IsZero() {
-			o.heldUntil = l.graceUntil
+			o.heldUntil = holdUntil
 		}
 	}
 	for id := range l.heldMembers {
@@ -63,7 +68,7 @@
 		isRevived = (old.Draining || !old.heldUntil.IsZero()) && old.Born == e.Born
 	}
 	if isRevived {
-		e.heldUntil = l.graceUntil
+		e.heldUntil = time.Now().Add(holdTime)
 		l.log.Info("searcher held back: a restored store lists it as it was before it left", "searcher", it.Name, "service", e.Service, "revision", it.Revision)
 	}
 }
@@ -78,10 +83,10 @@
 
 // holdZones keeps the zones out of service that the first list of a new era lacks.
 func (l *Locator) holdZones(zones []string, revision uint64) {
-	until := time.Now().Add(reregisterTime)
+	until := time.Now().Add(holdTime)
 	for _, zone := range zones {
 		l.heldZones[zone] = until
-		l.log.Warn("availability zone stays out for now: the restored store has no record of it", "zone", zone, "era", declarer.Era(revision), "held", reregisterTime)
+		l.log.Warn("availability zone stays out for now: the restored store has no record of it", "zone", zone, "era", declarer.Era(revision), "held", holdTime)
 	}
 }
 
@@ -144,9 +149,9 @@
 
 // holdOrder keeps an order that a restored store lacks until the operator has had time to write it again.
 func (l *Locator) holdOrder(o *order, revision uint64) {
-	o.heldUntil = time.Now().Add(reregisterTime)
+	o.heldUntil = time.Now().Add(holdTime)
 	l.log.Warn("roll-out kept for now: the restored store has no record of it", "rollout", o.Name, "service", o.Service, "target", o.Target,
-		"state", o.State, "era", declarer.Era(revision), "held", reregisterTime)
+		"state", o.State, "era", declarer.Era(revision), "held", holdTime)
 }
 
 // lostStatuses returns the roll-outs of which the store has an earlier status than this daemon knows.
