--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -86,6 +86,8 @@
 	picker    *picker.Picker
 	exchanger Exchanger
 	stats     *stats
+	// allotter is nil when no limits of accounts are enforced.
+	allotter Allotter
 	// gate chooses between the versions of a service during its roll-out; nil where there are no roll-outs.
 	gate    *promoter.Gate
 	log     hclog.Logger
@@ -123,6 +125,7 @@
 	v := f.views.View()
 	f.stats.setFleet(len(v.Members()), v.GathererCount())
 	name, a := f.answer(ctx, req, v)
+	f.returnToken(req, &a)
 	a.RetryAfter = a.heldFor + jitterRetryAfter(a.RetryAfter, rand.Float64())
 	f.recordAnswer(req, name, v, &a)
 	return a
@@ -161,6 +164,10 @@
 			return name, *refusal
 		}
 	}
+	name := rt.Name
+	if rt, v, refusal = f.allot(ctx, req, rt, v); refusal != nil {
+		return name, *refusal
+	}
 	timeout := rt.EffectiveTimeout(req.ClientTimeout)
 	if timeout <= 0 {
 		timeout = defaultTimeout
