--- a/internal/peer/lender/lease_test.go
+++ b/internal/peer/lender/lease_test.go
@@ -160,3 +160,45 @@
 		t.Errorf("%+v although a lender may hold the lease that is missing", c)
 	}
 }
+
+// TestRestoredEra guards against a holder that never writes its lease again since the revision of the new era is higher while the record
+// is older, and against one that replaces the lender which followed it.
+func TestRestoredEra(t *testing.T) {
+	cfg := testConfig()
+	inEra := func(revision uint64) uint64 {
+		p, err := declarer.Position(1, revision)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	for _, tt := range []struct {
+		name string
+		// stored is the lease of the new era, found pause after the last write.
+		stored  Lease
+		pause   time.Duration
+		isKept  bool
+		written uint64
+	}{
+		{"own, older", Lease{Revision: inEra(20), Record: Record{Holder: holderA, Term: 5, Sequence: 0}}, cfg.RenewInterval, true, inEra(20)},
+		{"of the holder before", Lease{Revision: inEra(20), Record: Record{Holder: successorB, Term: 2, Sequence: 9}}, cfg.RenewInterval, true, inEra(20)},
+		{"of the holder after", Lease{Revision: inEra(20), Record: Record{Holder: successorB, Term: 2, Sequence: 9}}, cfg.LeaseTime, false, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newLease(cfg, holderA, 5, testStart)
+			at := testStart + cfg.CandidateTime
+			l.onStored(at, l.next(at, 0, false), Lease{})
+			l.onWritten(at, l.next(at, 0, false), 50)
+			at += tt.pause
+			l.onStored(at, l.next(at, 0, false), tt.stored)
+			if l.holding != tt.isKept {
+				t.Fatalf("holding %t, want %t", l.holding, tt.isKept)
+			}
+			at += cfg.RenewInterval
+			c := l.next(at, 0, false)
+			if tt.isKept && (c == nil || c.condition != tt.written) || !tt.isKept && c != nil && !c.isRead {
+				t.Errorf("call %+v, want a write on condition of %d", c, tt.written)
+			}
+		})
+	}
+}
