--- a/cmd/cornelwood/entry_restore_test.go
+++ b/cmd/cornelwood/entry_restore_test.go
@@ -165,3 +165,65 @@
 	}
 	return last
 }
+
+// restoreKinds returns the functions that inject the faults of TestEntrySoakRestores, by name. They are apart from faultKinds, whose
+// names decide the faults of every seed.
+func (k *entrySoak) restoreKinds() map[string]func(f *soakFault) {
+	all := k.faultKinds()
+	kinds := map[string]func(f *soakFault){"restore": k.restoreAndRewrite}
+	for _, name := range []string{"freeze", "version", "replace", "entry lost", "store slow", "store cuts watches"} {
+		kinds[name] = all[name]
+	}
+	return kinds
+}
+
+// TestEntrySoakRestores restores the store again and again from copies some seconds old, among other faults, and checks what
+// TestEntrySoak does. Daemons went back to a former desired state, or lost searchers that run.
+func TestEntrySoakRestores(t *testing.T) {
+	runEntrySoak(t, soakOptions{daemons: *soakDaemons, timeout: soakRouteTimeout, maxAborted: soakMaxAborted, kinds: (*entrySoak).restoreKinds})
+}
+
+// restoreAndRewrite restores the store from a copy that is as old as the fault lasts. What the operator and the searchers wrote since is
+// written again, unless it has been written anew by then. A restore during another one is left out: what the first lost would stay lost.
+func (k *entrySoak) restoreAndRewrite(f *soakFault) {
+	if k.isRestoring.Swap(true) {
+		return
+	}
+	defer k.isRestoring.Store(false)
+	backup := k.store.Copy()
+	time.Sleep(f.duration)
+	type key struct{ kind, name string }
+	read := func() map[key]string {
+		specs := make(map[key]string)
+		for _, kind := range []string{platform.KindConfig, platform.KindServers} {
+			objects, _ := k.store.List(kind)
+			for _, o := range objects {
+				specs[key{kind, o.Name}] = string(o.Spec)
+			}
+		}
+		return specs
+	}
+	// The lock keeps the other faults from writing between the steps.
+	k.mu.Lock()
+	k.store.SetDown(true)
+	lost := read()
+	k.store.Restore(backup)
+	restored := read()
+	k.mu.Unlock()
+	time.Sleep(restoreOutage)
+	k.store.SetDown(false)
+	time.Sleep(rewriteDelay)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	current := read()
+	for id, spec := range lost {
+		if current[id] == restored[id] && current[id] != spec {
+			k.store.Set(id.kind, id.name, json.RawMessage(spec))
+		}
+	}
+	for id, spec := range restored {
+		if _, ok := lost[id]; !ok && current[id] == spec {
+			k.store.Delete(id.kind, id.name)
+		}
+	}
+}
--- a/cmd/cornelwood/entry_soak_test.go
+++ b/cmd/cornelwood/entry_soak_test.go
@@ -153,6 +153,8 @@
 	injected     []string
 	started      time.Time
 	requestCount atomic.Int64
+	// isRestoring is true while the store is being restored.
+	isRestoring atomic.Bool
 
 	mu        sync.Mutex
 	searchers map[string]*soakSearcher
