--- a/internal/peer/lender/lease.go
+++ b/internal/peer/lender/lease.go
@@ -293,13 +293,17 @@
 // this process whose answer was lost. Revision 0 means that there is none.
 func (l *lease) onStored(now time.Duration, c *storeCall, current Lease) {
 	l.isCalling, l.isPending, l.hasRead = false, false, true
-	isOlder := current.Revision < l.known.Revision && c.sentAt >= l.seenAt
+	isLaterEra := declarer.Era(current.Revision) > declarer.Era(l.known.Revision)
+	isOlder := (current.Revision < l.known.Revision || isLaterEra) && c.sentAt >= l.seenAt
 	if !isOlder {
 		l.saw(now, current)
 		return
 	}
 	// The store was restored from an older copy, or the lease was deleted. A holder writes it again, and holds it until
-	// its time at most; others wait as long.
+	// its time at most; others wait as long. A holder whose time has passed may have been replaced since.
+	if isLaterEra && l.holding && current.Record.Term != l.term && !l.mayGrant(now) {
+		l.stepDown()
+	}
 	l.setKnown(now, current)
 }
 
