--- a/internal/route/admitter/admitter.go
+++ b/internal/route/admitter/admitter.go
@@ -51,7 +51,7 @@
 // queues are still far from full, so that they do not refuse requests indiscriminately.
 const (
 	minRoom = 1.5
-	maxRoom = 4
+	maxRoom = 3
 )
 
 // classRooms holds, by the number of more urgent kinds of request to the same searchers, the part of the room that a kind has: what
