--- a/internal/route/forwarder/admission.go
+++ b/internal/route/forwarder/admission.go
@@ -38,9 +38,14 @@
 type shardLoads struct {
 	loads  []float64
 	needed int
+	// middle is the load of the middle one of the shards that the answer needs.
+	middle float64
 }
 
-// measure returns the load of the most loaded shard that the answer needs.
+// measure returns the load of the middle one of the shards that the answer needs. A few shards whose searchers are lost or slow are
+// no overload: a query that is refused because of them would be answered, and often in time.
+//
+// Load pattern: searchers of a fifth of the shards that leave, go dark or turn slow while the others have room.
 func (l *shardLoads) measure(f *Forwarder, v *locator.View, shards []string) float64 {
 	l.loads = l.loads[:0]
 	available := 0
@@ -58,7 +63,8 @@
 	if n == 0 {
 		return 0
 	}
-	return slices.Sorted(slices.Values(l.loads))[n-1]
+	l.middle = slices.Sorted(slices.Values(l.loads))[n/2]
+	return l.middle
 }
 
 // searchersOfMost returns the searchers of the version that gets most of a service's requests: the new one's once a roll-out moves
@@ -71,10 +77,13 @@
 }
 
 // skipped reports, for each shard, whether the query leaves it out because it is overloaded and the answer can do without it;
-// nil when there is none.
+// nil when there is none. While the searchers of the other shards are not all in use, its answer may come in time.
 //
-// Load pattern: a few shards of many whose searchers are slow or lost, while the others have room.
+// Load pattern: load beyond what the searchers handle well, when some shards have fewer searchers than others.
 func (l *shardLoads) skipped() []bool {
+	if l.middle < 1 {
+		return nil
+	}
 	var out []bool
 	optional := len(l.loads) - l.needed
 	indexes := allIndexes(len(l.loads))
