--- a/internal/daemon/router/keys.go
+++ b/internal/daemon/router/keys.go
@@ -56,7 +56,7 @@
 // View returns the current view.
 func (g *keyGuard) View() *locator.View {
 	v := g.views.View()
-	trust, age := g.judge(v)
+	trust, age := g.trustOf(v)
 	if trust == locator.KeysCurrent {
 		return v
 	}
@@ -65,12 +65,12 @@
 
 // IsReady reports whether the desired state is young enough to accept new clients.
 func (g *keyGuard) IsReady() bool {
-	trust, _ := g.judge(g.views.View())
+	trust, _ := g.trustOf(g.views.View())
 	return trust == locator.KeysCurrent
 }
 
-// judge returns the trust in the keys of a view at this moment, and the age of its desired state if that is known.
-func (g *keyGuard) judge(v *locator.View) (locator.KeyTrust, time.Duration) {
+// trustOf returns the trust in the keys of a view at this moment, and the age of its desired state if that is known.
+func (g *keyGuard) trustOf(v *locator.View) (locator.KeyTrust, time.Duration) {
 	if g.revoke <= 0 || v.Authorizer == nil || !v.Authorizer.IsRestricted() {
 		return locator.KeysCurrent, 0
 	}
--- a/internal/peer/lender/core.go
+++ b/internal/peer/lender/core.go
@@ -80,9 +80,9 @@
 	return pong{Accept: accept}
 }
 
-// saw takes a lease that another daemon knows.
-func (c *core) saw(now time.Duration, seen Lease) {
-	c.lease.saw(now, seen)
+// observe takes a lease that another daemon knows.
+func (c *core) observe(now time.Duration, seen Lease) {
+	c.lease.observe(now, seen)
 	c.settle()
 }
 
--- a/internal/peer/lender/holdings.go
+++ b/internal/peer/lender/holdings.go
@@ -21,7 +21,7 @@
 	expiresAt time.Duration
 }
 
-// holding is what this daemon knows of one account.
+// holding holds the tokens and the refusals of one account.
 type holding struct {
 	version uint64
 	tokens  []token
--- a/internal/peer/lender/lease.go
+++ b/internal/peer/lender/lease.go
@@ -100,8 +100,8 @@
 	return a.Revision > b.Revision
 }
 
-// saw takes a lease that is or was in the store.
-func (l *lease) saw(now time.Duration, seen Lease) {
+// observe takes a lease that is or was in the store.
+func (l *lease) observe(now time.Duration, seen Lease) {
 	if !isNewer(&seen, &l.known) {
 		return
 	}
@@ -296,7 +296,7 @@
 	isLaterEra := declarer.Era(current.Revision) > declarer.Era(l.known.Revision)
 	isOlder := (current.Revision < l.known.Revision || isLaterEra) && c.sentAt >= l.seenAt
 	if !isOlder {
-		l.saw(now, current)
+		l.observe(now, current)
 		return
 	}
 	// The store was restored from an older copy, or the lease was deleted. A holder writes it again, and holds it until
@@ -324,7 +324,7 @@
 	if isNewer(&l.known, &p.Lease) {
 		return false
 	}
-	l.saw(now, p.Lease)
+	l.observe(now, p.Lease)
 	if p.Lease.Record.Holder.ID == "" {
 		return false
 	}
--- a/internal/peer/lender/lender.go
+++ b/internal/peer/lender/lender.go
@@ -328,7 +328,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
-	l.core.saw(now, resp.Lease)
+	l.core.observe(now, resp.Lease)
 	if resp.IsLender {
 		l.core.lease.heardAt = now
 		delete(l.suspects, m.ID)
--- a/internal/peer/lender/message.go
+++ b/internal/peer/lender/message.go
@@ -131,7 +131,7 @@
 	// Wait is the time until there is room, and Exceeded true when the account is known to be above its limit.
 	Wait     time.Duration `json:"wait,omitempty"`
 	Exceeded bool          `json:"exceeded,omitempty"`
-	// Lease is the newest lease that the daemon knows.
+	// Lease is the newest lease that the daemon has seen.
 	Lease Lease `json:"lease"`
 }
 
--- a/internal/peer/lender/simulation_test.go
+++ b/internal/peer/lender/simulation_test.go
@@ -262,7 +262,7 @@
 	to := s.daemons[id[1]-'0']
 	var resp takeResponse
 	s.call(d, to, func() { resp = to.core.take(s.clock(to), req) }, func() {
-		d.core.saw(s.clock(d), resp.Lease)
+		d.core.observe(s.clock(d), resp.Lease)
 		if !resp.IsLender {
 			local()
 			return
@@ -312,7 +312,7 @@
 	s.after(4, func() { s.run(d, process, next) })
 	var resp takeResponse
 	s.call(d, to, func() { resp = to.core.take(s.clock(to), &takeRequest{Limit: limit, Local: true}) }, func() {
-		d.core.saw(s.clock(d), resp.Lease)
+		d.core.observe(s.clock(d), resp.Lease)
 		if resp.Count == 0 {
 			next()
 			return
