--- a/review/_player2/main.go
+++ b/review/_player2/main.go
@@ -337,24 +337,15 @@
 	}
 	s.temp = temp
 	for _, m := range fleet {
-		ports, err := freePorts(3)
-		if err != nil {
-			return err
-		}
 		gate, err := s.openGate()
 		if err != nil {
 			return err
 		}
 		d := &daemon{
 			name: m.name, zone: m.zone, gate: gate, settings: filepath.Join(temp, m.name+".ini"),
-			callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), checks: fmt.Sprintf("127.0.0.1:%d", ports[1]),
 			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true}, Timeout: answerTimeout},
 		}
-		settings := fmt.Sprintf("[daemon]\nid = %s\nzone = %s\nregion = scot-central\n\n[log]\nlevel = info\njson = true\n\n"+
-			"[caller]\nlisten = %s\nchecks = %s\npeers = 127.0.0.1:%d\n\n[store]\naddress = %s\nbootstrap = true\n\n"+
-			"[process]\nmemory = 284\nshare = %g\ndescriptors = 4100\n\n[shutdown]\ngrace = 6s\n\n[extra]\nratio = 0.2\nslack = 54\nwindow = 10s\n\n%s",
-			d.name, m.zone, d.callers, d.checks, ports[2], gate.addr, m.share, sections)
-		if err := os.WriteFile(d.settings, []byte(settings), 0o600); err != nil {
+		if err := d.configure(m, sections); err != nil {
 			return err
 		}
 		if err := d.start(); err != nil {
@@ -363,8 +354,16 @@
 		s.daemons = append(s.daemons, d)
 	}
 	deadline := time.Now().Add(readyTimeout)
-	for _, d := range s.daemons {
+	for i, d := range s.daemons {
 		for !d.isReady() {
+			select {
+			case <-d.ended:
+				// Another process has taken one of its ports meanwhile.
+				if err := errors.Join(d.configure(fleet[i], sections), d.start()); err != nil {
+					return err
+				}
+			default:
+			}
 			if time.Now().After(deadline) {
 				return fmt.Errorf("%w: %s is not ready", errCannotRun, d.name)
 			}
@@ -375,6 +374,20 @@
 	return nil
 }
 
+// configure writes the daemon's settings, with ports that are free now.
+func (d *daemon) configure(m machine, sections string) error {
+	ports, err := freePorts(3)
+	if err != nil {
+		return err
+	}
+	d.callers, d.checks = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
+	settings := fmt.Sprintf("[daemon]\nid = %s\nzone = %s\nregion = scot-central\n\n[log]\nlevel = info\njson = true\n\n"+
+		"[caller]\nlisten = %s\nchecks = %s\npeers = 127.0.0.1:%d\n\n[store]\naddress = %s\nbootstrap = true\n\n"+
+		"[process]\nmemory = 284\nshare = %g\ndescriptors = 4100\n\n[shutdown]\ngrace = 6s\n\n[extra]\nratio = 0.2\nslack = 54\nwindow = 10s\n\n%s",
+		d.name, m.zone, d.callers, d.checks, ports[2], d.gate.addr, m.share, sections)
+	return os.WriteFile(d.settings, []byte(settings), 0o600)
+}
+
 // start starts the daemon's process.
 func (d *daemon) start() error {
 	logs, err := os.OpenFile(strings.TrimSuffix(d.settings, ".ini")+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -845,7 +858,7 @@
 
 // playLost plays several deployments side by side, since the fault depends on the moment at which daemons ask each other.
 func playLost(s *site) (bool, error) {
-	const deployments = 5
+	const deployments = 7
 	broken := make([]bool, deployments)
 	errs := make([]error, deployments)
 	var wg sync.WaitGroup
@@ -880,9 +893,9 @@
 func playLostOne(s *site) (bool, error) {
 	const (
 		period, settle = 11500 * time.Millisecond, 4 * time.Second
-		batch          = 9
+		batch          = 14
 	)
-	periods := 9
+	periods := 8
 	if n, err := strconv.Atoi(os.Getenv("PERIODS")); err == nil {
 		periods = n
 	}
@@ -929,10 +942,10 @@
 				_ = r.start()
 			})
 		}
-		at(3.2)
+		at(2.9)
 		var added []*searcher
 		for i := range batch {
-			at(3.2 + 0.08*float64(i))
+			at(2.9 + 0.02*float64(i))
 			x, err := s.addSearcher(fmt.Sprintf("%si-till-new-%d-%d", s.prefix, n, i), "till", "glasgow", time.Millisecond)
 			if err != nil {
 				return false, err
@@ -940,7 +953,7 @@
 			added = append(added, x)
 		}
 		for i, x := range added {
-			at(4.25 + 0.08*float64(i))
+			at(3.6 + 0.1*float64(i))
 			x.leaveUnsaid()
 			removed[x.id] = time.Now()
 		}
