--- a/review/_player2/main.go
+++ b/review/_player2/main.go
@@ -197,7 +197,7 @@
 		os.Exit(2)
 	}
 	cases := map[string]func(*site) (bool, error){
-		"route": playRoute, "hang": playHang, "drain": playDrain, "quota": playQuota, "lost": playLost,
+		"route": playRoute, "hang": playHang, "drain": playDrain, "quota": playQuota, "lost": playLost, "cold": playCold,
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
@@ -507,8 +507,9 @@
 	born     int64
 	state    string
 	sequence int
-	// written is the last entry without its sequence, and coldTill the end of the warm-up.
-	written  string
+	// crashes is true when the searcher ends under too much load while it is cold, coldRuns when it got requests then.
+	crashes  bool
+	coldRuns []time.Time
 	coldTill time.Time
 	isUp     bool
 	// isSilent is true once the searcher writes no more check-ins.
@@ -545,7 +546,7 @@
 		return err
 	}
 	p.mu.Lock()
-	p.addr, p.born, p.sequence, p.written, p.isUp, p.state = lis.Addr().String(), time.Now().UnixMilli(), 0, "", true, "ready"
+	p.addr, p.born, p.sequence, p.isUp, p.state = lis.Addr().String(), time.Now().UnixMilli(), 0, true, "ready"
 	if len(p.s.daemons) > 0 {
 		// It starts during traffic.
 		p.coldTill = time.Now().Add(coldTime)
@@ -583,21 +584,19 @@
 	_ = p.srv.Close()
 }
 
-// entry returns what the searcher writes about itself now, and whether more than the sequence has changed since the last one.
-func (p *searcher) entry() (json.RawMessage, bool) {
+// entry returns what the searcher writes about itself now, with and without the sequence.
+func (p *searcher) entry() (whole json.RawMessage, bare string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	fields := map[string]any{
 		"service": p.service, "address": p.addr, "zone": p.zone, "version": "v1", "slots": searcherSlots, "state": p.state,
 		"warmup_left_ms": max(0, time.Until(p.coldTill).Milliseconds()), "born": p.born,
 	}
-	bare, _ := json.Marshal(fields)
-	changed := string(bare) != p.written
-	p.written = string(bare)
+	raw, _ := json.Marshal(fields)
 	p.sequence++
 	fields["sequence"] = p.sequence
-	raw, _ := json.Marshal(fields)
-	return raw, changed
+	whole, _ = json.Marshal(fields)
+	return whole, string(raw)
 }
 
 // beat writes the entry. In the store, an entry changes when more than its sequence does.
@@ -608,9 +607,23 @@
 	if !speaks {
 		return
 	}
-	if raw, changed := p.entry(); changed {
-		p.s.store.Set(kindSearchers, p.id, raw)
+	whole, bare := p.entry()
+	current, ok := p.s.store.Get(kindSearchers, p.id)
+	if ok && withoutSequence(current.Spec) == bare {
+		return
 	}
+	p.s.store.Set(kindSearchers, p.id, whole)
+}
+
+// withoutSequence returns an entry without its sequence.
+func withoutSequence(spec json.RawMessage) string {
+	fields := make(map[string]json.RawMessage)
+	if json.Unmarshal(spec, &fields) != nil {
+		return ""
+	}
+	delete(fields, "sequence")
+	raw, _ := json.Marshal(fields)
+	return string(raw)
 }
 
 // drain reports that the searcher leaves, in the store and in all its answers.
@@ -638,6 +651,7 @@
 	p.s.mu.Lock()
 	p.s.runs = append(p.s.runs, run{id: r.Header.Get(headerID), searcher: p.id, service: p.service, path: r.URL.Path, at: time.Now()})
 	p.s.mu.Unlock()
+	p.countCold(time.Now())
 	select {
 	case <-time.After(p.work):
 	case <-r.Context().Done():
@@ -872,7 +886,8 @@
 				sub.end()
 				s.mu.Lock()
 				defer s.mu.Unlock()
-				s.sent, s.runs, s.notes = append(s.sent, sub.sent...), append(s.runs, sub.runs...), append(s.notes, sub.notes...)
+				s.notes = append(s.notes, sub.notes...)
+				s.addRecord(sub)
 			}()
 			broken[i], errs[i] = playLostOne(sub)
 		})
@@ -888,6 +903,27 @@
 	return n > 0, errors.Join(errs...)
 }
 
+// addRecord adds the runs at searchers that were added later, and their requests, to the record, and the number of the others.
+func (s *site) addRecord(sub *site) {
+	byID := make(map[string]*sent, len(sub.sent))
+	for _, r := range sub.sent {
+		byID[r.id] = r
+	}
+	others := 0
+	for _, r := range sub.runs {
+		if !strings.Contains(r.searcher, "-new-") {
+			others++
+			continue
+		}
+		s.runs = append(s.runs, r)
+		if a := byID[r.id]; a != nil {
+			s.sent = append(s.sent, a)
+			delete(byID, r.id)
+		}
+	}
+	s.notes = append(s.notes, fmt.Sprintf("          %s%d requests were sent; %d runs at the other searchers are not recorded", sub.prefix, len(sub.sent), others))
+}
+
 // playLostOne: the store turns one machine away while the other two are stopped and started again, and searchers that were added a
 // moment ago are taken away.
 func playLostOne(s *site) (bool, error) {
@@ -1101,3 +1137,146 @@
 	s.note("ordinary requests on new connections over 25 s: %d, answered with any status: %d; the process runs: %t, its readiness check passes: %t", asked, answered, isUp, d.isReady())
 	return answered == 0, nil
 }
+
+const (
+	// coldPerS is the rate that a cold searcher tolerates, crashRate the number of requests in one second at which it ends.
+	coldPerS  = 8.0
+	crashRate = 30
+)
+
+// mostInSecond returns the most requests that were sent and arrived at a searcher within one second of a span.
+func mostInSecond(byID map[string]sent, runs []run, id string, from, to time.Time) int {
+	most := 0
+	for i, x := range runs {
+		if x.searcher != id || x.at.Before(from) || x.at.After(to) {
+			continue
+		}
+		sentFrom, n := byID[x.id].at, 0
+		for _, y := range runs[i:] {
+			if y.searcher == id && !byID[y.id].at.Before(sentFrom) && y.at.Sub(sentFrom) <= time.Second && !y.at.After(to) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// playCold: the store is down, all daemons are killed and start again, and the searchers are cold when the store is back.
+func playCold(s *site) (bool, error) {
+	const rounds = 7
+	if err := s.startStore(); err != nil {
+		return false, err
+	}
+	s.declare(1, "["+route("r1", "/till/", `"service":"till"`)+","+strings.Replace(route("r2", "/book/", `"service":"till"`), `"idempotent"`, `"non_idempotent"`, 1)+"]",
+		strings.Replace("["+service("till")+"]", `"cold_per_s":0.0`, fmt.Sprintf(`"cold_per_s":%g`, coldPerS), 1), "")
+	if err := s.addService("till", 1, 150*time.Millisecond); err != nil {
+		return false, err
+	}
+	if err := s.startDaemons(smallFleet(), ""); err != nil {
+		return false, err
+	}
+	stop1, stop2 := s.traffic(20, "/till/1", ""), s.traffic(10, "/book/1", "")
+	time.Sleep(5 * time.Second)
+	most, crashes, brokenRounds := 0, 0, 0
+	for n := range rounds {
+		if s.trouble {
+			down := time.Now()
+			for _, d := range s.daemons {
+				d.gate.setTurnedAway(true)
+			}
+			time.Sleep(300 * time.Millisecond)
+			var wg sync.WaitGroup
+			for _, d := range s.daemons {
+				wg.Go(func() { _ = d.restart(500 * time.Millisecond) })
+			}
+			wg.Wait()
+			s.note("round %d: the store is down, all daemons were killed and have been started again", n)
+			time.Sleep(time.Until(down.Add(4300 * time.Millisecond)))
+		}
+		from := time.Now()
+		if s.trouble {
+			for _, p := range s.searchers {
+				p.turnCold()
+			}
+			for _, d := range s.daemons {
+				d.gate.setTurnedAway(false)
+			}
+			s.note("round %d: the store is back; the searchers are cold and their entries say so", n)
+		}
+		time.Sleep(coldTime)
+		byID, runs := s.snapshot()
+		inRound := 0
+		for id := range s.searchers {
+			inRound = max(inRound, mostInSecond(byID, runs, id, from, from.Add(coldTime)))
+		}
+		if float64(inRound) > coldPerS*coldOverage+coldSlack && s.trouble {
+			brokenRounds++
+		}
+		if s.trouble {
+			most = max(most, inRound)
+		}
+		for _, p := range s.searchers {
+			if p.hasCrashed() {
+				crashes++
+				if err := p.startProcess(); err != nil {
+					return false, err
+				}
+			}
+		}
+		time.Sleep(4 * time.Second)
+	}
+	stop1()
+	stop2()
+	byID, runs := s.snapshot()
+	ran := make(map[string]bool)
+	for _, x := range runs {
+		ran[x.id] = true
+	}
+	lost := 0
+	for id, a := range byID {
+		if a.path == "/book/1" && ran[id] && a.status == http.StatusBadGateway {
+			lost++
+		}
+	}
+	s.note("most requests in one second at a cold searcher: %d, bound %g, above it in %d of %d rounds; searchers that crashed: %d; requests that must run once, were accepted and lost with 502: %d",
+		most, coldPerS*coldOverage+coldSlack, brokenRounds, rounds, crashes, lost)
+	return float64(most) > coldPerS*coldOverage+coldSlack, nil
+}
+
+// turnCold makes the searcher cold, and writes that to its entry.
+func (p *searcher) turnCold() {
+	p.mu.Lock()
+	p.coldTill, p.coldRuns = time.Now().Add(coldTime), nil
+	p.crashes = true
+	p.mu.Unlock()
+	p.beat()
+}
+
+// countCold counts a request and ends the process if a cold searcher gets far more than it tolerates.
+func (p *searcher) countCold(now time.Time) {
+	p.mu.Lock()
+	if !p.crashes || !now.Before(p.coldTill) {
+		p.mu.Unlock()
+		return
+	}
+	p.coldRuns = append(p.coldRuns, now)
+	n := 0
+	for _, at := range p.coldRuns {
+		if now.Sub(at) <= time.Second {
+			n++
+		}
+	}
+	crash := n >= crashRate && p.isUp
+	p.mu.Unlock()
+	if crash {
+		p.s.note("%s crashes at %d requests in a second", p.id, n)
+		p.kill()
+	}
+}
+
+func (p *searcher) hasCrashed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.isUp
+}
