--- a/review/_player2/main.go
+++ b/review/_player2/main.go
@@ -872,7 +872,7 @@
 
 // playLost plays several deployments side by side, since the fault depends on the moment at which daemons ask each other.
 func playLost(s *site) (bool, error) {
-	const deployments = 7
+	const deployments = 11
 	broken := make([]bool, deployments)
 	errs := make([]error, deployments)
 	var wg sync.WaitGroup
