--- a/review/_player2/main.go
+++ b/review/_player2/main.go
@@ -54,7 +54,6 @@
 	coldSlack      = 5
 	coldTime       = 3 * time.Second
 	searcherSlots  = 3
-	searcherWarmMS = 3000
 )
 
 // zones of a small deployment, with the daemons of each.
@@ -85,7 +84,6 @@
 	start     time.Time
 	trouble   bool
 	store     *keeper.MemoryStore
-	storeAddr string
 	daemons   []*daemon
 	searchers map[string]*searcher
 
@@ -126,56 +124,22 @@
 	return out
 }
 
-// storeGate is the address at which one machine reaches the store. It can turn the machine away, and sees its watches of the
-// searchers.
+// storeGate is the address at which one machine reaches the store. It can turn the machine away.
 type storeGate struct {
 	store http.Handler
 	addr  string
-
-	mu sync.Mutex
 	// turnedAway makes each call get status 503, of which the store has done nothing.
-	turnedAway bool
-	// waiting is the number of watches of the searchers that wait, answeredAt when the last one was answered.
-	waiting    int
-	answeredAt time.Time
+	turnedAway atomic.Bool
 }
 
 func (g *storeGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	isWatch := strings.HasSuffix(r.URL.Path, "/"+kindSearchers) && r.URL.Query().Has("watch")
-	g.mu.Lock()
-	away := g.turnedAway
-	if isWatch && !away {
-		g.waiting++
-	}
-	g.mu.Unlock()
-	if away {
+	if g.turnedAway.Load() {
 		http.Error(w, "try later", http.StatusServiceUnavailable)
 		return
 	}
-	if isWatch {
-		defer func() {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			g.waiting--
-			g.answeredAt = time.Now()
-		}()
-	}
 	g.store.ServeHTTP(w, r)
 }
 
-func (g *storeGate) setTurnedAway(away bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.turnedAway = away
-}
-
-// state returns whether a watch of the searchers waits, and the time since the last one was answered.
-func (g *storeGate) state() (bool, time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.waiting > 0, time.Since(g.answeredAt)
-}
-
 // openGate serves the store at a further address.
 func (s *site) openGate() (*storeGate, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -275,23 +239,12 @@
 	for _, d := range s.daemons {
 		<-d.ended
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(s.temp)
-	}
+	_ = os.RemoveAll(s.temp)
 }
 
-// startStore serves the platform's store: the project's own stand-in.
-func (s *site) startStore() error {
+// startStore makes the platform's store: the project's own stand-in, which each machine reaches through a gate.
+func (s *site) startStore() {
 	s.store = keeper.NewMemoryStore()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	s.storeAddr = lis.Addr().String()
-	srv := &http.Server{Handler: s.store}
-	go func() { _ = srv.Serve(lis) }()
-	s.stop = append(s.stop, func() { _ = srv.Close() })
-	return nil
 }
 
 // declare writes a desired state. routes, services and tenants are JSON lists.
@@ -696,9 +649,7 @@
 
 // playRoute: another writer replaces the entry of one searcher of "bookings" by one that lacks fields and names "till".
 func playRoute(s *site) (bool, error) {
-	if err := s.startStore(); err != nil {
-		return false, err
-	}
+	s.startStore()
 	s.declare(1, "["+route("r1", "/till/", `"service":"till"`)+","+route("r2", "/book/", `"service":"bookings"`)+"]",
 		"["+service("till")+","+service("bookings")+"]", "")
 	if err := errors.Join(s.addService("till", 1, 5*time.Millisecond), s.addService("bookings", 1, 5*time.Millisecond)); err != nil {
@@ -735,9 +686,7 @@
 // playDrain: a write of a searcher's former process is applied some seconds late, after the searcher has started again under
 // its id and leaves.
 func playDrain(s *site) (bool, error) {
-	if err := s.startStore(); err != nil {
-		return false, err
-	}
+	s.startStore()
 	s.declare(1, "["+route("r1", "/till/", `"service":"till"`)+"]", "["+service("till")+"]", "")
 	if err := s.addService("till", 1, time.Millisecond); err != nil {
 		return false, err
@@ -802,9 +751,7 @@
 func playQuota(s *site) (bool, error) {
 	const key, rate, burst = "k-1", 40.0, 40.0
 	const usual, hot = rate / 1.6, 7.5 * rate / 1.6
-	if err := s.startStore(); err != nil {
-		return false, err
-	}
+	s.startStore()
 	s.declare(1, "["+route("r1", "/till/", `"service":"till"`)+"]", "["+service("till")+"]",
 		fmt.Sprintf(`[{"name":"carrier","api_keys":[%q],"rate_per_s":%g,"burst":%g}]`, key, rate, burst))
 	if err := s.addService("till", 3, 5*time.Millisecond); err != nil {
@@ -931,13 +878,8 @@
 		period, settle = 11500 * time.Millisecond, 4 * time.Second
 		batch          = 14
 	)
-	periods := 8
-	if n, err := strconv.Atoi(os.Getenv("PERIODS")); err == nil {
-		periods = n
-	}
-	if err := s.startStore(); err != nil {
-		return false, err
-	}
+	const periods = 8
+	s.startStore()
 	s.declare(1, "["+route("r1", "/till/", `"service":"till"`)+"]", "["+service("till")+"]", "")
 	if err := s.addService("till", 1, time.Millisecond); err != nil {
 		return false, err
@@ -958,7 +900,7 @@
 		at := func(seconds float64) { time.Sleep(time.Until(from.Add(time.Duration(seconds * float64(time.Second))))) }
 		var wg sync.WaitGroup
 		if s.trouble {
-			p.gate.setTurnedAway(true)
+			p.gate.turnedAway.Store(true)
 			s.note("period %d: the store turns %s away", n, p.name)
 			at(0.5)
 			if err := r.restart(400 * time.Millisecond); err != nil {
@@ -996,7 +938,7 @@
 		s.note("%d searchers were added, and their entries removed again; they serve on", batch)
 		at(6.9)
 		if s.trouble {
-			p.gate.setTurnedAway(false)
+			p.gate.turnedAway.Store(false)
 			s.note("the store serves all machines again")
 		}
 		wg.Wait()
@@ -1045,9 +987,7 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < 3000 {
 		return false, fmt.Errorf("%w: too few descriptors", errCannotRun)
 	}
-	if err := s.startStore(); err != nil {
-		return false, err
-	}
+	s.startStore()
 	s.declare(1, "["+route("r1", "/till/", `"service":"till"`)+"]", "["+service("till")+"]", "")
 	if err := s.addService("till", 3, time.Millisecond); err != nil {
 		return false, err
@@ -1165,9 +1105,7 @@
 // playCold: the store is down, all daemons are killed and start again, and the searchers are cold when the store is back.
 func playCold(s *site) (bool, error) {
 	const rounds = 7
-	if err := s.startStore(); err != nil {
-		return false, err
-	}
+	s.startStore()
 	s.declare(1, "["+route("r1", "/till/", `"service":"till"`)+","+strings.Replace(route("r2", "/book/", `"service":"till"`), `"idempotent"`, `"non_idempotent"`, 1)+"]",
 		strings.Replace("["+service("till")+"]", `"cold_per_s":0.0`, fmt.Sprintf(`"cold_per_s":%g`, coldPerS), 1), "")
 	if err := s.addService("till", 1, 150*time.Millisecond); err != nil {
@@ -1183,7 +1121,7 @@
 		if s.trouble {
 			down := time.Now()
 			for _, d := range s.daemons {
-				d.gate.setTurnedAway(true)
+				d.gate.turnedAway.Store(true)
 			}
 			time.Sleep(300 * time.Millisecond)
 			var wg sync.WaitGroup
@@ -1200,7 +1138,7 @@
 				p.turnCold()
 			}
 			for _, d := range s.daemons {
-				d.gate.setTurnedAway(false)
+				d.gate.turnedAway.Store(false)
 			}
 			s.note("round %d: the store is back; the searchers are cold and their entries say so", n)
 		}
