linker: no more tasks are read from a peer that does not read its results

What callers saw: nothing yet; found by reading what a client of the address for other daemons can make a process hold.

Cause: a task that is refused at once (an invalid one, or one too many) does not count as running, so that its result waits without a bound. A peer that sends such tasks without end and reads nothing fills the memory.

Evidence: TestSessionUnread has a stream of frames of 256 invalid tasks, one a millisecond for a second, and no reader.

Change: with 1,024 results or more that wait, the session reads nothing until some have been sent. The peer's sends then wait in turn.

Not covered: the memory of one frame while it is decoded (docs/design/client-limits.md, Open).

--- a/internal/peer/linker/session.go
+++ b/internal/peer/linker/session.go
@@ -15,6 +15,8 @@
 	stream drpc.Stream
 	w      *peerConn
 	wake   chan struct{}
+	// sent tells awaitSent that results have been taken out to be sent.
+	sent chan struct{}
 
 	mu                sync.Mutex
 	running           map[uint64]context.CancelFunc
@@ -28,6 +30,7 @@
 		stream:  stream,
 		w:       w,
 		wake:    make(chan struct{}, 1),
+		sent:    make(chan struct{}, 1),
 		running: make(map[uint64]context.CancelFunc),
 	}
 }
@@ -50,6 +53,9 @@
 
 func (s *session) read(ctx context.Context) error {
 	for {
+		if err := s.awaitSent(ctx); err != nil {
+			return err
+		}
 		var f frame
 		if err := s.stream.MsgRecv(&f, wireCodec); err != nil {
 			return err
@@ -73,6 +79,28 @@
 	}
 }
 
+// maxUnsent is the number of results that wait to be sent from which no more tasks are read.
+const maxUnsent = 1024
+
+// awaitSent waits while maxUnsent results or more wait to be sent.
+//
+// Load pattern: a peer that sends tasks without end, each of which is refused at once, and does not read the results.
+func (s *session) awaitSent(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		n := len(s.results)
+		s.mu.Unlock()
+		if n < maxUnsent {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.sent:
+		}
+	}
+}
+
 // start passes a task to the worker.
 func (s *session) start(ctx context.Context, t *exchanger.Task) {
 	if err := t.Check(); err != nil {
@@ -138,8 +166,13 @@
 }
 
 func (s *session) signal() {
+	notify(s.wake)
+}
+
+// notify sends on a channel unless a notification waits there already.
+func notify(c chan<- struct{}) {
 	select {
-	case s.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -191,4 +224,5 @@
 	rest := copy(s.results, s.results[n:])
 	clear(s.results[rest:])
 	s.results = s.results[:rest]
+	notify(s.sent)
 }
