evictor, forwarder: a body has the time of its request, and no answer waits for it

What callers saw: a request that was refused by its head (404, 413) got no answer until its whole body had arrived; a body that stopped short held its request for good; in a planned stop such a request was cut off at the end of the grace period.

Cause: package http reads the rest of a body before it sends the answer, with no limit of time, and nothing bounded the time in which a body arrives.

Change: reading a body ends at the time limit of the client or the route, with 408, not run. When a planned stop begins to refuse requests, those with incomplete bodies are refused with 503. The metric cornelwood_evicted_total has the bounds "body timeout" and "stop".

Why it works: after the time limit nobody waits for the answer, so that no client inside the limits meets it; the request has not run, which 408 and 503 promise.

--- a/internal/daemon/router/shutdown.go
+++ b/internal/daemon/router/shutdown.go
@@ -25,7 +25,8 @@
 )
 
 // shutdown stops the daemon without aborting requests. The readiness check fails, and every connection is closed with its
-// next answer. After acceptFraction of the grace period requests are refused. The listener stays open until those in flight
+// next answer. After acceptFraction of the grace period requests are refused, also those whose bodies are not complete. The
+// listener stays open until those in flight
 // have ended, so that a client on an open connection or a new one learns that its request has not run.
 func (r *Router) shutdown() {
 	settings := r.settings.Load()
@@ -44,6 +45,7 @@
 	r.registrar.Deregister()
 	time.Sleep(time.Until(at(acceptFraction)))
 	r.forwarder.Refuse()
+	r.evictor.RefuseIncomplete()
 	r.log.Info("requests are refused from now on", "running", r.running())
 	r.awaitIdle(at(endFraction))
 	if n := r.running(); n > 0 {
--- a/internal/route/forwarder/body.go
+++ b/internal/route/forwarder/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 const (
@@ -50,6 +51,17 @@
 	}
 }
 
+// setDeadline bounds the time until a body is complete, if its reader can.
+//
+// Load pattern: clients that stop short of the end of their bodies, or trickle, and stay. After the deadline nobody waits for the
+// answer any more.
+func setDeadline(body io.Reader, t time.Time) {
+	if b, ok := body.(interface{ SetReadDeadline(time.Time) error }); ok {
+		// An error means that the client has disconnected, which the read shows.
+		_ = b.SetReadDeadline(t)
+	}
+}
+
 // fill reads until the piece is full or an error occurs. Unlike io.ReadFull it returns the reader's own error, which tells a
 // body that broke off from one that ended.
 func fill(r io.Reader, piece []byte) (int, error) {
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,8 +140,12 @@
 	return a
 }
 
-// reasonNoRoute is the reason of an answer to a request that no route matches.
-const reasonNoRoute = "no route matches the host and path"
+const (
+	// reasonNoRoute is the reason of an answer to a request that no route matches.
+	reasonNoRoute = "no route matches the host and path"
+	// reasonLateBody is the reason of an answer to a request whose body was not complete in time, so that it was not run.
+	reasonLateBody = "request body was not complete within the time limit of the client or the route"
+)
 
 // answer returns the name of the matching route, empty when there is none, and the answer.
 func (f *Forwarder) answer(ctx context.Context, req *Request, v *locator.View) (string, Answer) {
@@ -155,11 +160,18 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	if req.HasBody {
+		setDeadline(req.Body, deadlineOf(req, rt))
+	}
 	body, err := readBody(req.Body, req.ContentLength, limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case isEvicted(err):
 		return rt.Name, refuseNotRun(f.cfg.RetryAfter, err.Error())
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		a := refuse(http.StatusRequestTimeout, reasonLateBody)
+		a.RetryAfter = f.cfg.RetryAfter
+		return rt.Name, a
 	case errors.As(err, &tooLarge):
 		return rt.Name, refuse(http.StatusRequestEntityTooLarge, err.Error())
 	case err != nil:
@@ -178,17 +190,22 @@
 	if rt, v, refusal = f.allot(ctx, req, rt, v); refusal != nil {
 		return name, *refusal
 	}
-	timeout := rt.EffectiveTimeout(req.ClientTimeout)
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	deadline := req.Arrived.Add(timeout)
+	deadline := deadlineOf(req, rt)
 	if len(rt.Shards) > 0 {
 		return rt.Name, f.answerQuery(ctx, req, body, rt, v, deadline)
 	}
 	return rt.Name, f.single(ctx, req, body, rt, v, deadline)
 }
 
+// deadlineOf returns the time at which a request must have its final answer.
+func deadlineOf(req *Request, rt *declarer.Route) time.Time {
+	timeout := rt.EffectiveTimeout(req.ClientTimeout)
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return req.Arrived.Add(timeout)
+}
+
 // accept finds the route of a request and authorizes it; call it again after the request has waited. It returns the route,
 // nil when none was found, and the answer to a request that is not served, nil for one that is.
 func (f *Forwarder) accept(req *Request, v *locator.View) (*declarer.Route, *Answer) {
--- a/internal/web/evictor/conn.go
+++ b/internal/web/evictor/conn.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -30,12 +29,20 @@
 
 const reasonTooLarge = "request header too large"
 
+// Reasons of an EvictedError.
+const (
+	reasonMemory   = "request body gave way: the memory for incomplete requests is used up"
+	reasonStopping = "request body is not complete, and this daemon stops"
+)
+
 // EvictedError means that a body has given way before it was complete.
-type EvictedError struct{}
+type EvictedError struct {
+	Reason string
+}
 
 // Error returns the reason.
-func (*EvictedError) Error() string {
-	return "request body gave way: the memory for incomplete requests is used up"
+func (e *EvictedError) Error() string {
+	return e.Reason
 }
 
 // Evicted is true. It tells the error from one of the client.
@@ -52,6 +59,8 @@
 	// The fields below are guarded by the Evictor's mutex.
 	state               State
 	isGone, isLingering bool
+	// reason is why the body has given way.
+	reason string
 	// pending is the number of bytes of the head or message that have been read, progress the number of bytes of the
 	// body since Since.
 	pending  int64
@@ -206,41 +215,31 @@
 	return !c.isGone && c.state.Phase == Body
 }
 
-// hasGivenWay reports whether the connection has given way.
-func (c *Conn) hasGivenWay() bool {
+// givenWay returns why the connection has given way, and whether it has.
+func (c *Conn) givenWay() (string, bool) {
 	c.g.e.mu.Lock()
 	defer c.g.e.mu.Unlock()
-	return c.isGone || c.state.Phase == Ending
+	return c.reason, c.isGone || c.state.Phase == Ending
 }
 
-// body is the body of a request, whose bytes count against the budget until the request has been answered.
-type body struct {
-	io.ReadCloser
-	c *Conn
-	w http.ResponseWriter
-	// err is the result of the read that ended the body.
-	err error
-}
-
-// Evicted reports whether the body has given way.
-func (b *body) Evicted() bool {
-	var e *EvictedError
-	return errors.As(b.err, &e)
+// setBodyDeadline bounds the time until the body is complete. The zero time ends the bound.
+func (c *Conn) setBodyDeadline(t time.Time) error {
+	c.g.e.mu.Lock()
+	defer c.g.e.mu.Unlock()
+	if c.isGone || c.state.Phase == Ending {
+		return nil
+	}
+	return c.SetReadDeadline(t)
 }
 
-// Read reads into p. It fails with an *EvictedError when the body has given way.
-func (b *body) Read(p []byte) (int, error) {
-	if b.err != nil {
-		return 0, b.err
-	}
-	n, err := b.ReadCloser.Read(p)
-	if n > 0 && !b.c.grow(n) || err != nil && err != io.EOF && b.c.hasGivenWay() {
-		n, err = 0, &EvictedError{}
-		b.w.Header().Set("Connection", "close")
-	}
-	if err == io.EOF {
-		b.c.finish(Running)
+// endBody ends the connection with its next answer, since a body was not complete at its deadline. isRefused is true when that
+// is the reason of the answer.
+func (c *Conn) endBody(isRefused bool) {
+	c.g.e.mu.Lock()
+	defer c.g.e.mu.Unlock()
+	if isRefused {
+		c.g.e.record(c, boundBodyTime, time.Now())
 	}
-	b.err = err
-	return n, err
+	c.g.e.release(c)
+	c.setPhase(Ending, time.Now())
 }
--- a/internal/web/evictor/evictor.go
+++ b/internal/web/evictor/evictor.go
@@ -37,6 +37,9 @@
 	boundHead     = "head size"
 	boundHeadTime = "head timeout"
 	boundIdleTime = "idle timeout"
+	// boundBodyTime is the client's time limit or the route's, boundStop a planned stop.
+	boundBodyTime = "body timeout"
+	boundStop     = "stop"
 )
 
 // Evictor holds the memory budget of a process and its Groups. It is a suture service whose Serve enforces limits of time.
@@ -222,9 +225,23 @@
 	c.Conn.Close()
 }
 
+// RefuseIncomplete refuses the requests whose bodies are not complete, before a planned stop.
+func (e *Evictor) RefuseIncomplete() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, g := range e.groups {
+		for c := range g.conns {
+			if c.state.Phase == Body {
+				e.refuseBody(c, boundStop, reasonStopping, time.Now())
+			}
+		}
+	}
+}
+
 // refuseBody makes reading the body of a connection fail, so that its request is refused. e.mu is held.
-func (e *Evictor) refuseBody(c *Conn, now time.Time) {
-	e.record(c, boundBytes, now)
+func (e *Evictor) refuseBody(c *Conn, bound, reason string, now time.Time) {
+	e.record(c, bound, now)
+	c.reason = reason
 	e.release(c)
 	c.setPhase(Ending, now)
 	// The error means that the connection is closed already.
@@ -286,7 +303,7 @@
 		case victim == nil:
 			return
 		case victim.state.Phase == Body:
-			e.refuseBody(victim, now)
+			e.refuseBody(victim, boundBytes, reasonMemory, now)
 		default:
 			e.evict(victim, boundBytes, now)
 		}
--- a/internal/web/evictor/evictor_test.go
+++ b/internal/web/evictor/evictor_test.go
@@ -25,6 +25,12 @@
 	}
 }
 
+// hasGivenWay reports whether a connection has given way.
+func hasGivenWay(c *Conn) bool {
+	_, ok := c.givenWay()
+	return ok
+}
+
 // TestBudget guards against bodies that hold more than the budget, and against a body that is refused while a slower one is
 // kept.
 func TestBudget(t *testing.T) {
@@ -39,7 +45,7 @@
 	}
 	running.finish(Running)
 	slow.state.Since = time.Now().Add(-time.Second)
-	if !arriving.grow(4) || !slow.hasGivenWay() || arriving.hasGivenWay() || running.hasGivenWay() {
+	if !arriving.grow(4) || !hasGivenWay(slow) || hasGivenWay(arriving) || hasGivenWay(running) {
 		t.Error("not the slowest body gave way")
 	}
 	if diff := cmp.Diff(int64(10), g.e.used); diff != "" {
@@ -75,7 +81,7 @@
 	silent, running := admit(now.Add(-time.Second)), admit(now)
 	running.finish(Running)
 	last := admit(now)
-	if last == nil || !silent.hasGivenWay() || silent.begin(false) {
+	if last == nil || !hasGivenWay(silent) || silent.begin(false) {
 		t.Error("the silent connection did not give way")
 	}
 	last.finish(Running)
--- a/internal/web/evictor/http.go
+++ b/internal/web/evictor/http.go
@@ -47,7 +47,11 @@
 			return
 		}
 		if r.ContentLength != 0 {
-			r.Body = &body{ReadCloser: r.Body, c: c, w: w}
+			b := &body{ReadCloser: r.Body, c: c, w: w, isInvited: r.Header.Get("Expect") != ""}
+			r.Body = b
+			next.ServeHTTP(&answerWriter{ResponseWriter: w, body: b}, r)
+			b.end()
+			return
 		}
 		next.ServeHTTP(w, r)
 	})
