--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -14,7 +14,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 	"golang.org/x/time/rate"
@@ -36,6 +35,7 @@
 	"cornelwood.example/internal/upstream/dispatcher"
 	"cornelwood.example/internal/upstream/prober"
 	"cornelwood.example/internal/web/evictor"
+	"cornelwood.example/internal/web/gauger"
 	"cornelwood.example/internal/web/server"
 	"cornelwood.example/platform"
 )
@@ -223,7 +223,7 @@
 	}
 	queryRecorder, closer := recorder.New(time.Now)
 	d.onClose(closer)
-	metrics := promhttp.HandlerFor(d.reg, promhttp.HandlerOpts{})
+	metrics := gauger.Handler(d.reg)
 	callers := receiver.New(recorder.NewQuerier(d.gatherer, d.views, queryRecorder), d.ticketer, healthChecker{d}, metrics)
 	callerServer := receiver.Server(callers)
 	callerServer.BaseContext = func(net.Listener) context.Context { return d.callerCtx }
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -16,7 +16,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
@@ -293,7 +292,7 @@
 		sup.Add(f)
 	}
 	sup.Add(server.New("callers", r.bound("callers", r.shares.Clients, r.callers, r.server, r.limits), r.server))
-	metrics := promhttp.HandlerFor(r.reg, promhttp.HandlerOpts{})
+	metrics := gauger.Handler(r.reg)
 	checks := &http.Server{Handler: platform.NewHealthHandler(r.ready, metrics)}
 	sup.Add(server.New("checks", r.bound("checks", r.shares.Checks, r.checks, checks, checkLimits), checks))
 	sup.Add(&sweeper{r.conns})
