connector: a large answer counts until it has been sent

Cause: the bound on large answers that are read at once ended as soon as an answer had been read; each of the connections then held one while its client did not take it.

Change: an answer counts until the client has it or the connection has ended.

--- a/internal/route/forwarder/request.go
+++ b/internal/route/forwarder/request.go
@@ -7,6 +7,7 @@
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/peer/lender"
+	"cornelwood.example/internal/upstream/connector"
 	"cornelwood.example/internal/web/gauger"
 )
 
@@ -74,10 +75,19 @@
 	Gatherers []string
 	// SubRequests is the number of requests sent to searchers.
 	SubRequests int
+	// reply is the searcher's answer that is passed on; nil for another one.
+	reply *connector.Reply
 	// Reason says why the daemon refused the request or failed to answer it; empty for answers from searchers.
 	Reason string
 }
 
+// Release tells that the answer has been sent, or is not sent any more.
+func (a *Answer) Release() {
+	if a.reply != nil {
+		a.reply.Release()
+	}
+}
+
 // refuse returns an answer that the daemon made.
 func refuse(status int, reason string) Answer {
 	return Answer{Status: status, Reason: reason}
--- a/internal/route/forwarder/single.go
+++ b/internal/route/forwarder/single.go
@@ -109,5 +109,5 @@
 
 // passOn returns a searcher's answer unchanged.
 func passOn(res *result) Answer {
-	return Answer{Status: res.reply.Status, Header: res.reply.Header, Body: res.reply.Body}
+	return Answer{Status: res.reply.Status, Header: res.reply.Header, Body: res.reply.Body, reply: res.reply}
 }
--- a/internal/upstream/connector/conn.go
+++ b/internal/upstream/connector/conn.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -75,6 +77,8 @@
 	head *headReader
 	// memory bounds the bodies that are read at once on all connections.
 	memory *memory
+	// isAborted is true once the caller has given the running exchange up.
+	isAborted atomic.Bool
 	// isNew is true until the first exchange has ended.
 	isNew bool
 	// idleSince is when the last exchange ended.
@@ -170,6 +174,7 @@
 
 // abort makes the running exchange fail.
 func (c *conn) abort() {
+	c.isAborted.Store(true)
 	c.Close()
 }
 
@@ -221,6 +226,7 @@
 		case rep.Meta.RequestID == "":
 			return nil, errNoRequestID
 		}
+		rep.Release()
 	}
 	return nil, errStrayAnswers
 }
@@ -238,20 +244,24 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := c.memory.readBody(resp)
+		body, taken, err := c.memory.readBody(resp, func() bool { return !c.isAborted.Load() && time.Now().Before(req.Deadline) })
 		if err != nil {
 			return nil, err
 		}
 		// After the end of the body this reads nothing.
 		resp.Body.Close()
 		c.keepAlive = parseKeepAlive(resp.Header)
-		return &Reply{
+		rep := &Reply{
+			charge:   taken,
 			Status:   resp.StatusCode,
 			Header:   resp.Header,
 			Body:     body,
 			Meta:     codec.Read(resp.Header),
 			reusable: !resp.Close && c.r.Buffered() == 0,
-		}, nil
+		}
+		// Most replies that nobody waits for any more are dropped on their way.
+		runtime.AddCleanup(rep, (*charge).release, taken)
+		return rep, nil
 	}
 	return nil, errInformational
 }
--- a/internal/upstream/connector/connector.go
+++ b/internal/upstream/connector/connector.go
@@ -40,7 +40,7 @@
 	// DialPause is how long no connection is opened to a searcher that has reset a new one:
 	// it has reached the number of connections that it accepts.
 	DialPause time.Duration
-	// MaxBuffered bounds the bytes of large answers that are read at once.
+	// MaxBuffered bounds the bytes of large answers that are read or passed on at once.
 	MaxBuffered int64
 	// Dial opens a connection; nil means over TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
--- a/internal/upstream/connector/request.go
+++ b/internal/upstream/connector/request.go
@@ -39,6 +39,15 @@
 	Meta   Meta
 	// reusable is true when the connection can carry another exchange.
 	reusable bool
+	// charge is what the body takes of the memory for answers.
+	charge *charge
+}
+
+// Release tells that the body is not needed any more. A reply that is dropped without it counts until it is collected.
+func (r *Reply) Release() {
+	if r.charge != nil {
+		r.charge.release()
+	}
 }
 
 // IsRefusal reports whether the searcher did not run the request, so that it may get it again.
