--- a/cmd/cornelwood/abuse_test.go
+++ b/cmd/cornelwood/abuse_test.go
@@ -4,35 +4,65 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cornelwood.example/platform"
 )
 
-// The crowd of abusive clients of each test, and the limits of the process that it meets. The bounds are those that a
-// machine would enforce: [process] memory and descriptors.
+// machine is what a machine would enforce of the process that runs on it: [process] memory and descriptors.
+type machine struct {
+	memoryMB, descriptors int
+}
+
+// lowMachine makes most faults show with a small crowd. smallestMachine is the smallest one of the deployments' sheets.
+var (
+	lowMachine      = machine{memoryMB: 96, descriptors: 400}
+	smallestMachine = machine{memoryMB: 136, descriptors: 2870}
+)
+
+// settings returns the section of a daemon's settings.
+func (m machine) settings() string {
+	return fmt.Sprintf("[process]\nmemory = %d\ndescriptors = %d\n", m.memoryMB, m.descriptors)
+}
+
+// The crowd of abusive clients of each test.
 const (
-	abuseMemoryMB    = 96
-	abuseDescriptors = 400
-	// crowdSize exceeds the descriptors, and crowdSize bodies of crowdBodyBytes exceed the memory.
+	// crowdSize exceeds the descriptors of lowMachine, and crowdSize bodies of crowdBodyBytes exceed its memory. manySize exceeds
+	// the connections that smallestMachine accepts of clients.
 	crowdSize      = 480
+	manySize       = 700
 	crowdBodyBytes = 262_144
-	// crowdTime is the time after which every client of the crowd closes its connection.
-	crowdTime = 4 * time.Second
-	// crowdDials bounds the connections that one client opens in a row.
-	crowdDials = 3
+	// crowdTime is the time for which a crowd is there before an ordinary caller begins. A client whose connection is closed
+	// comes back after crowdPause.
+	crowdTime  = 4 * time.Second
+	crowdPause = 50 * time.Millisecond
+	// abuseHeadBytes is header_bytes of abuseLimits, unreadRequests the number of requests on a connection that is not read.
+	abuseHeadBytes = 16_384
+	unreadRequests = 60
+	// clientReadBytes is the receive buffer of a client.
+	clientReadBytes = 4 << 10
+	// answerBytes is the size of a searcher's answer, the largest of the deployments' sheets. maxAnswerBytes is one that a few
+	// clients suffice for to exceed the memory, while they do not read.
+	answerBytes    = 36_000
+	largePath      = "/p/large"
+	maxAnswerBytes = 2 << 20
 	// bodyRest is the part of a body that a client keeps back. One client in crowdWhole sends its whole body.
 	bodyRest   = 7
 	crowdWhole = 16
@@ -40,7 +70,8 @@
 	// the daemon hold some MB.
 	peerCrowdSize = 60
 	endlessBytes  = 16 << 20
-	// abuseRecovery is the time within which an ordinary request must be answered after the crowd has ended.
+	// abuseRecovery is the time within which an ordinary request must be answered, beside a crowd that has been there for
+	// crowdTime and after it has ended.
 	abuseRecovery = 10 * time.Second
 )
 
@@ -165,6 +196,132 @@
 // silent opens a connection and sends nothing.
 func silent(int, io.Writer) error { return nil }
 
+// manyHeaders sends a head of the largest legal size that consists of headers of a few bytes, and stops just short of its end. Every
+// other client sends the whole head and keeps back its body.
+func manyHeaders(i int, w io.Writer) error {
+	var head strings.Builder
+	head.WriteString(headStart("POST") + "Content-Length: 10\r\n")
+	for n := 0; head.Len() < abuseHeadBytes-10; n++ {
+		head.WriteString(strconv.FormatInt(int64(n+36), 36) + ":\r\n")
+	}
+	if i%2 == 0 {
+		head.WriteString("\r\n")
+	}
+	_, err := io.WriteString(w, head.String())
+	return err
+}
+
+// endlessExtensions sends a chunked body whose chunks have long extensions and one byte each.
+func endlessExtensions(_ int, w io.Writer) error {
+	if _, err := io.WriteString(w, headStart("POST")+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
+		return err
+	}
+	return repeatText(w, "1;"+strings.Repeat("x", 4000)+"\r\nx\r\n", endlessBytes/4096)
+}
+
+// endlessTrailer sends a chunked body whose trailer never ends. Every other client stops within the trailer.
+func endlessTrailer(i int, w io.Writer) error {
+	if _, err := io.WriteString(w, headStart("POST")+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"); err != nil {
+		return err
+	}
+	if i%2 == 0 {
+		return repeatText(w, "X-Filler: x\r\n", 100)
+	}
+	return repeatText(w, strings.Repeat("X-Filler: x\r\n", 100), endlessBytes/1300)
+}
+
+// expectation announces a body and waits with it for an interim answer that it does not use.
+func expectation(_ int, w io.Writer) error {
+	_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\nExpect: 100-continue\r\n\r\n", headStart("POST"), crowdBodyBytes)
+	return err
+}
+
+// halfClosed sends requests and closes its sending side. It does not read the answers.
+func halfClosed(_ int, w io.Writer) error {
+	if err := repeatText(w, headStart("GET")+"\r\n", unreadRequests); err != nil {
+		return err
+	}
+	return stay(w, func(c *net.TCPConn) error { return c.CloseWrite() })
+}
+
+// refusedEarly sends a request that is refused by its head, and keeps back its body.
+func refusedEarly(_ int, w io.Writer) error {
+	_, err := fmt.Fprintf(w, "POST /none/ HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", entryHost, crowdBodyBytes)
+	return err
+}
+
+// unreadAnswers sends requests whose answers it does not read, and stays open.
+func unreadAnswers(_ int, w io.Writer) error {
+	return stay(w, func(c *net.TCPConn) error {
+		return repeatText(c, headStart("GET")+"\r\n", unreadRequests)
+	})
+}
+
+// unreadLargeAnswers sends requests for answers of maxAnswerBytes, which it does not read, and stays open.
+func unreadLargeAnswers(_ int, w io.Writer) error {
+	return stay(w, func(c *net.TCPConn) error {
+		return repeatText(c, "GET "+largePath+" HTTP/1.1\r\nHost: "+entryHost+"\r\n\r\n", unreadRequests)
+	})
+}
+
+// endlessRequests sends requests without end, ahead of the answers, which it does not read.
+func endlessRequests(_ int, w io.Writer) error {
+	return repeatText(w, strings.Repeat(headStart("GET")+"\r\n", 50), endlessBytes/4096)
+}
+
+// unreadMetrics asks for the metrics again and again, compressed if the daemon can, and does not read them.
+func unreadMetrics(_ int, w io.Writer) error {
+	return repeatText(w, "GET /metrics HTTP/1.1\r\nHost: x\r\nAccept-Encoding: zstd, gzip\r\n\r\n", endlessBytes/100)
+}
+
+// fullFrames sends frames of the protocol between daemons that open one stream after the other (kind invoke, message 1), with
+// calls that do not exist, and does not read the answers.
+func fullFrames(_ int, w io.Writer) error {
+	for stream := byte(1); stream < 100; stream++ {
+		name := "/cornelwood.Peer/" + strings.Repeat("x", 4000)
+		frame := append([]byte{1<<1 | 1, stream, 1, 0x80 | byte(len(name)&0x7f), byte(len(name) >> 7)}, name...)
+		if _, err := w.Write(frame); err != nil {
+			return err
+		}
+	}
+	return stay(w, func(*net.TCPConn) error { return nil })
+}
+
+// errStay ends a client's part after its connection has been left open and unread.
+var errStay = errors.New("connection is left unread")
+
+// stay runs the rest of a client that does not read from its connection. The client stays until the crowd ends, or until the daemon
+// closes the connection: then it comes back.
+func stay(w io.Writer, rest func(*net.TCPConn) error) error {
+	c, ok := w.(*net.TCPConn)
+	if !ok {
+		return errStay
+	}
+	if err := rest(c); err != nil {
+		return err
+	}
+	for isOpen(c) {
+		time.Sleep(crowdPause)
+	}
+	return errStay
+}
+
+// isOpen reports whether neither this end has closed a connection nor the other end its sending side.
+func isOpen(c *net.TCPConn) bool {
+	const closeWait, closed, timeWait = 8, 7, 6
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	state := uint8(closed)
+	err = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
+	})
+	return err == nil && state != closeWait && state != closed && state != timeWait
+}
+
 // endlessMessage sends a message of the protocol between daemons that never ends: a frame (kind message, stream 1, message
 // 1) that is longer than the daemon accepts.
 func endlessMessage(_ int, w io.Writer) error {
@@ -175,48 +332,106 @@
 	return writeMuch(w, 2_500_000, 16<<10)
 }
 
-// runCrowd runs n clients against an address of the process and returns its largest resident set, in bytes, and its largest
-// number of descriptors. It lasts crowdTime.
-func runCrowd(t *testing.T, p *process, addr string, n int, do client) (rss, fds int) {
+// crowd is n clients of one kind at one address.
+type crowd struct {
+	addr string
+	n    int
+	do   client
+}
+
+// usage is the largest use of a process while crowds were there.
+type usage struct {
+	// rss is the resident set, and held that and the bytes received and not yet read, which count as memory of the process.
+	rss, held int
+	fds       int
+	// isServing is true when an ordinary caller was served beside the crowds.
+	isServing bool
+}
+
+// runCrowds runs crowds against a process, and after crowdTime an ordinary caller beside them: serve reports whether it was answered.
+// The crowds stay until then, abuseRecovery longer at most.
+func runCrowds(t *testing.T, p *process, serve func(context.Context) bool, crowds ...crowd) usage {
 	t.Helper()
-	end := time.Now().Add(crowdTime)
-	ctx, cancel := context.WithDeadline(t.Context(), end)
+	ctx, cancel := context.WithTimeout(t.Context(), crowdTime+abuseRecovery)
 	defer cancel()
-	var crowd sync.WaitGroup
-	for i := range n {
-		crowd.Go(func() {
-			for range crowdDials {
-				runClient(ctx, addr, end, i, do)
-				if ctx.Err() != nil {
-					return
+	var all sync.WaitGroup
+	for _, c := range crowds {
+		for i := range c.n {
+			all.Go(func() {
+				for ctx.Err() == nil {
+					runClient(ctx, c.addr, i, c.do)
+					time.Sleep(crowdPause)
 				}
-				time.Sleep(50 * time.Millisecond)
-			}
-		})
-	}
-	for time.Now().Before(end) {
-		r, f := p.resources()
-		rss, fds = max(rss, r), max(fds, f)
-		time.Sleep(10 * time.Millisecond)
+			})
+		}
 	}
-	crowd.Wait()
-	return rss, fds
+	var isServing atomic.Bool
+	all.Go(func() {
+		for time.Sleep(crowdTime); ctx.Err() == nil && !isServing.Load(); time.Sleep(crowdPause) {
+			if serve(ctx) {
+				isServing.Store(true)
+			}
+		}
+	})
+	var u usage
+	for ctx.Err() == nil && !isServing.Load() {
+		rss, fds := p.resources()
+		u.rss, u.fds = max(u.rss, rss), max(u.fds, fds)
+		u.held = max(u.held, rss+unread(t, crowds))
+		time.Sleep(20 * time.Millisecond)
+	}
+	cancel()
+	all.Wait()
+	u.isServing = isServing.Load()
+	return u
 }
 
-// runClient runs one client of a crowd on one connection, which stays open until the end unless the daemon closes it.
-func runClient(ctx context.Context, addr string, end time.Time, i int, do client) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+// runClient runs one client of a crowd on one connection, which stays open until ctx ends unless the daemon closes it.
+func runClient(ctx context.Context, addr string, i int, do client) {
+	// The size counts when it is set before the connection is made. Otherwise the kernel takes some MB of answers.
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, clientReadBytes) })
+	}}
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
-	// An error shows with the first read.
-	_ = conn.SetDeadline(end)
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	if do(i, conn) == nil {
 		_, _ = io.Copy(io.Discard, conn)
 	}
 }
 
+// unread returns the bytes that the kernel holds for the addresses of crowds, of connections that were accepted and of those that
+// wait for it.
+func unread(t *testing.T, crowds []crowd) int {
+	t.Helper()
+	text, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ports := make(map[string]bool)
+	for _, c := range crowds {
+		ports[fmt.Sprintf("%04X", netip.MustParseAddrPort(c.addr).Port())] = true
+	}
+	total := 0
+	for line := range strings.Lines(string(text)) {
+		// The fields are: number, local address, remote address, state, sizes of the queues as sent:received.
+		f := strings.Fields(line)
+		const listening = "0A"
+		if len(f) < 5 || f[3] == listening {
+			continue
+		}
+		_, port, _ := strings.Cut(f[1], ":")
+		_, received, _ := strings.Cut(f[4], ":")
+		if n, err := strconv.ParseInt(received, 16, 64); err == nil && ports[port] {
+			total += int(n)
+		}
+	}
+	return total
+}
+
 // resources returns the resident set of the process, in bytes, and its number of descriptors; 0 if it has ended.
 func (p *process) resources() (rss, fds int) {
 	dir := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid))
@@ -232,18 +447,31 @@
 	return rss, fds
 }
 
-// assertBounded checks that the process lives and that it stayed within the limits.
-func (p *process) assertBounded(t *testing.T, rss, fds int) {
+// assertBounded checks that the process lives, that it stayed within the limits, and that an ordinary caller was served.
+func (p *process) assertBounded(t *testing.T, m machine, u usage) {
 	t.Helper()
-	t.Logf("%s: resident set %.1f MB at most, %d descriptors at most", p.name, float64(rss)/(1<<20), fds)
-	if p.cmd.Process.Signal(syscall.Signal(0)) != nil {
+	t.Logf("%s: resident set %.1f MB at most, %.1f MB with what was not read, %d descriptors at most", p.name, float64(u.rss)/(1<<20), float64(u.held)/(1<<20), u.fds)
+	if p.hasEnded() {
 		t.Fatalf("%s has ended", p.name)
 	}
-	if rss > abuseMemoryMB<<20 {
-		t.Errorf("%s: resident set of %.1f MB, want at most %d", p.name, float64(rss)/(1<<20), abuseMemoryMB)
+	if u.held > m.memoryMB<<20 {
+		t.Errorf("%s: %.1f MB held, want at most %d", p.name, float64(u.held)/(1<<20), m.memoryMB)
+	}
+	if u.fds > m.descriptors {
+		t.Errorf("%s: %d descriptors, want at most %d", p.name, u.fds, m.descriptors)
 	}
-	if fds > abuseDescriptors {
-		t.Errorf("%s: %d descriptors, want at most %d", p.name, fds, abuseDescriptors)
+	if !u.isServing {
+		t.Errorf("%s: no ordinary request was answered beside the crowd", p.name)
+	}
+}
+
+// hasEnded reports whether the process has ended.
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -257,15 +485,20 @@
 	return file
 }
 
-// withBoundedEntry starts an entry daemon with low limits of memory and descriptors.
-func withBoundedEntry(t *testing.T) *entrySite {
+// withBoundedEntry starts an entry daemon with the limits of a machine.
+func withBoundedEntry(t *testing.T, m machine) *entrySite {
 	t.Helper()
 	s := newEntrySite(t)
 	s.declareLimits(1, abuseLimits)
-	s.settingsText += fmt.Sprintf("[process]\nmemory = %d\ndescriptors = %d\n", abuseMemoryMB, abuseDescriptors)
+	s.machine = m
+	s.settingsText += m.settings()
 	if err := os.WriteFile(s.settings, []byte(s.settingsText), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	for _, p := range s.searchers {
+		p.SetAnswerBytes("/p/", answerBytes)
+		p.SetAnswerBytes(largePath, maxAnswerBytes)
+	}
 	s.daemon = startProcess(t, "entry", buildProgram(t), "entry", "--settings", s.settings)
 	s.eventually("ready", entryTimeout, func() bool { return s.readyStatus() == http.StatusOK })
 	return s
@@ -273,19 +506,33 @@
 
 // declareLimits writes a version of the desired state with the limits of requests.
 func (s *entrySite) declareLimits(version int, limits string) {
+	s.declarePrefix(version, "/p/", limits)
+}
+
+// declarePrefix is declareLimits with another prefix of the route's path.
+func (s *entrySite) declarePrefix(version int, prefix, limits string) {
 	s.store.Set(platform.KindConfig, platform.ConfigName, json.RawMessage(fmt.Sprintf(`{"version":%d,"routes":[
-		{"name":"p","host":%q,"path_prefix":"/p/","kind":"non_idempotent","timeout_ms":2000,"goal_ms":200,"attempts":2,"service":"a"}],"limits":%s}`,
-		version, entryHost, limits)))
+		{"name":"p","host":%q,"path_prefix":%q,"kind":"non_idempotent","timeout_ms":2000,"goal_ms":200,"attempts":2,"service":"a"}],"limits":%s}`,
+		version, entryHost, prefix, limits)))
 }
 
-// assertServes checks that one ordinary request is answered.
-func (s *entrySite) assertServes() {
-	s.t.Helper()
+// serves reports whether an ordinary request is answered, and the readiness check passes.
+func (s *entrySite) serves(context.Context) bool {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: abuseRecovery / 4}
-	s.eventually("serving an ordinary request", abuseRecovery, func() bool {
-		return s.send(client, http.MethodPost, "/p/1").status == http.StatusOK
-	})
-	s.eventually("answering the readiness check", abuseRecovery, func() bool { return s.readyStatus() == http.StatusOK })
+	a, ready := s.send(client, http.MethodPost, "/p/1"), s.readyStatus()
+	isServing := a.status == http.StatusOK && ready == http.StatusOK
+	if !isServing {
+		s.t.Logf("ordinary request: status %d, error %v, body %.30q; readiness check: status %d", a.status, a.err, a.body, ready)
+	}
+	return isServing
+}
+
+// assertWithstands runs crowds against the daemon, and checks that it stayed within its limits and serves beside and after them.
+func (s *entrySite) assertWithstands(crowds ...crowd) {
+	s.t.Helper()
+	u := runCrowds(s.t, s.daemon, s.serves, crowds...)
+	s.daemon.assertBounded(s.t, s.machine, u)
+	s.eventually("serving after the crowd", abuseRecovery, func() bool { return s.serves(s.t.Context()) })
 }
 
 // peerAddr returns the address for other daemons.
@@ -305,39 +552,94 @@
 	for name, do := range map[string]client{
 		"large heads": largeHead, "endless heads": endlessHead, "empty lines": emptyLines, "whole bodies": wholeBody,
 		"bodies in pieces": pieceBody, "large chunks": largeChunks, "small chunks": smallChunks, "silent": silent,
+		"many headers": manyHeaders, "endless extensions": endlessExtensions, "endless trailer": endlessTrailer,
+		"expectations": expectation, "half closed": halfClosed, "refused before the body": refusedEarly,
+		"unread answers": unreadAnswers, "endless requests": endlessRequests,
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := withBoundedEntry(t)
-			rss, fds := runCrowd(t, s.daemon, s.callerAddr, crowdSize, do)
-			s.daemon.assertBounded(t, rss, fds)
-			s.assertServes()
+			s := withBoundedEntry(t, lowMachine)
+			s.assertWithstands(crowd{s.callerAddr, crowdSize, do})
 		})
 	}
 }
 
-// TestAbusiveClientsOfOtherListeners runs crowds against an entry daemon's addresses for checks and for other daemons.
-func TestAbusiveClientsOfOtherListeners(t *testing.T) {
+// TestAbusiveClientsOfSmallestMachine runs crowds that make each of the connections that this machine accepts hold as much as it can.
+func TestAbusiveClientsOfSmallestMachine(t *testing.T) {
 	for _, tt := range []struct {
 		name string
-		peer bool
-		n    int
 		do   client
 	}{
-		{"checks: endless heads", false, crowdSize, endlessHead},
-		{"checks: bodies", false, crowdSize, wholeBody},
-		{"checks: silent", false, crowdSize, silent},
-		{"peers: endless messages", true, peerCrowdSize, endlessMessage},
-		{"peers: silent", true, crowdSize, silent},
+		{"many headers", manyHeaders},
+		{"unread large answers", unreadLargeAnswers},
+		{"endless requests", endlessRequests},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			s := withBoundedEntry(t)
-			addr := s.checkAddr
-			if tt.peer {
-				addr = s.peerAddr()
-			}
-			rss, fds := runCrowd(t, s.daemon, addr, tt.n, tt.do)
-			s.daemon.assertBounded(t, rss, fds)
-			s.assertServes()
+			s := withBoundedEntry(t, smallestMachine)
+			s.assertWithstands(crowd{s.callerAddr, manySize, tt.do})
+		})
+	}
+}
+
+// TestAbusiveClientsOfTwoKinds runs two crowds at once, of which one alone would take what the other leaves.
+func TestAbusiveClientsOfTwoKinds(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		a, b client
+	}{
+		{"bodies and unread answers", wholeBody, unreadAnswers},
+		{"small chunks and many headers", smallChunks, manyHeaders},
+		{"silent and refused before the body", silent, refusedEarly},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := withBoundedEntry(t, lowMachine)
+			s.assertWithstands(crowd{s.callerAddr, crowdSize / 2, tt.a}, crowd{s.callerAddr, crowdSize / 2, tt.b})
+		})
+	}
+}
+
+// target is a crowd at one of an entry daemon's listeners.
+type target struct {
+	listener string
+	n        int
+	do       client
+}
+
+// crowds returns the crowds at the addresses of the daemon.
+func (s *entrySite) crowds(targets ...target) []crowd {
+	addrs := map[string]string{"callers": s.callerAddr, "checks": s.checkAddr, "peers": s.peerAddr()}
+	var out []crowd
+	for _, c := range targets {
+		out = append(out, crowd{addrs[c.listener], c.n, c.do})
+	}
+	return out
+}
+
+// TestAbusiveClientsUnreadOfAllListeners runs crowds that read nothing against all addresses of an entry daemon at once.
+func TestAbusiveClientsUnreadOfAllListeners(t *testing.T) {
+	s := withBoundedEntry(t, smallestMachine)
+	s.assertWithstands(s.crowds(target{"callers", manySize, endlessRequests}, target{"checks", crowdSize, unreadMetrics}, target{"peers", manySize, fullFrames})...)
+}
+
+// TestAbusiveClientsOfOtherListeners runs crowds against an entry daemon's addresses for checks and for other daemons, and against
+// all addresses at once.
+func TestAbusiveClientsOfOtherListeners(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		machine machine
+		targets []target
+	}{
+		{"checks: endless heads", lowMachine, []target{{"checks", crowdSize, endlessHead}}},
+		{"checks: bodies", lowMachine, []target{{"checks", crowdSize, wholeBody}}},
+		{"checks: silent", lowMachine, []target{{"checks", crowdSize, silent}}},
+		{"checks: unread metrics", lowMachine, []target{{"checks", crowdSize, unreadMetrics}}},
+		{"peers: endless messages", lowMachine, []target{{"peers", peerCrowdSize, endlessMessage}}},
+		{"peers: silent", lowMachine, []target{{"peers", crowdSize, silent}}},
+		{"peers: unread", smallestMachine, []target{{"peers", manySize, fullFrames}}},
+		{"all: bodies", smallestMachine, []target{{"callers", manySize, wholeBody}, {"checks", crowdSize, wholeBody}, {"peers", manySize, endlessMessage}}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := withBoundedEntry(t, tt.machine)
+			s.assertWithstands(s.crowds(tt.targets...)...)
 		})
 	}
 }
@@ -352,6 +654,7 @@
 		{"callers: endless heads", "caller", crowdSize, endlessHead},
 		{"callers: silent", "caller", crowdSize, silent},
 		{"callers: bodies", "caller", crowdSize, wholeBody},
+		{"callers: unread metrics", "caller", crowdSize, unreadMetrics},
 		{"operators: endless heads", "operator", crowdSize, endlessHead},
 		{"operators: silent", "operator", crowdSize, silent},
 		{"peers: endless messages", "peer", peerCrowdSize, endlessMessage},
@@ -360,20 +663,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			d := startBoundedDaemon(t)
 			addr := map[string]string{"caller": d.caller, "operator": d.operator, "peer": d.peer}[tt.listener]
-			rss, fds := runCrowd(t, d.process, addr, tt.n, tt.do)
-			d.assertBounded(t, rss, fds)
+			u := runCrowds(t, d.process, d.isLive, crowd{addr, tt.n, tt.do})
+			d.assertBounded(t, lowMachine, u)
 			eventually(t, abuseRecovery, func() error {
-				r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+d.caller+"/live", nil)
-				if err != nil {
-					return err
-				}
-				resp, err := http.DefaultClient.Do(r)
-				if err != nil {
-					return err
-				}
-				defer resp.Body.Close()
-				if resp.StatusCode != http.StatusOK {
-					return fmt.Errorf("status %d", resp.StatusCode)
+				if !d.isLive(t.Context()) {
+					return errors.New("not live")
 				}
 				return nil
 			})
@@ -381,8 +675,20 @@
 	}
 }
 
-// daemonLimits is the part of the settings that bounds a daemon's process.
-var daemonLimits = fmt.Sprintf("[process]\nmemory = %d\ndescriptors = %d\n", abuseMemoryMB, abuseDescriptors)
+// isLive reports whether the daemon answers its check of liveness on a new connection.
+func (d *daemon) isLive(ctx context.Context) bool {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: abuseRecovery / 4}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.caller+"/live", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
 
 // startBoundedDaemon starts a daemon of the product alone, with low limits of memory and descriptors.
 func startBoundedDaemon(t *testing.T) *daemon {
@@ -397,7 +703,7 @@
 		t.Fatal(err)
 	}
 	defer file.Close()
-	if _, err := file.WriteString(daemonLimits); err != nil {
+	if _, err := file.WriteString(lowMachine.settings()); err != nil {
 		t.Fatal(err)
 	}
 	d.process = startProcess(t, d.id, buildProgram(t), "daemon", "--settings", d.settings)
@@ -408,10 +714,51 @@
 	return d
 }
 
+// TestAbusiveClientsBesideChanges runs a crowd of two kinds while the desired state changes, the store is out, and the daemon stops as
+// planned: the change must come into force, requests must be served during the outage, and the process must end by itself.
+func TestAbusiveClientsBesideChanges(t *testing.T) {
+	s := withBoundedEntry(t, lowMachine)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: abuseRecovery / 4}
+	serves := func(path string) func(context.Context) bool {
+		return func(context.Context) bool { return s.send(client, http.MethodPost, path).status == http.StatusOK }
+	}
+	crowds := []crowd{{s.callerAddr, crowdSize / 2, wholeBody}, {s.callerAddr, crowdSize / 2, unreadAnswers}}
+	for _, tt := range []struct {
+		name   string
+		change func()
+		path   string
+	}{
+		{"new desired state", func() { s.declarePrefix(2, "/new/", abuseLimits) }, "/new/1"},
+		{"outage of the store", func() { s.store.SetDown(true) }, "/new/1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			time.AfterFunc(crowdTime/2, tt.change)
+			s.daemon.assertBounded(t, s.machine, runCrowds(t, s.daemon, serves(tt.path), crowds...))
+		})
+	}
+	s.store.SetDown(false)
+	t.Run("planned stop", func(t *testing.T) {
+		stopped := make(chan struct{})
+		time.AfterFunc(crowdTime/2, func() {
+			defer close(stopped)
+			s.daemon.signal(t, syscall.SIGTERM)
+			select {
+			case <-s.daemon.done:
+			case <-time.After(stopTimeout):
+			}
+		})
+		runCrowds(t, s.daemon, func(context.Context) bool { return s.daemon.hasEnded() }, crowds...)
+		<-stopped
+		if !s.daemon.hasEnded() || s.daemon.cmd.ProcessState.ExitCode() != 0 {
+			t.Errorf("ended %t with %v, want exit code 0 after a planned stop", s.daemon.hasEnded(), s.daemon.cmd.ProcessState)
+		}
+	})
+}
+
 // TestLargestLegalRequest sends single requests at the limits of the desired state to an entry daemon that has little memory:
 // each must be served, and what exceeds the limits must be refused with the status that says so.
 func TestLargestLegalRequest(t *testing.T) {
-	s := withBoundedEntry(t)
+	s := withBoundedEntry(t, lowMachine)
 	c := &http.Client{}
 	body := func(n int) io.Reader { return bytes.NewReader(bytes.Repeat([]byte("x"), n)) }
 	t.Run("largest body", func(t *testing.T) {
@@ -441,7 +788,7 @@
 // TestConnectionTimeLimits checks the desired state's limits of time: a head that does not end and a connection that is not used
 // are closed after them, and a connection that has been idle for four fifths of the limit is used again.
 func TestConnectionTimeLimits(t *testing.T) {
-	s := withBoundedEntry(t)
+	s := withBoundedEntry(t, lowMachine)
 	s.declareLimits(2, `{"header_bytes":16384,"body_bytes":262144,"header_ms":500,"idle_ms":2000}`)
 	request := headStart("GET") + "\r\n"
 	// dial opens a connection whose first request is answered.
--- a/cmd/cornelwood/entry_test.go
+++ b/cmd/cornelwood/entry_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -36,6 +37,10 @@
 	callerAddr             string
 	checkAddr              string
 	requestCount           atomic.Int64
+	// idPrefix starts the IDs of requests, where several daemons have the same searchers.
+	idPrefix string
+	// machine is what the daemon must stay within, where a test checks that.
+	machine machine
 }
 
 const (
@@ -156,7 +161,9 @@
 
 // getPage gets a page from the address of the load balancer's checks. The status is 0 when there is no answer.
 func (s *entrySite) getPage(path string) (int, string) {
-	r, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+s.checkAddr+path, nil)
+	ctx, cancel := context.WithTimeout(s.t.Context(), entryTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.checkAddr+path, nil)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -193,7 +200,7 @@
 
 // sendBody sends a request with a body.
 func (s *entrySite) sendBody(client *http.Client, method, path string, body io.Reader) response {
-	id := fmt.Sprintf("r%d", s.requestCount.Add(1))
+	id := fmt.Sprintf("%sr%d", s.idPrefix, s.requestCount.Add(1))
 	r, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+s.callerAddr+path, body)
 	if err != nil {
 		s.t.Fatal(err)
--- a/cmd/cornelwood/process_test.go
+++ b/cmd/cornelwood/process_test.go
@@ -28,7 +28,7 @@
 // startProcess starts the program args[0] with the arguments args[1:]. The program is killed when the test ends.
 func startProcess(t *testing.T, name string, args ...string) *process {
 	t.Helper()
-	p := &process{name: name, done: make(chan struct{}), lines: make(chan string, 1024)}
+	p := &process{name: name, done: make(chan struct{}), lines: make(chan string, 1<<16)}
 	p.cmd = exec.CommandContext(context.Background(), args[0], args[1:]...)
 	// By default the race detector delays the end of each process by a second.
 	p.cmd.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
@@ -54,7 +54,11 @@
 	defer close(p.done)
 	sc := bufio.NewScanner(out)
 	for sc.Scan() {
-		p.lines <- sc.Text()
+		select {
+		case p.lines <- sc.Text():
+		default:
+			// Nobody reads the lines. A process must not wait for that.
+		}
 	}
 	// Tests that need the exit code read it from cmd.ProcessState.
 	_ = p.cmd.Wait()
--- a/internal/daemon/assembler/daemon.go
+++ b/internal/daemon/assembler/daemon.go
@@ -122,7 +122,7 @@
 func (d *Daemon) supervise(ctx context.Context) <-chan struct{} {
 	sup := suture.New(d.self.ID, suture.Spec{EventHook: d.logEvent})
 	sup.Add(d.evictor)
-	sup.Add(d.linker.Server(d.evictor.MessageGroup("peers", d.shares.Peers).Listener(d.listeners.peer)))
+	sup.Add(d.linker.Server(d.peerGroup().Listener(d.listeners.peer)))
 	sup.Add(d.reconciler)
 	sup.Add(d.watcher())
 	sup.Add(d.dispatcher)
--- a/internal/daemon/router/router.go
+++ b/internal/daemon/router/router.go
@@ -41,8 +41,6 @@
 )
 
 const (
-	// softLimitFraction is the fraction of the configured memory that is the Go runtime's soft memory limit.
-	softLimitFraction = 0.7
 	// gcPercent lets the heap grow to five times the live heap: the live heap is a few MB, and collections
 	// cost processor time.
 	gcPercent = 400
@@ -102,9 +100,6 @@
 func New(settings *reader.EntrySettings, log hclog.Logger) (*Router, func(), error) {
 	r := &Router{log: log, reg: prometheus.NewRegistry(), active: newActiveConns()}
 	r.settings.Store(settings)
-	if settings.Process.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(settings.Process.MemoryMB) * softLimitFraction * (1 << 20)))
-	}
 	debug.SetGCPercent(gcPercent)
 	for _, l := range []struct {
 		key  string
@@ -145,7 +140,11 @@
 		Name: "cornelwood_searchers_full", Help: "Searchers with as many requests in flight, of all daemons, as they handle well.",
 	}, func() float64 { return float64(r.picker.Full()) }))
 	r.buildControl(settings)
-	r.conns, closer = connector.New(connector.Default(), platform.Codec{})
+	cfg := connector.Default()
+	if r.shares.Answers > 0 {
+		cfg.MaxBuffered = r.shares.Answers
+	}
+	r.conns, closer = connector.New(cfg, platform.Codec{})
 	r.closers = append(r.closers, closer)
 	r.reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "cornelwood_searcher_connections_opened_total", Help: "Connections opened to searchers.",
@@ -294,7 +293,7 @@
 	sup.Add(server.New("callers", r.bound("callers", r.shares.Clients, r.callers, r.server, r.limits), r.server))
 	metrics := gauger.Handler(r.reg)
 	checks := &http.Server{Handler: platform.NewHealthHandler(r.ready, metrics)}
-	sup.Add(server.New("checks", r.bound("checks", r.shares.Checks, r.checks, checks, checkLimits), checks))
+	sup.Add(server.New("checks", r.bound("checks", r.shares.Checks, r.checks, checks, r.checkLimits), checks))
 	sup.Add(&sweeper{r.conns})
 	done := make(chan struct{})
 	go func() {
--- a/internal/settings/reader/entry.go
+++ b/internal/settings/reader/entry.go
@@ -48,6 +48,8 @@
 	// complete and for bodies; 0 means that they follow from MemoryMB and Descriptors.
 	Connections int
 	BufferMB    int
+	// Stall is the time after which a connection is closed whose client takes nothing of an answer.
+	Stall time.Duration
 	// Share is the part of a processor core that the process gets; 0 means unspecified.
 	Share float64
 }
--- a/internal/settings/reader/settings.go
+++ b/internal/settings/reader/settings.go
@@ -263,6 +263,7 @@
 		{key: "descriptors", defaultValue: "0", help: "files and sockets that the process may have open; 0 for the limit of the system", parse: integer(&p.Descriptors, 0, maxDescriptors)},
 		{key: "connections", defaultValue: "0", help: "highest number of clients' connections; 0 for 0.4 of the descriptors but 200, and at most 3.6 for each MB of memory", parse: integer(&p.Connections, 0, maxDescriptors)},
 		{key: "buffer", defaultValue: "0", help: "memory in MB for requests that are not complete and for the bodies of those that run; 0 for an eighth of the memory, or 256 if that has no limit", parse: integer(&p.BufferMB, 0, maxMemoryMB)},
+		{key: "stall", defaultValue: "30s", help: "time after which a connection is closed whose client takes nothing of an answer", parse: duration(&p.Stall, time.Second)},
 	}
 }
 
--- a/internal/standin/searcher/stub.go
+++ b/internal/standin/searcher/stub.go
@@ -1,11 +1,13 @@
 package searcher
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,6 +36,8 @@
 	refusals []time.Time
 	// failing is the share of the requests that get a failure after they have run.
 	failing float64
+	// answerBytes is the least size of an answer's body, by the start of the request's path.
+	answerBytes map[string]int
 	// starts holds the times at which requests started to run, and failures those of the failures.
 	starts, failures []time.Time
 	inFlight         int
@@ -43,7 +47,7 @@
 func NewStub(name string, delay time.Duration) *Stub {
 	return &Stub{
 		name: name, delay: delay, runs: make(map[string]int), accounts: make(map[string]string),
-		firstRuns: make(map[string]time.Time),
+		firstRuns: make(map[string]time.Time), answerBytes: make(map[string]int),
 	}
 }
 
@@ -82,6 +86,25 @@
 	s.failing = share
 }
 
+// SetAnswerBytes makes the searcher repeat its record until the body of an answer has at least n bytes, for requests whose path
+// begins with a prefix.
+func (s *Stub) SetAnswerBytes(prefix string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answerBytes[prefix] = n
+}
+
+// body returns the body of the answer to a request. s.mu is held.
+func (s *Stub) body(path string) []byte {
+	record, size := s.Record(), 0
+	for prefix, n := range s.answerBytes {
+		if strings.HasPrefix(path, prefix) {
+			size = max(size, n)
+		}
+	}
+	return bytes.Repeat(record, max(1, (size+len(record)-1)/len(record)))
+}
+
 // Starts returns the times at which requests started to run, in their order.
 func (s *Stub) Starts() []time.Time {
 	s.mu.Lock()
@@ -180,6 +203,7 @@
 		s.inFlight++
 	}
 	isFailure := rand.Float64() < s.failing
+	body := s.body(r.URL.Path)
 	if req.HasKey {
 		s.keys++
 	}
@@ -212,7 +236,7 @@
 		return
 	}
 	// A write error means that the caller disconnected.
-	_, _ = w.Write(s.Record())
+	_, _ = w.Write(body)
 }
 
 func (s *Stub) end() {
--- a/internal/web/evictor/conn.go
+++ b/internal/web/evictor/conn.go
@@ -1,20 +1,19 @@
 package evictor
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"cornelwood.example/internal/time/sleeper"
+	"cornelwood.example/internal/web/gauger"
 )
 
 const (
-	// freeHeadBytes is the size of a head, or of a part of a message, that is not counted against the budget: the
-	// buffer of a connection holds as much.
-	freeHeadBytes = 4 << 10
-	// headCopies is the number of copies of a head, or of a part of a message, in memory while it is read.
-	headCopies = 2
 	// readAhead is the size of the buffer of package http, which may hold the start of a body.
 	readAhead = 4 << 10
 	// discardBytes and discardTime bound what is read after a head that is too large, so that its client reads the answer.
@@ -22,6 +21,10 @@
 	discardTime  = 200 * time.Millisecond
 	// lingerTime is the time between the last answer and the end of a connection that has given way.
 	lingerTime = 200 * time.Millisecond
+	// sendPiece is the part of an answer after whose delivery to the kernel it counts as progressing.
+	sendPiece = 16 << 10
+	// takenInterval is the interval at which it is checked whether a client has taken its earlier answers.
+	takenInterval = 10 * time.Millisecond
 )
 
 // tooLargeAnswer is the answer to a head that is too large to be read.
@@ -54,65 +57,100 @@
 type Conn struct {
 	net.Conn
 	g *Group
-	// isDelivering is true while bytes that are read belong to no head or message.
-	isDelivering atomic.Bool
+	// phase is that of the state, for reads.
+	phase atomic.Int32
+	// hasAnswered is true from the first request on.
+	hasAnswered atomic.Bool
 	// The fields below are guarded by the Evictor's mutex.
 	state               State
 	isGone, isLingering bool
 	// reason is why the body has given way.
 	reason string
-	// pending is the number of bytes of the head or message that have been read, progress the number of bytes of the
-	// body since Since.
-	pending  int64
+	// held is what state.Bytes follows from, and progress the number of bytes of the body since Since.
+	held     Held
 	progress int
 }
 
 // setPhase starts a phase. The Evictor's mutex is held.
 func (c *Conn) setPhase(p Phase, now time.Time) {
 	c.state.Phase, c.state.Since = p, now
-	c.isDelivering.Store(p == Body || p == Running || p == Ending)
+	c.phase.Store(int32(p))
 }
 
 // Read reads into p and counts what belongs to a head or a message.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 || c.isDelivering.Load() {
+	if n == 0 {
+		return n, err
+	}
+	switch Phase(c.phase.Load()) {
+	case Body, Running, Ending:
 		return n, err
+	default:
 	}
-	if !c.countHead(n, time.Now()) {
+	if _, ok := c.countHead(p[:n], time.Now()); !ok {
 		c.refuseHead()
 		return 0, io.EOF
 	}
 	return n, err
 }
 
-// countHead counts n bytes of a head or message. It returns false when the head is too large.
-func (c *Conn) countHead(n int, now time.Time) bool {
+// countHead counts a part of a head or message. It returns its size so far, and false when the head is too large.
+func (c *Conn) countHead(part []byte, now time.Time) (int64, bool) {
 	e := c.g.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if c.isGone {
-		return true
+		return 0, true
 	}
-	c.pending += int64(n)
-	if c.state.Phase == Idle && c.g.hasMessages && c.pending <= freeHeadBytes {
+	c.held.Head += int64(len(part))
+	if c.state.Phase == Idle && c.g.hasMessages && c.held.Head <= freeHeadBytes {
 		// Frames that control a stream are no messages: nothing tells that they are complete.
 		c.state.Since = now
-		return true
+		return c.held.Head, true
 	}
 	if c.state.Phase != Head {
 		c.setPhase(Head, now)
 	}
-	if limit := c.g.headBytes.Load(); limit > 0 && c.pending > limit+readAhead {
+	if limit := c.g.headBytes.Load(); limit > 0 && c.held.Head > limit+readAhead {
 		e.record(c, boundHead, now)
 		e.release(c)
 		c.setPhase(Ending, now)
-		return false
+		return 0, false
 	}
-	if c.pending > freeHeadBytes {
-		e.reserve(c, headCopies*c.pending-c.state.Bytes, now)
+	size := c.held.Head
+	e.charge(c, now)
+	return size, true
+}
+
+// Write writes p, and counts what the client has not taken.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.countAnswer(len(p))
+	total := 0
+	for total < len(p) {
+		n, err := c.Conn.Write(p[total:min(total+sendPiece, len(p))])
+		total += n
+		if err != nil {
+			c.countAnswer(total - len(p))
+			return total, err
+		}
+		c.countAnswer(-n)
 	}
-	return true
+	return total, nil
+}
+
+// countAnswer adds n bytes to the answer that the client has not taken, or subtracts those that it has.
+func (c *Conn) countAnswer(n int) {
+	e := c.g.e
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.isGone {
+		return
+	}
+	now := time.Now()
+	c.state.Sending, c.state.SentAt = c.state.Sending+int64(n), now
+	c.held.Answer = c.state.Sending
+	e.charge(c, now)
 }
 
 // refuseHead answers a head that is too large and discards a part of what follows.
@@ -177,13 +215,40 @@
 	if c.isGone || c.state.Phase == Ending {
 		return
 	}
-	c.pending = 0
 	if p == Idle {
 		e.release(c)
 	}
 	c.setPhase(p, time.Now())
 }
 
+// awaitTaken waits until the client has taken its earlier answers. It returns false when the connection has given way.
+//
+// Load pattern: clients that send requests without end ahead of the answers and read none of these. Each request that the kernel has
+// room for the answer of would take the searchers' time.
+func (c *Conn) awaitTaken(ctx context.Context) bool {
+	if !c.hasAnswered.Swap(true) {
+		return true
+	}
+	for n := gauger.Unread(c.Conn); n > 0; n = gauger.Unread(c.Conn) {
+		if !c.countUntaken(int64(n)) || sleeper.Sleep(ctx, takenInterval) != nil {
+			return false
+		}
+	}
+	return c.countUntaken(0)
+}
+
+// countUntaken records how many bytes of earlier answers the client has not taken. It returns false when the connection has given
+// way.
+func (c *Conn) countUntaken(n int64) bool {
+	c.g.e.mu.Lock()
+	defer c.g.e.mu.Unlock()
+	if n < c.state.Sending || c.state.Sending == 0 {
+		c.state.SentAt = time.Now()
+	}
+	c.state.Sending = n
+	return !c.isGone
+}
+
 // begin tells that the handler has got a request. It returns false when the connection has given way.
 func (c *Conn) begin(hasBody bool) bool {
 	e := c.g.e
@@ -211,7 +276,8 @@
 	if c.progress += n; c.progress >= progressBytes {
 		c.progress, c.state.Since = 0, now
 	}
-	e.reserve(c, int64(n), now)
+	c.held.Body += int64(n)
+	e.charge(c, now)
 	return !c.isGone && c.state.Phase == Body
 }
 
--- a/internal/web/evictor/evictor.go
+++ b/internal/web/evictor/evictor.go
@@ -25,9 +25,16 @@
 	// receiveBytes is the receive buffer of an accepted connection, which the kernel doubles. Without it a client that
 	// is not read from can make the kernel hold several MB, which count as memory of the process.
 	receiveBytes = 16 << 10
-	// backlog bounds the connections that the kernel holds before they are accepted, each with a receive buffer. With 256
-	// an ordinary client beside 1,400 abusive ones waited for a minute: the kernel had dropped the end of its handshake.
+	// sendBytes is the send buffer of an accepted connection. The kernel's own sizing holds up to 4 MB for a client that
+	// does not read.
+	sendBytes = 32 << 10
+	// backlog bounds the connections of a listener that the kernel holds before they are accepted. With 256 an ordinary client
+	// beside 1,400 abusive ones waited for a minute: the kernel had dropped the end of its handshake.
 	backlog = 1024
+	// admitWait bounds the time for which a new connection waits for room, and admitInterval is the interval at which it is
+	// looked for. Clients give a request up that is not read within a second.
+	admitWait     = 250 * time.Millisecond
+	admitInterval = 5 * time.Millisecond
 )
 
 // Bounds at which a connection gives way, as in log lines and metrics.
@@ -40,6 +47,8 @@
 	// boundBodyTime is the client's time limit or the route's, boundStop a planned stop.
 	boundBodyTime = "body timeout"
 	boundStop     = "stop"
+	// boundStallTime is the time in which a client takes nothing of its answer.
+	boundStallTime = "answer timeout"
 )
 
 // Evictor holds the memory budget of a process and its Groups. It is a suture service whose Serve enforces limits of time.
@@ -123,6 +132,8 @@
 			}
 		}
 	}
+	// An answer counts as stalled some time after it has used the budget up.
+	e.makeRoom(now)
 }
 
 // Group is the connections of one listener.
@@ -135,8 +146,10 @@
 	headBytes atomic.Int64
 	// hasMessages is true when connections carry messages between daemons, not requests.
 	hasMessages bool
-	// conns is guarded by the Evictor's mutex, as is the state of each connection.
-	conns map[*Conn]struct{}
+	// isPressed is true while new connections have to wait for room. It and conns are guarded by the Evictor's mutex, as is the
+	// state of each connection.
+	isPressed bool
+	conns     map[*Conn]struct{}
 }
 
 // Group returns a new Group of at most maxConns connections. limits returns the limits in force.
@@ -157,8 +170,8 @@
 }
 
 // MessageGroup returns a new Group of at most maxConns connections that carry messages between daemons.
-func (e *Evictor) MessageGroup(name string, maxConns int) *Group {
-	g := e.Group(name, maxConns, func() Limits { return Limits{} })
+func (e *Evictor) MessageGroup(name string, maxConns int, limits func() Limits) *Group {
+	g := e.Group(name, maxConns, limits)
 	g.hasMessages = true
 	return g
 }
@@ -167,9 +180,10 @@
 func (g *Group) Listener(lis net.Listener) net.Listener {
 	if tcp, ok := lis.(*net.TCPListener); ok {
 		if raw, err := tcp.SyscallConn(); err == nil {
-			// Accepted connections inherit the size. If a call fails, they work all the same.
+			// Accepted connections inherit the sizes. If a call fails, they work all the same.
 			_ = raw.Control(func(fd uintptr) {
 				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes)
+				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBytes)
 				_ = unix.Listen(int(fd), backlog)
 			})
 		}
@@ -182,17 +196,26 @@
 	g *Group
 }
 
-// Accept returns the next connection that the group has room for.
+// Accept returns the next connection that the group has room for. It waits for room, for admitWait at most: later connections wait
+// in the kernel meanwhile, in order.
+//
+// Load pattern: a crowd holds all connections, none of which may give way at the moment, and comes back as soon as it is refused.
+// An ordinary client that is refused at once rarely meets the moment at which there is room.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if c := l.g.admit(nc, time.Now()); c != nil {
-			return c, nil
+		for startedAt := time.Now(); ; time.Sleep(admitInterval) {
+			if c := l.g.admit(nc, time.Now()); c != nil {
+				return c, nil
+			}
+			if time.Since(startedAt) >= admitWait {
+				break
+			}
 		}
-		nc.Close()
+		l.g.refuse(nc)
 	}
 }
 
@@ -203,21 +226,30 @@
 	defer g.e.mu.Unlock()
 	if len(g.conns) >= g.maxConns {
 		var victim *Conn
+		allowed := Grace(g.isPressed, g.limits())
 		for o := range g.conns {
-			if MayGiveConn(o.state) && (victim == nil || GivesConn(o.state, victim.state, now)) {
+			if MayGiveConn(o.state, now, allowed) && (victim == nil || GivesConn(o.state, victim.state, now, allowed)) {
 				victim = o
 			}
 		}
 		if victim == nil {
-			g.e.refused.WithLabelValues(g.name).Inc()
+			g.isPressed = true
 			return nil
 		}
 		g.e.evict(victim, boundConns, now)
+	} else {
+		g.isPressed = false
 	}
 	g.conns[c] = struct{}{}
 	return c
 }
 
+// refuse closes a new connection for which none can give way.
+func (g *Group) refuse(nc net.Conn) {
+	g.e.refused.WithLabelValues(g.name).Inc()
+	nc.Close()
+}
+
 // evict closes a connection at once. e.mu is held.
 func (e *Evictor) evict(c *Conn, bound string, now time.Time) {
 	e.record(c, bound, now)
@@ -279,22 +311,30 @@
 	delete(c.g.conns, c)
 }
 
-// release returns what a connection holds to the budget. e.mu is held.
+// release returns what a connection holds of a request to the budget. e.mu is held.
 func (e *Evictor) release(c *Conn) {
+	c.held = Held{}
 	e.used -= c.state.Bytes
 	c.state.Bytes = 0
 }
 
-// reserve adds n bytes to what a connection holds. While the budget is used up, the slowest gives way, which may be the
-// connection itself. e.mu is held.
-func (e *Evictor) reserve(c *Conn, n int64, now time.Time) {
-	c.state.Bytes += n
-	e.used += n
+// charge makes the share of a connection follow from what it holds. e.mu is held.
+func (e *Evictor) charge(c *Conn, now time.Time) {
+	grown := c.held.Cost() - c.state.Bytes
+	c.state.Bytes += grown
+	e.used += grown
+	if grown > 0 {
+		e.makeRoom(now)
+	}
+}
+
+// makeRoom lets the slowest connection give way while the budget is used up. e.mu is held.
+func (e *Evictor) makeRoom(now time.Time) {
 	for e.used > e.bytes {
 		var victim *Conn
 		for _, g := range e.groups {
 			for o := range g.conns {
-				if MayGiveBytes(o.state) && (victim == nil || GivesBytes(o.state, victim.state)) {
+				if MayGiveBytes(o.state, now) && (victim == nil || GivesBytes(o.state, victim.state, now)) {
 					victim = o
 				}
 			}
@@ -302,7 +342,7 @@
 		switch {
 		case victim == nil:
 			return
-		case victim.state.Phase == Body:
+		case victim.state.Phase == Body && !victim.state.isStalled(now, grace):
 			e.refuseBody(victim, boundBytes, reasonMemory, now)
 		default:
 			e.evict(victim, boundBytes, now)
--- a/internal/web/evictor/evictor_test.go
+++ b/internal/web/evictor/evictor_test.go
@@ -39,7 +39,7 @@
 	for _, c := range []*Conn{slow, arriving, running} {
 		c.finish(Running)
 		c.begin(true)
-		if !c.grow(3) {
+		if !c.grow(freeBodyBytes + 3) {
 			t.Fatal("body refused although the budget has room")
 		}
 	}
@@ -105,7 +105,7 @@
 	local, remote := net.Pipe()
 	defer remote.Close()
 	c := g.admit(local, time.Now())
-	if !c.countHead(16<<10+readAhead, time.Now()) {
+	if _, ok := c.countHead(make([]byte, 16<<10+readAhead), time.Now()); !ok {
 		t.Error("a head within the limit was refused")
 	}
 	if diff := cmp.Diff(int64(headCopies*(16<<10+readAhead)), e.used); diff != "" {
@@ -115,7 +115,7 @@
 	c.finish(Idle)
 	l.HeadBytes = 4 << 10
 	e.sweep(time.Now())
-	if c.countHead(4<<10+readAhead+1, time.Now()) {
+	if _, ok := c.countHead(make([]byte, 4<<10+readAhead+1), time.Now()); ok {
 		t.Error("a head beyond the new limit was read")
 	}
 }
--- a/internal/web/evictor/http.go
+++ b/internal/web/evictor/http.go
@@ -38,7 +38,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if !c.begin(r.ContentLength != 0) {
+		if !c.awaitTaken(r.Context()) || !c.begin(r.ContentLength != 0) {
 			panic(http.ErrAbortHandler)
 		}
 		if limit := g.limits().HeadBytes; limit > 0 && headSize(r) > limit {
--- a/internal/web/evictor/policy.go
+++ b/internal/web/evictor/policy.go
@@ -35,12 +35,26 @@
 	Since time.Time
 	// Bytes is the memory that the connection holds of the budget.
 	Bytes int64
+	// Sending is the number of bytes of an answer that the client has not taken yet, and SentAt the time at which it last took
+	// some, or at which the answer began.
+	Sending int64
+	SentAt  time.Time
+}
+
+// isStalled reports whether the client has taken nothing of its answer for a time.
+func (s State) isStalled(now time.Time, limit time.Duration) bool {
+	return s.Sending > 0 && now.Sub(s.SentAt) >= limit
 }
 
 const (
-	// headGrace is the time that an ordinary client may need between connecting and the end of its head: a round trip to
-	// a client takes 6 ms, a lost packet is repeated after 200 ms.
-	headGrace = 250 * time.Millisecond
+	// grace is the time that an ordinary client may need between connecting and the end of its head, or to take a part of its
+	// answer: a round trip to a client takes 6 ms, a lost packet is repeated after 200 ms.
+	grace = 250 * time.Millisecond
+	// pressedGrace replaces grace while new connections have to wait for room: several round trips to a client, but a client
+	// whose packet is lost then loses its connection.
+	pressedGrace = 50 * time.Millisecond
+	// After stallGrace a client has stopped reading: its connection is worth less than an idle one, which will be used again.
+	stallGrace = 3 * time.Second
 	// progressBytes is the part of a body after which it counts as progressing. A client that sends single bytes makes no
 	// progress for thousands of reads.
 	progressBytes = 4 << 10
@@ -54,24 +68,31 @@
 	HeadTimeout time.Duration
 	// IdleTimeout bounds the time without a request.
 	IdleTimeout time.Duration
+	// StallTimeout bounds the time in which a client takes nothing of its answer.
+	StallTimeout time.Duration
+	// AnswerGrace is the least time in which a client takes nothing of its answer before its connection gives way to a new one.
+	AnswerGrace time.Duration
 }
 
-// connRank returns the order in which connections give way to new ones, the lowest first; -1 means never.
+// connRank returns the order in which connections give way to new ones, the lowest first; -1 means never, at the moment. One that has
+// just been opened is worth as much as the new one.
 //
-// Load pattern: a crowd of clients opens connections and sends nothing, or heads or bodies that do not end, while ordinary
-// clients keep idle connections and open a few.
-func connRank(s State, now time.Time) int {
-	late := now.Sub(s.Since) >= headGrace
+// Load pattern: a crowd of clients opens connections and sends nothing, or heads or bodies that do not end, or does not read its
+// answers, while ordinary clients keep idle connections and open a few.
+func connRank(s State, now time.Time, g Graces) int {
+	late := now.Sub(s.Since) >= g.Request
 	switch {
 	case s.Phase == Ending:
 		return 0
 	case (s.Phase == Unused || s.Phase == Head) && late:
 		return 1
-	case s.Phase == Idle:
+	case s.isStalled(now, stallGrace):
+		return 1
+	case s.Phase == Idle && s.Sending == 0:
 		return 2
 	case s.Phase == Body && late:
 		return 3
-	case s.Phase == Unused || s.Phase == Head:
+	case s.isStalled(now, g.Answer):
 		return 4
 	case s.Phase == Body:
 		return 5
@@ -79,35 +100,91 @@
 	return -1
 }
 
+// Graces are the times that clients have for the next part of a request, or to take the next part of an answer, before their
+// connections give way to new ones.
+type Graces struct {
+	Request, Answer time.Duration
+}
+
+// Grace returns the times that clients have. isPressed is true while new connections have to wait for room.
+//
+// Load pattern: a crowd fills all connections again and again. The shorter its clients may hold them, the sooner an ordinary client
+// has its turn. But one that does not read its answer comes back with another request, which takes the time of searchers: it may
+// hold its connection for Limits.AnswerGrace.
+func Grace(isPressed bool, l Limits) Graces {
+	request := grace
+	if isPressed {
+		request = pressedGrace
+	}
+	return Graces{Request: request, Answer: max(request, l.AnswerGrace)}
+}
+
 // GivesConn reports whether a connection in state a gives way to a new connection before one in state b.
-func GivesConn(a, b State, now time.Time) bool {
-	ra, rb := connRank(a, now), connRank(b, now)
+func GivesConn(a, b State, now time.Time, g Graces) bool {
+	ra, rb := connRank(a, now, g), connRank(b, now, g)
 	if ra < 0 || rb < 0 {
 		return ra > rb
 	}
-	return ra < rb || ra == rb && a.Since.Before(b.Since)
+	return ra < rb || ra == rb && progressAt(a).Before(progressAt(b))
+}
+
+// progressAt returns when the client last sent a part of its request, or took one of its answer.
+func progressAt(s State) time.Time {
+	if s.Sending > 0 {
+		return s.SentAt
+	}
+	return s.Since
 }
 
-// MayGiveConn reports whether a connection may give way to a new one. One whose request is complete is answered first.
-func MayGiveConn(s State) bool {
-	return s.Phase != Running
+// MayGiveConn reports whether a connection may give way to a new one. One whose request is complete is answered first, as long as
+// its client takes the answer.
+func MayGiveConn(s State, now time.Time, g Graces) bool {
+	return connRank(s, now, g) >= 0
 }
 
 // MayGiveBytes reports whether a connection may give way when the budget is used up: it holds a part of a request that has
-// not run.
-func MayGiveBytes(s State) bool {
-	return s.Bytes > 0 && (s.Phase == Head || s.Phase == Body)
+// not run, or an answer that its client does not take.
+func MayGiveBytes(s State, now time.Time) bool {
+	return s.Bytes > 0 && (s.Phase == Head || s.Phase == Body || s.isStalled(now, grace))
 }
 
 // GivesBytes reports whether a connection in state a gives its memory up before one in state b: the slowest first, which is
 // the one whose last progress is the oldest.
 //
-// Load pattern: many large bodies arrive at once, most stop just short of their end and stay open, or trickle.
-func GivesBytes(a, b State) bool {
-	if ma, mb := MayGiveBytes(a), MayGiveBytes(b); ma != mb {
+// Load pattern: many large bodies arrive at once, most stop just short of their end and stay open, or trickle; many answers are
+// not read.
+func GivesBytes(a, b State, now time.Time) bool {
+	if ma, mb := MayGiveBytes(a, now), MayGiveBytes(b, now); ma != mb {
 		return ma
 	}
-	return a.Since.Before(b.Since)
+	return progressAt(a).Before(progressAt(b))
+}
+
+// Held is what a connection holds in memory, in bytes.
+type Held struct {
+	// Head is the part of a head or message that has been read.
+	Head int64
+	// Body is the part of a body that has been read, Answer the part of an answer that the client has not taken.
+	Body, Answer int64
+}
+
+const (
+	// freeHeadBytes, freeBodyBytes and freeAnswerBytes are what a connection may hold without a share of the budget:
+	// connBytes has room for them. An ordinary request is smaller and is thus served while the budget is used up.
+	freeHeadBytes   = 4 << 10
+	freeBodyBytes   = 4 << 10
+	freeAnswerBytes = 4 << 10
+	// headCopies is the number of copies of a head, or of a part of a message, in memory while it is read.
+	headCopies = 2
+)
+
+// Cost returns the share of the budget that a connection holds.
+func (h Held) Cost() int64 {
+	cost := max(0, h.Body-freeBodyBytes) + max(0, h.Answer-freeAnswerBytes)
+	if h.Head > freeHeadBytes {
+		cost += headCopies * h.Head
+	}
+	return cost
 }
 
 // overdue returns the limit of time that a connection has exceeded; empty for none.
@@ -118,14 +195,20 @@
 		return boundHeadTime
 	case (s.Phase == Idle || s.Phase == Unused) && l.IdleTimeout > 0 && age >= l.IdleTimeout:
 		return boundIdleTime
+	case l.StallTimeout > 0 && s.isStalled(now, l.StallTimeout):
+		return boundStallTime
 	}
 	return ""
 }
 
-// Shares are the bounds of a process's listeners.
+// Shares are the bounds of a process's listeners, which hold together: all may be abused at once.
 type Shares struct {
-	// Bytes is the budget for what clients and daemons have sent in part, and for bodies of running requests.
+	// Bytes is the budget for what clients and daemons have sent in part, for bodies of running requests, and for answers that
+	// are not read.
 	Bytes int64
+	// Answers bounds the bytes of large answers from searchers until they have been sent; 0 for the default. It exceeds Bytes,
+	// so that answers that are not read give way before others wait for room.
+	Answers int64
 	// Clients, Peers and Checks bound the connections of each kind of listener.
 	Clients, Peers, Checks int
 }
@@ -142,6 +225,8 @@
 	checkShare = 0.06
 	// bytesShare is the share of the memory for what has been sent in part: at 136 MB, 65 bodies of 262,144 bytes.
 	bytesShare = 0.125
+	// answersShare is the share of the memory for large answers.
+	answersShare = 0.1875
 	// connShare is the share of the memory for connections of clients, or else for those of daemons. A
 	// connection takes connBytes: two buffers of 4 KB, a stack of 8 KB, and receiveBytes in the kernel, doubled.
 	connShare = 0.2
@@ -172,6 +257,7 @@
 	if memory > 0 {
 		conns := int(float64(memory) * connShare / connBytes)
 		s.Bytes = int64(float64(memory) * bytesShare)
+		s.Answers = int64(float64(memory) * answersShare)
 		s.Clients = min(s.Clients, conns)
 		s.Peers = min(s.Peers, conns)
 	}
--- a/internal/web/evictor/policy_test.go
+++ b/internal/web/evictor/policy_test.go
@@ -8,20 +8,26 @@
 )
 
 // first returns the name of the state that gives way first; empty if none may.
-func first(states map[string]State, may func(State) bool, before func(a, b State) bool) string {
+func first(states map[string]State, now time.Time, may func(State, time.Time) bool, before func(a, b State, now time.Time) bool) string {
 	found := ""
 	for name, s := range states {
-		if may(s) && (found == "" || before(s, states[found])) {
+		if may(s, now) && (found == "" || before(s, states[found], now)) {
 			found = name
 		}
 	}
 	return found
 }
 
+// sendingSince returns the state of a connection whose client last took a part of its answer at a time.
+func sendingSince(at time.Time) State {
+	return State{Phase: Running, Since: at.Add(-time.Minute), Bytes: 1, Sending: 1, SentAt: at}
+}
+
 // TestConnectionThatGivesWay guards against closing connections of ordinary clients while those of abusive ones stay, and
 // against closing one whose request is complete.
 func TestConnectionThatGivesWay(t *testing.T) {
 	now := time.Unix(1000, 0)
+	sending := func(age time.Duration) State { return sendingSince(now.Add(-age)) }
 	at := func(p Phase, age time.Duration) State { return State{Phase: p, Since: now.Add(-age), Bytes: 1} }
 	tests := []struct {
 		name   string
@@ -36,12 +42,19 @@
 		{"idle before a slow body", map[string]State{"body": at(Body, time.Minute), "idle": at(Idle, time.Second)}, "idle"},
 		{"slow body before a new one", map[string]State{"slow": at(Body, time.Second), "new": at(Unused, time.Millisecond)}, "slow"},
 		{"ending first", map[string]State{"ending": at(Ending, time.Millisecond), "silent": at(Unused, time.Minute)}, "ending"},
+		{"long stalled before idle", map[string]State{"stalled": sending(stallGrace), "idle": at(Idle, 10*time.Second)}, "stalled"},
+		{"idle before stalled", map[string]State{"stalled": sending(grace), "idle": at(Idle, time.Second)}, "idle"},
+		{"stalled before a new one", map[string]State{"stalled": sending(grace), "new": at(Unused, time.Millisecond)}, "stalled"},
+		{"longest stalled", map[string]State{"old": sending(2 * time.Second), "new": sending(time.Second)}, "old"},
+		{"progressing never", map[string]State{"progressing": sending(grace / 2), "running": at(Running, time.Minute)}, ""},
+		{"just connected never", map[string]State{"new": at(Unused, grace/2), "head": at(Head, grace/2)}, ""},
 		{"running never", map[string]State{"running": at(Running, time.Minute)}, ""},
 		{"anything before running", map[string]State{"running": at(Running, time.Minute), "body": at(Body, 0)}, "body"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got := first(tt.states, MayGiveConn, func(a, b State) bool { return GivesConn(a, b, now) })
+			got := first(tt.states, now, func(s State, now time.Time) bool { return MayGiveConn(s, now, Grace(false, Limits{})) },
+				func(a, b State, now time.Time) bool { return GivesConn(a, b, now, Grace(false, Limits{})) })
 			if diff := cmp.Diff(tt.want, got); diff != "" {
 				t.Errorf("gives way (-want +got):\n%s", diff)
 			}
@@ -53,6 +66,7 @@
 // what a request that runs holds.
 func TestMemoryThatGivesWay(t *testing.T) {
 	now := time.Unix(1000, 0)
+	sending := func(age time.Duration) State { return sendingSince(now.Add(-age)) }
 	at := func(p Phase, age time.Duration, n int64) State {
 		return State{Phase: p, Since: now.Add(-age), Bytes: n}
 	}
@@ -64,11 +78,13 @@
 		{"slowest", map[string]State{"stopped": at(Body, time.Second, 10), "arriving": at(Body, time.Millisecond, 1000)}, "stopped"},
 		{"endless head", map[string]State{"head": at(Head, time.Second, 10), "body": at(Body, time.Millisecond, 1000)}, "head"},
 		{"not one that holds nothing", map[string]State{"empty": at(Body, time.Minute, 0), "body": at(Body, time.Second, 1)}, "body"},
+		{"unread answer", map[string]State{"stalled": sending(time.Second), "body": at(Body, time.Millisecond, 10)}, "stalled"},
+		{"not an answer that is read", map[string]State{"read": sending(grace / 2)}, ""},
 		{"not one that runs", map[string]State{"running": at(Running, time.Minute, 10), "idle": at(Idle, time.Minute, 10)}, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if diff := cmp.Diff(tt.want, first(tt.states, MayGiveBytes, GivesBytes)); diff != "" {
+			if diff := cmp.Diff(tt.want, first(tt.states, now, MayGiveBytes, GivesBytes)); diff != "" {
 				t.Errorf("gives way (-want +got):\n%s", diff)
 			}
 		})
@@ -124,7 +140,12 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if diff := cmp.Diff(tt.want, Derive(tt.set)); diff != "" {
+			got := Derive(tt.set)
+			if tt.set.MemoryMB > 0 && got.Answers <= got.Bytes {
+				t.Errorf("%d bytes for answers, want more than the budget of %d", got.Answers, got.Bytes)
+			}
+			got.Answers = 0
+			if diff := cmp.Diff(tt.want, got); diff != "" {
 				t.Errorf("bounds (-want +got):\n%s", diff)
 			}
 		})
--- a/internal/web/gauger/kernel_other.go
+++ b/internal/web/gauger/kernel_other.go
@@ -8,3 +8,8 @@
 func readKernel(net.Conn) Transit {
 	return Transit{}
 }
+
+// unreadBytes returns 0: the kernel's figures are read on Linux only.
+func unreadBytes(net.Conn) int {
+	return 0
+}
