evictor: headers count against the budget by their number

What callers saw: 700 clients with heads of a legal size (16,384 bytes) of headers of a few bytes made a process of 136 MB hold 170 MB.

Cause: a head counted as two copies of its bytes. Each of some 2,700 headers takes places in maps and values beside its text.

Evidence, before: TestAbusiveClientsOfSmallestMachine/many headers, "170.1 MB held, want at most 136".

Change: beyond 64 lines each counts 400 bytes more. A single head of this kind still has room in the smallest budget fifteen times over.

--- a/internal/web/evictor/conn.go
+++ b/internal/web/evictor/conn.go
@@ -1,6 +1,7 @@
 package evictor
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -118,6 +119,9 @@
 		c.setPhase(Ending, now)
 		return 0, false
 	}
+	if !c.g.hasMessages {
+		c.held.Lines += int64(bytes.Count(part, []byte{'\n'}))
+	}
 	size := c.held.Head
 	e.charge(c, now)
 	return size, true
--- a/internal/web/evictor/policy.go
+++ b/internal/web/evictor/policy.go
@@ -160,29 +160,36 @@
 	return progressAt(a).Before(progressAt(b))
 }
 
-// Held is what a connection holds in memory, in bytes.
+// Held is what a connection holds in memory, in bytes but for Lines.
 type Held struct {
-	// Head is the part of a head or message that has been read.
-	Head int64
+	// Head is the part of a head or message that has been read, Lines the number of its lines. A message has none.
+	Head, Lines int64
 	// Body is the part of a body that has been read, Answer the part of an answer that the client has not taken.
 	Body, Answer int64
 }
 
 const (
-	// freeHeadBytes, freeBodyBytes and freeAnswerBytes are what a connection may hold without a share of the budget:
+	// freeHeadBytes, freeLines, freeBodyBytes and freeAnswerBytes are what a connection may hold without a share of the budget:
 	// connBytes has room for them. An ordinary request is smaller and is thus served while the budget is used up.
 	freeHeadBytes   = 4 << 10
+	freeLines       = 64
 	freeBodyBytes   = 4 << 10
 	freeAnswerBytes = 4 << 10
 	// headCopies is the number of copies of a head, or of a part of a message, in memory while it is read.
 	headCopies = 2
+	// lineBytes is the memory that one header takes beside its text: its places in three maps (of package http, of the
+	// request, and of that to the searcher) and their values.
+	lineBytes = 400
 )
 
 // Cost returns the share of the budget that a connection holds.
+//
+// Load pattern: beside large bodies, heads of a legal size with thousands of headers of a few bytes, which take some twenty
+// times their size.
 func (h Held) Cost() int64 {
 	cost := max(0, h.Body-freeBodyBytes) + max(0, h.Answer-freeAnswerBytes)
-	if h.Head > freeHeadBytes {
-		cost += headCopies * h.Head
+	if h.Head > freeHeadBytes || h.Lines > freeLines {
+		cost += headCopies*h.Head + lineBytes*h.Lines
 	}
 	return cost
 }
