evictor: the bounds of all listeners add up within the memory

What callers saw: the bounds of each listener held alone; all abused at once, with 1,024 connections of 16 KB waiting at each, they came to more than the smallest machine beside a runtime limit of 0.7 of the memory.

Cause: the limit of the runtime's memory was a share that knew nothing of what the kernel holds, and a connection that waits to be accepted had the receive buffer of an accepted one.

Evidence: by adding up: 0.7 x 136 MB + 1,058 connections of 24 KB + 3,072 of 24 KB + 16 MB of the program's file = 208 MB.

Change: a waiting connection has a buffer of 4 KB, which has room for an ordinary request; the buffer grows when it is accepted. The runtime's limit is what all listeners together leave, 0.4 to 0.7 of the memory. TestDerive checks the sum for each machine.

--- a/internal/daemon/assembler/limits.go
+++ b/internal/daemon/assembler/limits.go
@@ -13,17 +13,14 @@
 // messageTimeout bounds the time from the first byte of another daemon's message to its end. Nobody waits for one that long.
 const messageTimeout = 30 * time.Second
 
-// softLimitFraction is the fraction of the configured memory that is the Go runtime's soft memory limit.
-const softLimitFraction = 0.7
-
 // buildEvictor creates the evictor, which bounds the connections of all listeners and the memory of incomplete requests.
 func (d *Daemon) buildEvictor() {
 	p := &d.settings.Process
 	d.shares = evictor.Derive(evictor.Settings{
 		MemoryMB: p.MemoryMB, Descriptors: evictor.Descriptors(p.Descriptors), Connections: p.Connections, BufferMB: p.BufferMB,
 	})
-	if p.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(p.MemoryMB) * softLimitFraction * (1 << 20)))
+	if d.shares.Heap > 0 {
+		debug.SetMemoryLimit(d.shares.Heap)
 	}
 	d.evictor = evictor.New(d.shares.Bytes, d.log.Named("limits"), d.reg)
 }
--- a/internal/daemon/router/limits.go
+++ b/internal/daemon/router/limits.go
@@ -10,9 +10,6 @@
 	"cornelwood.example/internal/web/evictor"
 )
 
-// softLimitFraction is the fraction of the configured memory that is the Go runtime's soft memory limit.
-const softLimitFraction = 0.7
-
 // buildEvictor creates the evictor, which bounds the connections of all listeners and the memory of incomplete requests.
 func (r *Router) buildEvictor(settings *reader.EntrySettings) {
 	p := &settings.Process
@@ -20,11 +17,11 @@
 		MemoryMB: p.MemoryMB, Descriptors: evictor.Descriptors(p.Descriptors), Connections: p.Connections, BufferMB: p.BufferMB,
 	})
 	r.evictor = evictor.New(r.shares.Bytes, r.log.Named("limits"), r.reg)
-	if p.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(p.MemoryMB) * softLimitFraction * (1 << 20)))
+	if r.shares.Heap > 0 {
+		debug.SetMemoryLimit(r.shares.Heap)
 	}
 	r.log.Info("limits of clients", "connections", r.shares.Clients, "peers", r.shares.Peers, "checks", r.shares.Checks,
-		"buffer", r.shares.Bytes)
+		"buffer", r.shares.Bytes, "heap", r.shares.Heap)
 }
 
 // bound makes a server enforce limits, and returns the listener that it must serve.
--- a/internal/web/evictor/evictor.go
+++ b/internal/web/evictor/evictor.go
@@ -25,6 +25,8 @@
 	// receiveBytes is the receive buffer of an accepted connection, which the kernel doubles. Without it a client that
 	// is not read from can make the kernel hold several MB, which count as memory of the process.
 	receiveBytes = 16 << 10
+	// waitingBytes is the receive buffer of a connection that waits to be accepted. It has room for an ordinary request.
+	waitingBytes = 4 << 10
 	// sendBytes is the send buffer of an accepted connection. The kernel's own sizing holds up to 4 MB for a client that
 	// does not read.
 	sendBytes = 32 << 10
@@ -182,7 +184,7 @@
 		if raw, err := tcp.SyscallConn(); err == nil {
 			// Accepted connections inherit the sizes. If a call fails, they work all the same.
 			_ = raw.Control(func(fd uintptr) {
-				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes)
+				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, waitingBytes)
 				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBytes)
 				_ = unix.Listen(int(fd), backlog)
 			})
@@ -207,6 +209,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if tcp, ok := nc.(*net.TCPConn); ok {
+			// If the call fails, the connection works with a smaller buffer.
+			_ = tcp.SetReadBuffer(receiveBytes)
+		}
 		for startedAt := time.Now(); ; time.Sleep(admitInterval) {
 			if c := l.g.admit(nc, time.Now()); c != nil {
 				return c, nil
--- a/internal/web/evictor/policy.go
+++ b/internal/web/evictor/policy.go
@@ -216,6 +216,8 @@
 	// Answers bounds the bytes of large answers from searchers until they have been sent; 0 for the default. It exceeds Bytes,
 	// so that answers that are not read give way before others wait for room.
 	Answers int64
+	// Heap is the soft limit of the Go runtime's memory; 0 for none.
+	Heap int64
 	// Clients, Peers and Checks bound the connections of each kind of listener.
 	Clients, Peers, Checks int
 }
@@ -238,6 +240,13 @@
 	// connection takes connBytes: two buffers of 4 KB, a stack of 8 KB, and receiveBytes in the kernel, doubled.
 	connShare = 0.2
 	connBytes = 24<<10 + 2*receiveBytes
+	// maxUnread is what the kernel takes of a client in a buffer of receiveBytes, doubled: a quarter is for its own use.
+	maxUnread = 2 * receiveBytes * 3 / 4
+	// imageBytes is the part of the program's file in memory, which the runtime's limit does not count.
+	imageBytes = 16 << 20
+	// heapShare and minHeapShare bound the soft limit of the runtime's memory: what it exceeds it by for a time, and what a
+	// process needs without any client.
+	heapShare, minHeapShare = 0.7, 0.4
 	// minConns keeps a process of very low limits in service.
 	minConns = 8
 	// defaultBytes is the budget of a process without a limit of memory: 1,000 bodies of 262,144 bytes.
@@ -275,5 +284,22 @@
 		s.Clients = set.Connections
 	}
 	s.Clients, s.Peers, s.Checks = max(s.Clients, minConns), max(s.Peers, minConns), max(s.Checks, minConns)
+	if memory > 0 {
+		s.Heap = heapLimit(memory, s.unread())
+	}
 	return s
 }
+
+// unread returns the bytes that the kernel holds at most of what clients and daemons have sent, of all listeners together.
+func (s *Shares) unread() int64 {
+	const listeners = 3
+	return int64(s.Clients+s.Peers+s.Checks)*maxUnread + listeners*backlog*waitingBytes
+}
+
+// heapLimit returns the soft limit of the runtime's memory that leaves room for what the kernel holds.
+//
+// Load pattern: crowds at all listeners at once, with as much sent and not read as the kernel takes.
+func heapLimit(memory, unread int64) int64 {
+	least, most := int64(float64(memory)*minHeapShare), int64(float64(memory)*heapShare)
+	return min(max(memory-imageBytes-unread, least), most)
+}
--- a/internal/web/evictor/policy_test.go
+++ b/internal/web/evictor/policy_test.go
@@ -141,10 +141,15 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			got := Derive(tt.set)
-			if tt.set.MemoryMB > 0 && got.Answers <= got.Bytes {
+			// The sum is only exceeded where an operator sets more connections than the memory holds.
+			memory := int64(tt.set.MemoryMB) << 20
+			if sum := got.Heap + imageBytes + got.unread(); memory > 0 && tt.set.Connections == 0 && (got.Heap <= got.Bytes || sum > memory) {
+				t.Errorf("a heap of %d and all listeners together take %d of %d bytes", got.Heap, sum, memory)
+			}
+			if memory > 0 && got.Answers <= got.Bytes {
 				t.Errorf("%d bytes for answers, want more than the budget of %d", got.Answers, got.Bytes)
 			}
-			got.Answers = 0
+			got.Heap, got.Answers = 0, 0
 			if diff := cmp.Diff(tt.want, got); diff != "" {
 				t.Errorf("bounds (-want +got):\n%s", diff)
 			}
