evictor: what is read of large requests takes turns

Cause: each connection of such a crowd is ready to run all the time, and an ordinary request waits behind all of them at each step.

A connection holds no turn while it waits for its client, and one that gives way does not wait for its turn. The last metric of a refused head, and of refused pages of metrics, is counted, too.

Why it works: an ordinary request needs no turn, and waits for one read of some KB per processor instead of one per connection.

--- a/cmd/cornelwood/abuse_test.go
+++ b/cmd/cornelwood/abuse_test.go
@@ -580,6 +580,17 @@
 	}
 }
 
+// TestAbusiveClientsOfOneProcessor runs crowds that take all the time of a process that has one processor.
+func TestAbusiveClientsOfOneProcessor(t *testing.T) {
+	t.Setenv("GOMAXPROCS", "1")
+	for name, do := range map[string]client{"small chunks": smallChunks, "endless extensions": endlessExtensions, "many headers": manyHeaders} {
+		t.Run(name, func(t *testing.T) {
+			s := withBoundedEntry(t, smallestMachine)
+			s.assertWithstands(crowd{s.callerAddr, manySize, do})
+		})
+	}
+}
+
 // TestAbusiveClientsOfTwoKinds runs two crowds at once, of which one alone would take what the other leaves.
 func TestAbusiveClientsOfTwoKinds(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/web/evictor/conn.go
+++ b/internal/web/evictor/conn.go
@@ -58,10 +58,14 @@
 type Conn struct {
 	net.Conn
 	g *Group
-	// phase is that of the state, for reads.
-	phase atomic.Int32
+	// phase is that of the state, for reads. bodyBytes is the size of a body as sent, with the frames of its chunks.
+	phase     atomic.Int32
+	bodyBytes atomic.Int64
+	hasTurn   atomic.Bool
 	// hasAnswered is true from the first request on.
 	hasAnswered atomic.Bool
+	// gone is closed when the connection leaves its group.
+	gone chan struct{}
 	// The fields below are guarded by the Evictor's mutex.
 	state               State
 	isGone, isLingering bool
@@ -80,18 +84,28 @@
 
 // Read reads into p and counts what belongs to a head or a message.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.endTurn()
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
 	}
+	headBytes := int64(0)
 	switch Phase(c.phase.Load()) {
-	case Body, Running, Ending:
+	case Running, Ending:
 		return n, err
+	case Body:
+		c.bodyBytes.Add(int64(n))
 	default:
+		var ok bool
+		if headBytes, ok = c.countHead(p[:n], time.Now()); !ok {
+			c.refuseHead()
+			return 0, io.EOF
+		}
 	}
-	if _, ok := c.countHead(p[:n], time.Now()); !ok {
-		c.refuseHead()
-		return 0, io.EOF
+	if !c.g.hasMessages && needsTurn(Phase(c.phase.Load()), headBytes, c.bodyBytes.Load()) {
+		if !c.takeTurn() {
+			return 0, net.ErrClosed
+		}
 	}
 	return n, err
 }
@@ -129,6 +143,7 @@
 
 // Write writes p, and counts what the client has not taken.
 func (c *Conn) Write(p []byte) (int, error) {
+	c.endTurn()
 	c.countAnswer(len(p))
 	total := 0
 	for total < len(p) {
@@ -157,6 +172,13 @@
 	e.charge(c, now)
 }
 
+// recordHead records that a complete head is too large.
+func (c *Conn) recordHead() {
+	c.g.e.mu.Lock()
+	defer c.g.e.mu.Unlock()
+	c.g.e.record(c, boundHead, time.Now())
+}
+
 // refuseHead answers a head that is too large and discards a part of what follows.
 func (c *Conn) refuseHead() {
 	// Each error means that the client has disconnected.
@@ -169,6 +191,7 @@
 // Close closes the connection. One that has given way is closed after lingerTime, unless it gives way again: it has unread
 // bytes, for which the kernel would reset it at once, and its client would not get the answer.
 func (c *Conn) Close() error {
+	c.endTurn()
 	c.g.e.mu.Lock()
 	defer c.g.e.mu.Unlock()
 	if !c.isGone && c.state.Phase == Ending {
@@ -213,6 +236,7 @@
 
 // finish ends a head, a message or a request, and returns what it held if the connection is idle now.
 func (c *Conn) finish(p Phase) {
+	c.endTurn()
 	e := c.g.e
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -262,6 +286,7 @@
 		return false
 	}
 	c.progress = 0
+	c.bodyBytes.Store(0)
 	if hasBody {
 		c.setPhase(Body, time.Now())
 	}
--- a/internal/web/evictor/evictor.go
+++ b/internal/web/evictor/evictor.go
@@ -59,6 +59,7 @@
 	log   hclog.Logger
 	reg   prometheus.Registerer
 	lines *rate.Limiter
+	turns turns
 
 	evicted *prometheus.CounterVec
 	refused *prometheus.CounterVec
@@ -73,7 +74,7 @@
 // New returns an Evictor with a budget of bytes, which registers its metrics with reg.
 func New(bytes int64, log hclog.Logger, reg prometheus.Registerer) *Evictor {
 	e := &Evictor{
-		bytes: bytes, log: log, reg: reg, lines: rate.NewLimiter(logLinesPerSecond, logBurst),
+		bytes: bytes, log: log, reg: reg, lines: rate.NewLimiter(logLinesPerSecond, logBurst), turns: newTurns(),
 		evicted: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cornelwood_evicted_total", Help: "Connections closed, and bodies refused, by listener, phase and the bound that was reached.",
 		}, []string{"listener", "phase", "bound"}),
@@ -227,7 +228,7 @@
 
 // admit returns a new connection of the group, for which another one may have to give way; nil if none can.
 func (g *Group) admit(nc net.Conn, now time.Time) *Conn {
-	c := &Conn{Conn: nc, g: g, state: State{Phase: Unused, Since: now}}
+	c := &Conn{Conn: nc, g: g, gone: make(chan struct{}), state: State{Phase: Unused, Since: now}}
 	g.e.mu.Lock()
 	defer g.e.mu.Unlock()
 	if len(g.conns) >= g.maxConns {
@@ -313,7 +314,10 @@
 // remove removes a connection from its group. e.mu is held.
 func (e *Evictor) remove(c *Conn) {
 	e.release(c)
-	c.isGone = true
+	if !c.isGone {
+		c.isGone = true
+		close(c.gone)
+	}
 	delete(c.g.conns, c)
 }
 
--- a/internal/web/evictor/http.go
+++ b/internal/web/evictor/http.go
@@ -42,6 +42,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if limit := g.limits().HeadBytes; limit > 0 && headSize(r) > limit {
+			c.recordHead()
 			w.Header().Set("Connection", "close")
 			http.Error(w, reasonTooLarge, http.StatusRequestHeaderFieldsTooLarge)
 			return
