--- a/cmd/cornelwood/abuse_soak_test.go
+++ b/cmd/cornelwood/abuse_soak_test.go
@@ -18,8 +18,10 @@
 
 // abuseKinds are the crowds of the soak, by the listener that they meet.
 var abuseKinds = map[string][]client{
-	"callers": {largeHead, endlessHead, emptyLines, wholeBody, pieceBody, largeChunks, smallChunks, silent, manyHeaders, endlessExtensions,
-		endlessTrailer, expectation, halfClosed, refusedEarly, unreadAnswers, endlessRequests},
+	"callers": {
+		largeHead, endlessHead, emptyLines, wholeBody, pieceBody, largeChunks, smallChunks, silent, manyHeaders, endlessExtensions,
+		endlessTrailer, expectation, halfClosed, refusedEarly, unreadAnswers, endlessRequests,
+	},
 	"checks": {endlessHead, wholeBody, silent, unreadMetrics},
 	"peers":  {endlessMessage, fullFrames, silent},
 }
--- a/internal/peer/linker/session_test.go
+++ b/internal/peer/linker/session_test.go
@@ -56,7 +56,9 @@
 		go func() { done <- newSession(l, s, newPeerConn(l, a)).serve() }()
 		time.Sleep(time.Second)
 		cancel()
-		<-done
+		if err := <-done; err == nil {
+			t.Error("the session ended without an error")
+		}
 		// Beside the results that wait, one frame of them has been taken out to be sent.
 		const most = (1024+defaultMaxFrameBytes/resultOverheadBytes)/floodTasks + 2
 		if n := s.frames.Load(); n > most {
--- a/internal/web/evictor/body.go
+++ b/internal/web/evictor/body.go
@@ -43,10 +43,10 @@
 	}
 	b.isInvited = false
 	n, err := b.ReadCloser.Read(p)
-	if n > 0 && !b.isRest && !b.c.grow(n) || err != nil && err != io.EOF {
+	if n > 0 && !b.isRest && !b.c.grow(n) || err != nil && !errors.Is(err, io.EOF) {
 		n, err = 0, b.failure(err)
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		// The server reads on to see the client disconnect, which has no limit of time.
 		_ = b.c.setBodyDeadline(time.Time{})
 		b.c.finish(Running)
@@ -79,7 +79,7 @@
 		_ = b.SetReadDeadline(time.Now().Add(restTime))
 		_, _ = io.Copy(io.Discard, b)
 	}
-	if b.err != io.EOF {
+	if !errors.Is(b.err, io.EOF) {
 		b.w.Header().Set("Connection", "close")
 	}
 }
@@ -87,7 +87,7 @@
 // end closes the connection after the answer when the body is not complete. Package http would keep the connection's goroutine, with
 // the head of the request, for half a second more, in which a crowd that comes back opens hundreds of others.
 func (b *body) end() {
-	if b.err == io.EOF || b.w.Header().Get("Content-Length") == "" {
+	if errors.Is(b.err, io.EOF) || b.w.Header().Get("Content-Length") == "" {
 		return
 	}
 	// An error means that the client has disconnected.
