evictor: connections that have given way do not pile up

What callers saw: beside crowds that read nothing at all three listeners a process of 136 MB held up to 247 MB.

Cause: a connection that gives way leaves the bound at once, but its goroutine and what it has read stay until the processor gets to it. A crowd that comes back at once then opens connections faster than the server leaves them.

Change: while as many connections have given way as a listener may have, and the server has not left them yet, a new one waits for room like others.

Why it works: the memory beyond the bound of connections is now at most that of as many again. The tests check that each listener admits connections after its crowd, so that the count returns to zero.

--- a/cmd/cornelwood/abuse_test.go
+++ b/cmd/cornelwood/abuse_test.go
@@ -279,6 +279,20 @@
 	u := runCrowds(s.t, s.daemon, s.serves, crowds...)
 	s.daemon.assertBounded(s.t, s.machine, u)
 	s.eventually("serving after the crowd", abuseRecovery, func() bool { return s.serves(s.t.Context()) })
+	for _, c := range crowds {
+		s.eventually("admitting connections after the crowd", abuseRecovery, func() bool { return staysOpen(s.t, c.addr) })
+	}
+}
+
+// staysOpen reports whether a new connection is kept for longer than one may wait for room.
+func staysOpen(t *testing.T, addr string) bool {
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", addr)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	time.Sleep(abuseRecovery / 20)
+	return isOpen(conn.(*net.TCPConn))
 }
 
 // peerAddr returns the address for other daemons.
--- a/internal/web/evictor/conn.go
+++ b/internal/web/evictor/conn.go
@@ -69,6 +69,8 @@
 	// The fields below are guarded by the Evictor's mutex.
 	state               State
 	isGone, isLingering bool
+	// isLeft is true once the server has closed the connection: nothing else holds memory for it then.
+	isLeft bool
 	// reason is why the body has given way.
 	reason string
 	// held is what state.Bytes follows from, and progress the number of bytes of the body since Since.
@@ -194,6 +196,10 @@
 	c.endTurn()
 	c.g.e.mu.Lock()
 	defer c.g.e.mu.Unlock()
+	if c.isGone && !c.isLeft {
+		c.g.leaving--
+	}
+	c.isLeft = true
 	if !c.isGone && c.state.Phase == Ending {
 		if !c.isLingering {
 			c.isLingering = true
--- a/internal/web/evictor/evictor.go
+++ b/internal/web/evictor/evictor.go
@@ -152,7 +152,9 @@
 	// isPressed is true while new connections have to wait for room. It and conns are guarded by the Evictor's mutex, as is the
 	// state of each connection.
 	isPressed bool
-	conns     map[*Conn]struct{}
+	// leaving is the number of connections that have given way and that the server has not left yet.
+	leaving int
+	conns   map[*Conn]struct{}
 }
 
 // Group returns a new Group of at most maxConns connections. limits returns the limits in force.
@@ -231,6 +233,10 @@
 	c := &Conn{Conn: nc, g: g, gone: make(chan struct{}), state: State{Phase: Unused, Since: now}}
 	g.e.mu.Lock()
 	defer g.e.mu.Unlock()
+	if !HasRoom(g.leaving, g.maxConns) {
+		g.isPressed = true
+		return nil
+	}
 	if len(g.conns) >= g.maxConns {
 		var victim *Conn
 		allowed := Grace(g.isPressed, g.limits())
@@ -317,6 +323,9 @@
 	if !c.isGone {
 		c.isGone = true
 		close(c.gone)
+		if !c.isLeft {
+			c.g.leaving++
+		}
 	}
 	delete(c.g.conns, c)
 }
--- a/internal/web/evictor/evictor_test.go
+++ b/internal/web/evictor/evictor_test.go
@@ -97,6 +97,28 @@
 	}
 }
 
+// TestLeavingConnections guards against connections that have given way and pile up faster than the server leaves them.
+func TestLeavingConnections(t *testing.T) {
+	now := time.Now()
+	g, admit := newTestGroup(t, 10, 2, Limits{})
+	var conns []*Conn
+	for i := range 5 {
+		if c := admit(now.Add(time.Duration(i) * time.Second)); c != nil {
+			conns = append(conns, c)
+		}
+	}
+	if diff := cmp.Diff(4, len(conns)); diff != "" {
+		t.Fatalf("connections admitted (-want +got):\n%s", diff)
+	}
+	for _, c := range conns {
+		c.Close()
+		c.Close()
+	}
+	if g.leaving != 0 || admit(now) == nil {
+		t.Errorf("%d connections are leaving after all were closed, or none is admitted", g.leaving)
+	}
+}
+
 // TestHeadBound guards against a head without end, and against limits that do not change with the desired state.
 func TestHeadBound(t *testing.T) {
 	l := Limits{HeadBytes: 16 << 10}
--- a/internal/web/evictor/policy.go
+++ b/internal/web/evictor/policy.go
@@ -100,6 +100,14 @@
 	return -1
 }
 
+// HasRoom reports whether a new connection may make another one give way, of which there may be maxConns.
+//
+// Load pattern: a crowd that comes back at once, while the processor is busy. Connections that have given way hold their memory until
+// their goroutines have run, and would pile up.
+func HasRoom(leaving, maxConns int) bool {
+	return leaving < maxConns
+}
+
 // Graces are the times that clients have for the next part of a request, or to take the next part of an answer, before their
 // connections give way to new ones.
 type Graces struct {
