--- a/cmd/cornelwood/abuse_test.go
+++ b/cmd/cornelwood/abuse_test.go
@@ -262,10 +262,28 @@
 		version, entryHost, prefix, limits)))
 }
 
+// newConnClient returns a client that opens a connection for each request, as one that is refused does.
+func newConnClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: abuseRecovery / 4}
+}
+
+// dial opens a connection to the address for clients, with a deadline after abuseRecovery. It is closed when the test ends.
+func (s *entrySite) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", s.callerAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(abuseRecovery)); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
 // serves reports whether an ordinary request is answered, and the readiness check passes.
 func (s *entrySite) serves(context.Context) bool {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: abuseRecovery / 4}
-	a, ready := s.send(client, http.MethodPost, "/p/1"), s.readyStatus()
+	a, ready := s.send(newConnClient(), http.MethodPost, "/p/1"), s.readyStatus()
 	isServing := a.status == http.StatusOK && ready == http.StatusOK
 	if !isServing {
 		s.t.Logf("ordinary request: status %d, error %v, body %.30q; readiness check: status %d", a.status, a.err, a.body, ready)
@@ -448,12 +466,11 @@
 
 // isLive reports whether the daemon answers its check of liveness on a new connection.
 func (d *daemon) isLive(ctx context.Context) bool {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: abuseRecovery / 4}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.caller+"/live", nil)
 	if err != nil {
 		return false
 	}
-	resp, err := client.Do(r)
+	resp, err := newConnClient().Do(r)
 	if err != nil {
 		return false
 	}
@@ -489,7 +506,7 @@
 // planned: the change must come into force, requests must be served during the outage, and the process must end by itself.
 func TestAbusiveClientsBesideChanges(t *testing.T) {
 	s := withBoundedEntry(t, lowMachine)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: abuseRecovery / 4}
+	client := newConnClient()
 	serves := func(path string) func(context.Context) bool {
 		return func(context.Context) bool { return s.send(client, http.MethodPost, path).status == http.StatusOK }
 	}
@@ -565,14 +582,7 @@
 	// dial opens a connection whose first request is answered.
 	dial := func(t *testing.T) (net.Conn, func() error) {
 		t.Helper()
-		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", s.callerAddr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { conn.Close() })
-		if err := conn.SetDeadline(time.Now().Add(abuseRecovery)); err != nil {
-			t.Fatal(err)
-		}
+		conn := s.dial(t)
 		return conn, func() error {
 			if _, err := io.WriteString(conn, request); err != nil {
 				return err
--- a/cmd/cornelwood/entry_refusal_test.go
+++ b/cmd/cornelwood/entry_refusal_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -61,14 +60,7 @@
 // sendHead sends the head of a POST on a connection of its own. The returned function waits for the answer.
 func (s *entrySite) sendHead(t *testing.T, path, framing string, timeout time.Duration) func() *http.Response {
 	t.Helper()
-	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", s.callerAddr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { conn.Close() })
-	if err := conn.SetDeadline(time.Now().Add(abuseRecovery)); err != nil {
-		t.Fatal(err)
-	}
+	conn := s.dial(t)
 	header := make(http.Header)
 	if timeout > 0 {
 		platform.WriteRequestHeaders(header, "head", timeout)
--- a/internal/daemon/router/shutdown.go
+++ b/internal/daemon/router/shutdown.go
@@ -26,8 +26,8 @@
 
 // shutdown stops the daemon without aborting requests. The readiness check fails, and every connection is closed with its
 // next answer. After acceptFraction of the grace period requests are refused, also those whose bodies are not complete. The
-// listener stays open until those in flight
-// have ended, so that a client on an open connection or a new one learns that its request has not run.
+// listener stays open until those in flight have ended, so that a client on an open connection or a new one learns that its
+// request has not run.
 func (r *Router) shutdown() {
 	settings := r.settings.Load()
 	grace := settings.Shutdown.Grace
--- a/internal/web/gauger/gauger.go
+++ b/internal/web/gauger/gauger.go
@@ -74,8 +74,3 @@
 	t.Connected = isFirst && received.Sub(c.acceptedAt) < connectSlack
 	return t
 }
-
-// Unread returns about how many bytes of earlier answers a client has not taken; 0 when it is not known.
-func Unread(c net.Conn) int {
-	return unreadBytes(c)
-}
--- a/internal/web/gauger/kernel_linux.go
+++ b/internal/web/gauger/kernel_linux.go
@@ -23,8 +23,8 @@
 	return Transit{RoundTrip: time.Duration(rtt) * time.Microsecond, Waited: time.Duration(info.Last_data_recv) * time.Millisecond}
 }
 
-// unreadBytes returns about how many bytes the other end has not acknowledged or has no room for; 0 when it is not known.
-func unreadBytes(c net.Conn) int {
+// Unread returns about how many bytes of earlier answers a client has not acknowledged or has no room for; 0 when it is not known.
+func Unread(c net.Conn) int {
 	info, ok := readInfo(c)
 	if !ok {
 		return 0
--- a/internal/web/gauger/kernel_other.go
+++ b/internal/web/gauger/kernel_other.go
@@ -9,7 +9,7 @@
 	return Transit{}
 }
 
-// unreadBytes returns 0: the kernel's figures are read on Linux only.
-func unreadBytes(net.Conn) int {
+// Unread returns 0: the kernel's figures are read on Linux only.
+func Unread(net.Conn) int {
 	return 0
 }
