relayer: a removal that a daemon never saw is not lost for its peers

Cause: a cache states a revision up to which it knows the store, and a peer that polls it advances to that revision. But the cache kept a tombstone only for an object that it had held itself. A daemon that had been turned away by the store, or that had read a list, did not know the objects that had come and gone since. Its peers that had them asked for the changes, got none, and advanced past the removal, so that nothing ever removed them. A removal found by a list also had the revision of the value known here, and a peer with a later value ignored it.

Change: what a cache knows of removals is a type of its own, history. It has a tombstone for each removal, also of objects that were not known; it remembers the ranges of revisions that a list skipped, and peers within one get the full list; an update tells its receiver of such a range (gapped). A removal found by a list has the list's revision.

In a calm fleet peers poll from the revision before a gap or after it, and get changes as before.

--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -15,10 +15,6 @@
 	"cornelwood.example/internal/time/sentry"
 )
 
-// removalRetention is how long a Cache keeps a tombstone for peers that ask for changes.
-// A peer that was away for longer gets the full list.
-const removalRetention = 30 * time.Second
-
 // heldRelayTime is how long after the start of an era each answer to a peer has the objects that are kept from an earlier one: a peer
 // that read the store itself may lack them. A peer polls every 0.35 s, and one that was out of reach for as long as the store
 // takes to be written again (2.2 s) gets them, too. Longer would cost a large desired state in each answer.
@@ -52,16 +48,14 @@
 	// changed is the Relayer's signal for changes and for the loss of the store.
 	changed *signal
 
-	mu         sync.Mutex
-	items      map[string]follower.Item[T]
-	tombstones map[string]tombstone
+	mu    sync.Mutex
+	items map[string]follower.Item[T]
+	// history is what was removed, for peers that ask for changes.
+	history history
 	// revision is the store's revision up to which changes are known.
 	revision uint64
 	// listed is true after the first full list.
 	listed bool
-	// compactedRevision is the highest removalRevision of the tombstones that have
-	// been dropped.
-	compactedRevision uint64
 	// confirmedAt is when the store last confirmed that it held nothing newer.
 	confirmedAt time.Time
 	// maxAge is the greatest age of the state on clock that a peer may have to count as fresh; 0 means that the state is
@@ -88,26 +82,17 @@
 	ignoresConfirm bool
 }
 
-// tombstone records that an object was removed.
-type tombstone struct {
-	// objectRevision is the revision of the object's last change.
-	objectRevision uint64
-	// removalRevision is the revision of the list or watch that showed the removal.
-	removalRevision uint64
-	at              time.Time
-}
-
 // NewCache returns an empty Cache that passes changes on to sink, and adds it to r.
 // kind identifies the Cache in the messages between peers.
 func NewCache[T any](kind string, sink Sink[T], r *Relayer) *Cache[T] {
 	c := &Cache[T]{
-		kind:       kind,
-		sink:       sink,
-		changed:    &r.cacheChanged,
-		clock:      r.cfg.Clock,
-		items:      make(map[string]follower.Item[T]),
-		tombstones: make(map[string]tombstone),
-		onEra:      r.observeEra,
+		kind:    kind,
+		sink:    sink,
+		changed: &r.cacheChanged,
+		clock:   r.cfg.Clock,
+		items:   make(map[string]follower.Item[T]),
+		history: newHistory(),
+		onEra:   r.observeEra,
 	}
 	r.caches = append(r.caches, c)
 	return c
@@ -199,7 +184,7 @@
 		}
 		c.listed, c.whole, c.eraAt = true, nil, time.Now()
 		// What was removed before is not known here: peers with older state get the full list.
-		c.compactedRevision = revision
+		c.history.reset(revision)
 		c.confirm(revision, age)
 		c.onEra(declarer.Era(revision))
 		c.sink.Replace(items, revision)
@@ -209,10 +194,12 @@
 	}
 	if declarer.Era(revision) > declarer.Era(c.revision) {
 		// What changed between the two eras is not known one by one: peers of an earlier era get the full list.
-		c.compactedRevision, c.whole, c.eraAt = revision, nil, time.Now()
-		clear(c.tombstones)
+		c.whole, c.eraAt = nil, time.Now()
+		c.history.reset(revision)
 		c.onEra(declarer.Era(revision))
 	}
+	// The list does not show what was added and removed after the cached state.
+	c.history.skip(c.revision, revision)
 	inList := make(map[string]bool, len(items))
 	var changes []follower.Change[T]
 	for _, it := range items {
@@ -221,7 +208,8 @@
 	}
 	for name, it := range c.items {
 		if !inList[name] && it.Revision <= revision {
-			changes = append(changes, follower.Change[T]{Item: follower.Item[T]{Name: name, Revision: it.Revision}, Removed: true})
+			// A peer may have a later value than this daemon. The list shows that all values up to its revision are gone.
+			changes = append(changes, follower.Change[T]{Item: follower.Item[T]{Name: name, Revision: revision}, Removed: true})
 		}
 	}
 	c.apply(changes, revision, age)
@@ -262,14 +250,17 @@
 	if exists && c.keeps(&current, ch, revision) {
 		return false
 	}
-	deleted, isDeleted := c.tombstones[ch.Name]
 	if ch.Removed {
-		if !exists || ch.Revision < current.Revision {
+		if exists && ch.Revision < current.Revision {
+			return false
+		}
+		// Also of an object that this daemon never had: peers that have it ask for changes from before.
+		c.history.remove(ch.Name, ch.Revision, revision)
+		if !exists {
 			return false
 		}
 		c.whole = nil
 		delete(c.items, ch.Name)
-		c.tombstones[ch.Name] = tombstone{objectRevision: ch.Revision, removalRevision: revision, at: time.Now()}
 		return true
 	}
 	if exists && c.isKeptByPeer(&current, ch) {
@@ -277,7 +268,7 @@
 		c.items[ch.Name] = ch.Item
 		return true
 	}
-	if exists && ch.Revision <= current.Revision || isDeleted && ch.Revision <= deleted.objectRevision {
+	if exists && ch.Revision <= current.Revision || c.history.isRemoved(ch.Name, ch.Revision) {
 		return false
 	}
 	if !exists && ch.Revision <= c.revision {
@@ -285,7 +276,7 @@
 		return false
 	}
 	c.whole = nil
-	delete(c.tombstones, ch.Name)
+	delete(c.history.tombstones, ch.Name)
 	c.items[ch.Name] = ch.Item
 	return true
 }
@@ -324,19 +315,14 @@
 }
 
 // confirm records that the store held nothing newer than revision age ago, and drops
-// the expired tombstones.
+// the expired part of the history.
 func (c *Cache[T]) confirm(revision uint64, age time.Duration) {
 	now := time.Now()
 	c.revision = max(c.revision, revision)
 	if confirmedAt := now.Add(-age); confirmedAt.After(c.confirmedAt) && !now.Before(c.trustedFrom) {
 		c.confirmedAt = confirmedAt
 	}
-	for name, ts := range c.tombstones {
-		if now.Sub(ts.at) > removalRetention {
-			c.compactedRevision = max(c.compactedRevision, ts.removalRevision)
-			delete(c.tombstones, name)
-		}
-	}
+	c.history.expire(now)
 }
 
 // Lost records that the store does not answer.
@@ -364,7 +350,9 @@
 type update struct {
 	Kind string `json:"kind"`
 	// Whole is true when the entries are a full list; otherwise they are changes.
-	Whole    bool   `json:"whole,omitempty"`
+	Whole bool `json:"whole,omitempty"`
+	// Gapped is true when objects that the receiver never had may have been removed without a sign in the entries.
+	Gapped   bool   `json:"gapped,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Age is how long ago the store confirmed the revision.
 	Age time.Duration `json:"age"`
@@ -408,12 +396,12 @@
 			return true
 		}
 	}
-	for _, ts := range c.tombstones {
+	for _, ts := range c.history.tombstones {
 		if ts.removalRevision > revision {
 			return true
 		}
 	}
-	return revision < c.compactedRevision
+	return !c.history.hasAllSince(revision)
 }
 
 // isFresh reports whether the store answers and confirmed the state within maxAge. A cache
@@ -433,12 +421,12 @@
 }
 
 // updateSince returns the update for a peer that knows a revision: the changes after it,
-// or the full list when the peer has none or one of another era, or the tombstones since then have been dropped.
+// or the full list when the peer has none or one of another era, or not all removals since then are known.
 func (c *Cache[T]) updateSince(revision uint64) (update, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isOtherEra := declarer.Era(revision) != declarer.Era(c.revision)
-	u := update{Kind: c.kind, Revision: c.revision, Age: time.Since(c.confirmedAt), Lost: !c.lostAt.IsZero(), Whole: revision == 0 || isOtherEra || revision < c.compactedRevision}
+	u := update{Kind: c.kind, Revision: c.revision, Age: time.Since(c.confirmedAt), Lost: !c.lostAt.IsZero(), Whole: revision == 0 || isOtherEra || !c.history.hasAllSince(revision)}
 	if c.dated > 0 {
 		u.Asked = max(1, c.clock()-c.dated)
 	}
@@ -447,6 +435,7 @@
 		u.Entries, err = c.wholeEntries()
 		return u, err
 	}
+	u.Gapped = c.history.hasGapSince(revision)
 	var entries []entry[T]
 	tellsHeld := time.Since(c.eraAt) < heldRelayTime
 	for _, it := range c.items {
@@ -454,7 +443,7 @@
 			entries = append(entries, encodeItem(it))
 		}
 	}
-	for name, ts := range c.tombstones {
+	for name, ts := range c.history.tombstones {
 		if ts.removalRevision > revision {
 			entries = append(entries, entry[T]{Name: name, Revision: ts.objectRevision, Removed: true})
 		}
@@ -565,6 +554,9 @@
 	if u.Whole {
 		c.replace(items, u.Revision, u.Age)
 	} else {
+		if u.Gapped {
+			c.history.skip(c.revision, u.Revision)
+		}
 		c.apply(changes, u.Revision, u.Age)
 	}
 	if isDated {
