relayer: a removal between the two calls of a list is told to peers again

Cause: a daemon with an object got a list as of revision 3 whose second call came after the object's removal at revision 4. It recorded the removal as of revision 3. The watch showed it once more, as of 4, and that was ignored as known, so that a peer at revision 3 was never told.

Change: a removal that is shown again as of a later revision takes that revision.

--- a/internal/control/relayer/history.go
+++ b/internal/control/relayer/history.go
@@ -52,10 +52,14 @@
 
 // remove records the removal of an object, which a list or watch as of a revision showed.
 func (h *history) remove(name string, objectRevision, revision uint64) {
-	if ts, ok := h.tombstones[name]; ok && ts.objectRevision >= objectRevision {
+	ts := h.tombstones[name]
+	if ts.objectRevision >= objectRevision && ts.removalRevision >= revision {
 		return
 	}
-	h.tombstones[name] = tombstone{objectRevision: objectRevision, removalRevision: revision, at: time.Now()}
+	// A list that took several calls may show a removal that is later than its revision, and a watch shows it again.
+	h.tombstones[name] = tombstone{
+		objectRevision: max(ts.objectRevision, objectRevision), removalRevision: max(ts.removalRevision, revision), at: time.Now(),
+	}
 }
 
 // skip records that the state went from one revision to a later one without the changes between them.
