locator: a daemon that does not know the fleet sends nothing to cold searchers

Cause: coldShare gave the whole rate to a daemon that knew no members. The list of daemons and that of searchers are followed separately, each with a pause of up to 2 s after an outage. Each of seven daemons that had restarted meanwhile and read the searchers first counted as the only one of its fleet. The same default made it keep all of the idle connections of a searcher.

Evidence: TestUnknownMembers fails on the code before: a rate of 8 before the list, and with an empty one, and 10 idle connections.

Change: the share is 0 for each daemon that is not in the list it has read, also if that is empty. While the list is unknown a daemon keeps one idle connection to a searcher.

Why it works: shares add up to the rate only if all daemons divide by the same list; one that has none has no share. Warm searchers are used as before.

Cost: until the list of daemons is read, requests for which only cold searchers are left are refused with Retry-After.

Left open: daemons that register at the same moment for the first time may see shorter lists than the others for some seconds.

--- a/internal/route/locator/cold.go
+++ b/internal/route/locator/cold.go
@@ -57,17 +57,18 @@
 
 // coldShare returns this daemon's share of the rate, in requests per second, that all daemons together may send to a
 // cold searcher; members are those that send to its service. It is 0 for the daemons that rank last when the members are
-// ordered by a hash with the searcher's ID, and for those that are no members.
+// ordered by a hash with the searcher's ID, and for those that are no members. A daemon that does not know the members yet is none:
+// each of a fleet that restarts would else take the whole rate.
 //
 // Load pattern: a searcher, or a zone of them, that restarts cold under full load from more daemons than it can take
 // requests per second.
 func coldShare(rate float64, searcher, self string, members map[string]declarer.Member) float64 {
 	senders := coldSendersBase + int(coldSendersPerRate*rate)
-	if _, ok := members[self]; !ok && len(members) > 0 {
+	if _, ok := members[self]; !ok {
 		return 0
 	}
 	if len(members) <= senders {
-		return rate / float64(max(1, len(members)))
+		return rate / float64(len(members))
 	}
 	ids := make([]string, 0, len(members))
 	for id := range members {
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -45,9 +45,12 @@
 	// while there is one.
 	openings        map[string]opening
 	awaitsSearchers atomic.Bool
-	listed          bool
-	revision        uint64
-	rollouts        rollouts
+	// listed and membersListed are true once a list of the searchers, or of the daemons, has been received. Until then nothing is
+	// known of them.
+	listed, membersListed bool
+	revision              uint64
+
+	rollouts rollouts
 	// graceUntil is when removals of entries take effect at once again after an outage of the store.
 	graceUntil time.Time
 	storeDown  bool
@@ -205,6 +208,9 @@
 			Searcher: e.Searcher, WarmAt: e.warmAt, Senders: all,
 			MaxIdleConns: maxIdleConns(limit.Connections, e.Zone == l.self.Zone, daemons),
 		}
+		if !l.membersListed && limit.Connections > 0 {
+			s.MaxIdleConns = minIdleConns
+		}
 		if limit.ColdRate > 0 {
 			senders := l.members
 			if v.gathered[e.Service] {
--- a/internal/route/locator/locator_test.go
+++ b/internal/route/locator/locator_test.go
@@ -51,6 +51,10 @@
 	}}
 }
 
+func member(id, zone string) follower.Item[declarer.Member] {
+	return follower.Item[declarer.Member]{Name: id, Value: declarer.Member{ID: id, Zone: zone}}
+}
+
 func change[T any](it follower.Item[T], removed bool) []follower.Change[T] {
 	return []follower.Change[T]{{Item: it, Removed: removed}}
 }
@@ -78,6 +82,7 @@
 		bounded := routing(4)
 		bounded.Value.Services = []declarer.ServiceLimits{{Name: "svc", ColdRate: rate}}
 		l.Routings().Replace([]follower.Item[*declarer.Routing]{bounded}, 3)
+		l.Members().Replace([]follower.Item[declarer.Member]{member("a", "z")}, 3)
 		l.Closures().Apply(change(follower.Item[string]{Name: "a", Revision: 10}, false), 10)
 		assertSearchers(t, l, "s2")
 		cold := func() string {
@@ -257,8 +262,7 @@
 		l.Searchers().Replace([]follower.Item[declarer.Searcher]{searcher("s1", "z"), searcher("s2", "b")}, 3)
 		var members []follower.Item[declarer.Member]
 		for i, zone := range []string{"z", "z", "z", "b", "b"} {
-			id := string(rune('a' + i))
-			members = append(members, follower.Item[declarer.Member]{Name: id, Value: declarer.Member{ID: id, Zone: zone}})
+			members = append(members, member(string(rune('a'+i)), zone))
 		}
 		l.Members().Replace(members, 4)
 		synctest.Wait()
@@ -296,6 +300,41 @@
 	}
 }
 
+// TestUnknownMembers guards against a daemon that counts as the only one of its fleet while it has not read the list of daemons, or is
+// not in it: each of seven daemons that had restarted during an outage of the store sent the whole rate to cold searchers, and kept all
+// of their idle connections.
+func TestUnknownMembers(t *testing.T) {
+	withLocator(t, func(l *Locator) {
+		bounded := routing(4)
+		bounded.Value.Services = []declarer.ServiceLimits{{Name: "svc", ColdRate: 8, Connections: 30}}
+		l.Routings().Replace([]follower.Item[*declarer.Routing]{bounded}, 3)
+		limits := func() (coldRate float64, idle int) {
+			synctest.Wait()
+			s := l.View().Searchers("svc")[0]
+			return s.ColdRate, s.MaxIdleConns
+		}
+		fleet := []follower.Item[declarer.Member]{member("b", "z"), member("c", "z"), member("d", "z")}
+		var rates []float64
+		for _, list := range []func(){
+			func() {},
+			func() { l.Members().Replace(nil, 3) },
+			func() { l.Members().Replace(fleet, 4) },
+			func() { l.Members().Apply(change(member("a", "z"), false), 5) },
+			func() { l.Members().Apply(change(member("a", "z"), true), 6) },
+		} {
+			list()
+			rate, idle := limits()
+			if len(rates) == 0 && idle != minIdleConns {
+				t.Errorf("%d idle connections before the list of daemons, want %d", idle, minIdleConns)
+			}
+			rates = append(rates, rate)
+		}
+		if diff := cmp.Diff([]float64{0, 0, 0, 2, 0}, rates); diff != "" {
+			t.Errorf("rate before the list, with none, without this daemon, with it, after it has left (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestConfirmRouting checks that no view is dated to a time at which the store had a newer desired state than the view's: a withdrawn
 // key would be used past its bound.
 func TestConfirmRouting(t *testing.T) {
--- a/internal/route/locator/sink.go
+++ b/internal/route/locator/sink.go
@@ -270,7 +270,7 @@
 // Replace replaces all members by the listed ones.
 func (s *memberSink) Replace(items []follower.Item[declarer.Member], revision uint64) {
 	s.l.enqueue(func() {
-		s.l.membersRevision = revision
+		s.l.membersRevision, s.l.membersListed = revision, true
 		clear(s.l.members)
 		for _, it := range items {
 			s.l.addMember(it)
