follower: after an outage all kinds of objects are read at once

Cause: a daemon needs several lists to serve, and each follower waits out its own pause of up to 2 s after the store is back, so that the last one decides.

Change: followers of a daemon share a signal that is raised when a call succeeds after a failure; the others then call without waiting. The signal is the one that the relayer had, in a package of its own.

Evidence: TestRecovered fails without it: two followers read their first lists at different times.

Load: a fleet makes the same number of calls after an outage, within the shortest of the pauses of each daemon in place of the longest. The pauses of the daemons stay spread.

--- a/internal/control/follower/follower.go
+++ b/internal/control/follower/follower.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cornelwood.example/internal/control/signaler"
 	"cornelwood.example/internal/time/sentry"
 	"cornelwood.example/internal/time/sleeper"
 )
@@ -36,6 +37,9 @@
 	Rand func() float64
 	// Clock tells when calls are sent. It goes on while the machine is suspended.
 	Clock sentry.Clock
+	// Recovered is raised when a call succeeds after a failure. Followers that share it do not wait out their pauses then: a
+	// daemon that has some kinds of objects and lacks others cannot serve.
+	Recovered *signaler.Signal
 }
 
 // Default returns the settings that keep the followed state at most 3 s old: a change
@@ -50,6 +54,7 @@
 		MaxBackoff: 2 * time.Second,
 		Rand:       rand.Float64,
 		Clock:      sentry.BootClock,
+		Recovered:  &signaler.Signal{},
 	}
 }
 
@@ -98,14 +103,31 @@
 			}
 			continue
 		}
-		pause := f.recordOutcome(ctx, f.callOnce(ctx))
-		if err := sleeper.Sleep(ctx, pause); err != nil {
+		recovered := f.cfg.Recovered.Wait()
+		err := f.callOnce(ctx)
+		pause := f.recordOutcome(ctx, err)
+		if err == nil {
+			recovered = nil
+		}
+		if err := sleepUntil(ctx, pause, recovered); err != nil {
 			return err
 		}
 	}
 	return ctx.Err()
 }
 
+// sleepUntil pauses for d, or until wake is closed. It returns the error of ctx when that ends first.
+func sleepUntil(ctx context.Context, d time.Duration, wake <-chan struct{}) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-wake:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
 // callOnce makes one call: a list if one is needed, otherwise a watch.
 func (f *Follower[T]) callOnce(ctx context.Context) error {
 	revision, known := f.sink.Revision()
@@ -123,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	f.failures = 0
+	f.recover()
 	f.needsList = false
 	f.sink.Replace(items, revision)
 	f.sink.Confirm(asked)
@@ -165,12 +187,20 @@
 	if err != nil {
 		return err
 	}
-	f.failures = 0
+	f.recover()
 	f.sink.Apply(changes, revision)
 	f.sink.Confirm(asked)
 	return nil
 }
 
+// recover records that a call succeeded.
+func (f *Follower[T]) recover() {
+	if f.failures > 0 {
+		f.failures = 0
+		f.cfg.Recovered.Raise()
+	}
+}
+
 // recordOutcome records the error of a call and returns the pause before the next call.
 // It tells the sink about the first failure in a row.
 func (f *Follower[T]) recordOutcome(ctx context.Context, err error) time.Duration {
--- a/internal/control/follower/follower_test.go
+++ b/internal/control/follower/follower_test.go
@@ -141,11 +141,8 @@
 	t.Helper()
 	sink := &fakeSink{}
 	synctest.Test(t, func(t *testing.T) {
-		feed.start = time.Now()
 		g.changed = make(chan struct{})
-		cfg := Default()
-		cfg.Rand = func() float64 { return 0.5 }
-		cfg.Clock = func() time.Duration { return time.Since(feed.start) }
+		cfg := testConfig(feed)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- New("test", cfg, feed, sink, g).Serve(ctx) }()
@@ -158,6 +155,45 @@
 	return sink
 }
 
+// testConfig returns the settings of a Follower of a feed that starts now.
+func testConfig(feed *fakeFeed) Config {
+	feed.start = time.Now()
+	cfg := Default()
+	cfg.Rand = func() float64 { return 0.5 }
+	cfg.Clock = func() time.Duration { return time.Since(feed.start) }
+	return cfg
+}
+
+// TestRecovered guards against a daemon that has some kinds of objects and lacks others for as long as the longest pause after the
+// store is back, because each follower waits out its own.
+func TestRecovered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := &fakeFeed{revision: 7, fail: errors.New("down")}, &fakeFeed{revision: 7, fail: errors.New("down")}
+		cfg := testConfig(first)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		serve := func(feed *fakeFeed) *fakeSink {
+			sink := &fakeSink{}
+			feed.start = first.start
+			running.Go(func() { _ = New("test", cfg, feed, sink, openGate()).Serve(ctx) })
+			return sink
+		}
+		sinks := []*fakeSink{serve(first)}
+		time.Sleep(1200 * time.Millisecond)
+		sinks = append(sinks, serve(second))
+		time.Sleep(5 * time.Second)
+		for _, feed := range []*fakeFeed{first, second} {
+			feed.update(func() { feed.fail = nil })
+		}
+		time.Sleep(4 * time.Second)
+		cancel()
+		running.Wait()
+		if diff := cmp.Diff(sinks[0].asked[0], sinks[1].asked[0]); diff != "" {
+			t.Errorf("time of the first list of each follower (-first +second):\n%s", diff)
+		}
+	})
+}
+
 func openGate() *testGate {
 	g := &testGate{}
 	g.open.Store(true)
--- a/internal/control/relayer/cache.go
+++ b/internal/control/relayer/cache.go
@@ -11,6 +11,7 @@
 
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/control/follower"
+	"cornelwood.example/internal/control/signaler"
 	"cornelwood.example/internal/peer/linker"
 	"cornelwood.example/internal/time/sentry"
 )
@@ -46,7 +47,7 @@
 	neverStale bool
 	sink       Sink[T]
 	// changed is the Relayer's signal for changes and for the loss of the store.
-	changed *signal
+	changed *signaler.Signal
 
 	mu    sync.Mutex
 	items map[string]follower.Item[T]
@@ -189,7 +190,7 @@
 		c.onEra(declarer.Era(revision))
 		c.sink.Replace(items, revision)
 		c.sink.Confirm(c.revision)
-		c.changed.raise()
+		c.changed.Raise()
 		return
 	}
 	if declarer.Era(revision) > declarer.Era(c.revision) {
@@ -238,7 +239,7 @@
 	c.confirm(revision, age)
 	if len(applied) > 0 {
 		c.sink.Apply(applied, revision)
-		c.changed.raise()
+		c.changed.Raise()
 	}
 	c.sink.Confirm(c.revision)
 }
@@ -339,7 +340,7 @@
 	case err != nil && c.lostAt.IsZero():
 		c.lostAt = time.Now()
 		c.sink.Lost(err)
-		c.changed.raise()
+		c.changed.Raise()
 	case err == nil && !c.lostAt.IsZero():
 		c.sink.Regained(time.Since(c.lostAt))
 		c.lostAt = time.Time{}
@@ -574,7 +575,7 @@
 	defer c.mu.Unlock()
 	c.confirmedAt = time.Time{}
 	c.trustedFrom = time.Now().Add(staleAnswerTime)
-	c.changed.raise()
+	c.changed.Raise()
 }
 
 // isCurrent reports whether the state is fresh, or as fresh as it can be while the store does not answer.
--- a/internal/control/relayer/relayer.go
+++ b/internal/control/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/contract/exchanger"
 	"cornelwood.example/internal/control/follower"
+	"cornelwood.example/internal/control/signaler"
 	"cornelwood.example/internal/peer/linker"
 	"cornelwood.example/internal/time/sentry"
 	"cornelwood.example/internal/time/sleeper"
@@ -165,7 +166,7 @@
 	// onEra is called with the era of the store's state when a cache has reached a later one; nil means that nothing is.
 	onEra func(era uint64)
 	// cacheChanged is raised when a cache changes or the store stops answering.
-	cacheChanged signal
+	cacheChanged signaler.Signal
 	caches       []cache
 	// recent holds the observations for the peers that poll this daemon.
 	recent   observationBuffer
@@ -196,7 +197,7 @@
 	readsStore   atomic.Bool
 	readsMembers atomic.Bool
 	// gatesChanged is raised when readsStore or readsMembers changes.
-	gatesChanged signal
+	gatesChanged signaler.Signal
 }
 
 // New returns a Relayer without caches; add them with NewCache before Serve. checkStore reports
@@ -228,7 +229,7 @@
 // Open reports whether this daemon reads the store itself, and returns a channel that is
 // closed when that may have changed.
 func (r *Relayer) Open() (bool, <-chan struct{}) {
-	ch := r.gatesChanged.wait()
+	ch := r.gatesChanged.Wait()
 	return r.readsStore.Load(), ch
 }
 
@@ -245,13 +246,13 @@
 // Open reports whether this daemon reads the list of members, and returns a channel that
 // is closed when that may have changed.
 func (g memberGate) Open() (bool, <-chan struct{}) {
-	ch := g.r.gatesChanged.wait()
+	ch := g.r.gatesChanged.Wait()
 	return g.r.readsMembers.Load(), ch
 }
 
 func (r *Relayer) setReadsMembers(reads bool) {
 	if r.readsMembers.Swap(reads) != reads {
-		r.gatesChanged.raise()
+		r.gatesChanged.Raise()
 	}
 }
 
@@ -260,7 +261,7 @@
 		return
 	}
 	r.log.Info("source of the store's state changed", "direct", reads, "reason", reason)
-	r.gatesChanged.raise()
+	r.gatesChanged.Raise()
 }
 
 // Serve updates the caches until ctx ends, and returns the error of ctx.
@@ -300,7 +301,7 @@
 	if r.isCutOff.Swap(cutOff) != cutOff {
 		r.log.Warn("connection of the zone to the other zones and to the store changed", "zone", r.self.Zone, "cutoff", cutOff)
 		// The polls that wait tell it to the other daemons of the zone.
-		r.cacheChanged.raise()
+		r.cacheChanged.Raise()
 	}
 }
 
@@ -626,7 +627,7 @@
 	timeout := time.NewTimer(in.Wait)
 	defer timeout.Stop()
 	for {
-		changed := r.cacheChanged.wait()
+		changed := r.cacheChanged.Wait()
 		if r.mustAnswerNow(&in) {
 			return r.answer(&in, received)
 		}
