locator: a daemon is not ready before it has the zones that are out of service

A daemon that had restarted during an outage and read the searchers first took all zones for open, and sent requests to searchers of a zone that an operator had taken out.

Evidence: TestReady fails before: ready without that list.

Change: Ready asks for the list. Relayed state and the store's calls bring it with the others, so that a daemon becomes ready at the same time.

--- a/internal/daemon/router/keys_test.go
+++ b/internal/daemon/router/keys_test.go
@@ -19,6 +19,7 @@
 	l := locator.New(declarer.Member{ID: "d", Zone: "z"}, hclog.NewNullLogger())
 	go func() { _ = l.Serve(t.Context()) }()
 	l.Searchers().Replace(nil, 1)
+	l.Closures().Replace(nil, 1)
 	l.Routings().Replace([]follower.Item[*declarer.Routing]{{Name: "main", Value: &declarer.Routing{Version: 1, Accounts: accounts}}}, 1)
 	if at > 0 {
 		l.ConfirmRouting(at)
--- a/internal/route/forwarder/fake_test.go
+++ b/internal/route/forwarder/fake_test.go
@@ -136,6 +136,7 @@
 		f := &fakeSearchers{byAddr: make(map[netip.AddrPort]string), behaviors: make(map[string]behavior), sent: make(map[string]int)}
 		loc.Routings().Replace([]follower.Item[*declarer.Routing]{{Name: "main", Value: testRouting(shards)}}, 1)
 		loc.Searchers().Replace(f.register(shards), 1)
+		loc.Closures().Replace(nil, 1)
 		synctest.Wait()
 		fwd := New(Default(), declarer.Member{ID: "d", Zone: "z"}, loc, picker.New("z", time.Now), f, nil, hclog.NewNullLogger(), NewMetrics(prometheus.NewRegistry()))
 		test(&setup{Forwarder: fwd, fakeSearchers: f, t: t, locator: loc})
--- a/internal/route/locator/locator.go
+++ b/internal/route/locator/locator.go
@@ -45,10 +45,10 @@
 	// while there is one.
 	openings        map[string]opening
 	awaitsSearchers atomic.Bool
-	// listed and membersListed are true once a list of the searchers, or of the daemons, has been received. Until then nothing is
-	// known of them.
-	listed, membersListed bool
-	revision              uint64
+	// listed, closuresListed and membersListed are true once a list of the searchers, the closed zones or the daemons has been
+	// received. Until then nothing is known of them.
+	listed, closuresListed, membersListed bool
+	revision                              uint64
 
 	rollouts rollouts
 	// graceUntil is when removals of entries take effect at once again after an outage of the store.
@@ -168,6 +168,7 @@
 		services:   make(map[string][]Searcher),
 		listed:     l.listed,
 
+		closuresListed: l.closuresListed,
 		selfSufficient: &sync.Map{},
 		revision:       l.revision,
 		members:        slices.Collect(maps.Values(l.members)),
--- a/internal/route/locator/locator_test.go
+++ b/internal/route/locator/locator_test.go
@@ -34,6 +34,7 @@
 		}()
 		l.Routings().Replace([]follower.Item[*declarer.Routing]{routing(3)}, 1)
 		l.Searchers().Replace([]follower.Item[declarer.Searcher]{searcher("s1", "a"), searcher("s2", "b")}, 2)
+		l.Closures().Replace(nil, 2)
 		synctest.Wait()
 		test(l)
 		cancel()
@@ -130,6 +131,14 @@
 	if ok, reason := l.View().Ready(); ok || reason == "" {
 		t.Errorf("ready %v with reason %q before any update, want not ready with a reason", ok, reason)
 	}
+	withLocator(t, func(l *Locator) {
+		// A daemon that has the searchers, but not the zones that are out of service, would send requests to these.
+		unlisted := *l.View()
+		unlisted.closuresListed = false
+		if ok, _ := unlisted.Ready(); ok {
+			t.Error("ready before the list of closed zones")
+		}
+	})
 	withLocator(t, func(l *Locator) {
 		if ok, reason := l.View().Ready(); !ok {
 			t.Errorf("not ready: %s", reason)
--- a/internal/route/locator/sink.go
+++ b/internal/route/locator/sink.go
@@ -192,7 +192,7 @@
 // Replace closes the listed zones and reopens the others.
 func (s *closureSink) Replace(items []follower.Item[string], revision uint64) {
 	s.l.enqueue(func() {
-		s.l.closuresRevision = revision
+		s.l.closuresRevision, s.l.closuresListed = revision, true
 		closed := make(map[string]bool)
 		for _, it := range items {
 			if it.Err == nil {
--- a/internal/route/locator/view.go
+++ b/internal/route/locator/view.go
@@ -19,8 +19,9 @@
 	services map[string][]Searcher
 	// revision is the store's revision of the last change of the searchers.
 	revision uint64
-	// listed is true once a list of the searchers has been received.
-	listed  bool
+	// listed and closuresListed are true once a list of the searchers, and of the closed availability zones, has been received.
+	listed, closuresListed bool
+
 	members []declarer.Member
 	// gatherers holds the daemons that gather queries, by zone; gathered the services whose queries they gather.
 	gatherers map[string][]declarer.Member
@@ -85,7 +86,8 @@
 	Senders int
 }
 
-// Ready reports whether routes and searchers have been received, and if not, which are missing.
+// Ready reports whether routes, searchers and the closed availability zones have been received, and if not, which are missing.
+// The list of daemons is not needed: what depends on it has safe defaults.
 func (v *View) Ready() (bool, string) {
 	switch {
 	case v.isOutdated:
@@ -94,6 +96,8 @@
 		return false, "no desired state received yet"
 	case !v.listed:
 		return false, "no list of searchers received yet"
+	case !v.closuresListed:
+		return false, "no list of closed availability zones received yet"
 	case v.awaitsRollouts:
 		return false, "no list of roll-outs received yet"
 	default:
