promoter: a daemon that knows no daemons does not decide on roll-outs

A version could be taken as good, or rolled back, by the requests of one daemon of a fleet.

Evidence: TestPromoterRanks fails before: the daemon of the last rank decides once its list is empty.

Change: no decision without a list of daemons.

--- a/internal/route/promoter/promoter.go
+++ b/internal/route/promoter/promoter.go
@@ -218,6 +218,10 @@
 }
 
 func (p *Promoter) isFirst(trials map[string]*locator.Trial, now time.Time) bool {
+	if len(p.views.View().Members()) == 0 {
+		// Not known yet: a daemon of any rank would decide, by its own counts.
+		return false
+	}
 	before := p.rankedBefore()
 	if !p.gate.isFresh() && len(before) >= p.cfg.MaxStale {
 		return false
--- a/internal/route/promoter/promoter_test.go
+++ b/internal/route/promoter/promoter_test.go
@@ -370,5 +370,14 @@
 		if first := relayer.Ranked(f.nodes[1].View().Members())[0].ID; first != "d0" {
 			t.Errorf("%s is ranked first, want d0", first)
 		}
+		// A daemon that has not read the list of daemons would decide by its own counts.
+		last := f.nodes[2]
+		for _, m := range last.View().Members() {
+			last.Members().Apply([]follower.Change[declarer.Member]{{Item: follower.Item[declarer.Member]{Name: m.ID}, Removed: true}}, 2)
+		}
+		synctest.Wait()
+		if deciders()[2] {
+			t.Error("a daemon decides that knows no daemons")
+		}
 	})
 }
