connector, picker: a searcher that sends bytes without end is left out, and little of it is read

Cause, three: each exchange read up to the bound of a head or body, whatever came before; a searcher that fails at once has no requests in flight, so that it was chosen whenever the sound ones were loaded, and the retry budget was spent on it; the kernel held up to some MB of a connection that waited for memory.

Change: - An answer that does not begin as a status line fails with its first bytes. - A body is read beyond 16 KB only if the answer is signed and to this request. - Large bodies of unknown length are read one at a time for each searcher, until one has been read whole; each in a row that was not halves the next's bound. - What separates chunks counts towards the bound of an answer. - connector.MalformedError tells such bytes from connections that fail. From the second in a row the searcher gets no request for 150 ms, doubled each time up to 4 s. A single one may be due to its request. - A searcher that sends more bytes after its answers is avoided for 4 s: its answers are good, but each takes a new connection. - The receive buffer is set (32 KB, doubled by the kernel).

TestMaxBuffered has a signed answer now, since an unsigned one is not read so far; its bound and error are as before.

--- a/cmd/cornelwood/abuse_test.go
+++ b/cmd/cornelwood/abuse_test.go
@@ -152,14 +152,25 @@
 // unread returns the bytes that the kernel holds for the addresses of crowds, of connections that were accepted and of those that
 // wait for it.
 func unread(t *testing.T, crowds []crowd) int {
+	t.Helper()
+	ports := make(map[uint16]bool)
+	for _, c := range crowds {
+		ports[netip.MustParseAddrPort(c.addr).Port()] = true
+	}
+	return receiveQueues(t, func(local, _ uint16) bool { return ports[local] })
+}
+
+// receiveQueues returns the bytes that the kernel holds unread of the connections whose ports isWanted.
+func receiveQueues(t *testing.T, isWanted func(local, remote uint16) bool) int {
 	t.Helper()
 	text, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		t.Fatal(err)
 	}
-	ports := make(map[string]bool)
-	for _, c := range crowds {
-		ports[fmt.Sprintf("%04X", netip.MustParseAddrPort(c.addr).Port())] = true
+	port := func(addr string) uint16 {
+		_, hex, _ := strings.Cut(addr, ":")
+		n, _ := strconv.ParseUint(hex, 16, 16)
+		return uint16(n)
 	}
 	total := 0
 	for line := range strings.Lines(string(text)) {
@@ -169,9 +180,8 @@
 		if len(f) < 5 || f[3] == listening {
 			continue
 		}
-		_, port, _ := strings.Cut(f[1], ":")
 		_, received, _ := strings.Cut(f[4], ":")
-		if n, err := strconv.ParseInt(received, 16, 64); err == nil && ports[port] {
+		if n, err := strconv.ParseInt(received, 16, 64); err == nil && isWanted(port(f[1]), port(f[2])) {
 			total += int(n)
 		}
 	}
--- a/internal/route/forwarder/fanout.go
+++ b/internal/route/forwarder/fanout.go
@@ -270,17 +270,28 @@
 		return picker.ConnectionLimit
 	case isError && e.Dial && !errors.Is(e.Err, syscall.ECONNRESET):
 		return picker.Unreachable
+	case isError && isMalformed(e):
+		return picker.Malformed
 	case isError:
 		return picker.Failed
 	case res.class == notRun:
 		return picker.NotRun
+	case res.reply.Status < http.StatusMultipleChoices && !res.reply.IsSigned():
+		return picker.Malformed
 	case res.class == failure:
 		return picker.Failed
+	case res.reply.Surplus:
+		return picker.Surplus
 	default:
 		return picker.Answered
 	}
 }
 
+func isMalformed(err error) bool {
+	var malformed *connector.MalformedError
+	return errors.As(err, &malformed)
+}
+
 // handleFailure records an attempt without a usable answer and retries its call if that is allowed. It returns false
 // when the call has failed.
 func (f *fanout) handleFailure(res *result) bool {
--- a/internal/route/forwarder/single_test.go
+++ b/internal/route/forwarder/single_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"syscall"
@@ -214,12 +215,29 @@
 		{"cancelled while connecting", connector.Error{Dial: true, Err: context.Canceled}, picker.Abandoned},
 		{"cancelled after sending", connector.Error{Sent: true, Err: context.Canceled}, picker.Abandoned},
 		{"connection lost", connector.Error{Sent: true, Err: syscall.ECONNRESET}, picker.Failed},
+		{"malformed answer", connector.Error{Sent: true, Err: &connector.MalformedError{Err: errors.New("no status line")}}, picker.Malformed},
 	}
 	for _, tt := range tests {
 		if got := pickerOutcome(&result{err: &tt.err, class: classify(nil, &tt.err)}); got != tt.want {
 			t.Errorf("%s: got %d, want %d", tt.name, got, tt.want)
 		}
 	}
+	signed := connector.Meta{Stamp: "st"}
+	for _, tt := range []struct {
+		name  string
+		reply connector.Reply
+		want  picker.Outcome
+	}{
+		{"signed", connector.Reply{Status: http.StatusOK, Meta: signed}, picker.Answered},
+		{"more bytes after it", connector.Reply{Status: http.StatusOK, Meta: signed, Surplus: true}, picker.Surplus},
+		{"unsigned success", connector.Reply{Status: http.StatusOK}, picker.Malformed},
+		{"unsigned failure", connector.Reply{Status: http.StatusBadGateway}, picker.Failed},
+		{"refusal", connector.Reply{Status: http.StatusServiceUnavailable, Meta: connector.Meta{NotRun: true}}, picker.NotRun},
+	} {
+		if got := pickerOutcome(&result{reply: &tt.reply, class: classify(&tt.reply, nil)}); got != tt.want {
+			t.Errorf("%s: got %d, want %d", tt.name, got, tt.want)
+		}
+	}
 }
 
 // TestJitterRetryAfter checks that 100 clients refused at one moment retry at different times: at most a fifth of them
--- a/internal/route/picker/health.go
+++ b/internal/route/picker/health.go
@@ -24,6 +24,10 @@
 	// each consecutive failure.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// minMalformed is the number of malformed answers in a row from which a searcher gets no request for a time, which doubles
+	// with each further one, up to maxMalformedBackoff: each costs a request, and a body without end some MB.
+	minMalformed        = 2
+	maxMalformedBackoff = 4 * time.Second
 )
 
 // Outcome is the outcome of an exchange with a searcher.
@@ -41,6 +45,10 @@
 	ConnectionLimit
 	// Unreachable: no connection could be opened.
 	Unreachable
+	// Malformed: the searcher sent bytes that are no answer.
+	Malformed
+	// Surplus: the searcher sent a complete answer that is not a failure, and more bytes after it.
+	Surplus
 	// Abandoned: the exchange was cancelled or timed out before an answer.
 	Abandoned
 )
@@ -57,9 +65,14 @@
 	inFlight    map[*Exchange]struct{}
 	// slots is the number of requests that the searcher declares to run at once, senders the number of daemons that send to it.
 	slots, senders int
-	// dialFailures counts consecutive failures to connect; no request is sent before backoffUntil.
-	dialFailures int
+	// backoffs counts the backoffs in a row, because of failures to connect or malformed answers; no request is sent before
+	// backoffUntil.
+	backoffs     int
 	backoffUntil time.Time
+	// malformed counts malformed answers in a row, surplus answers in a row with more bytes after them. A searcher that sends these
+	// is avoided until avoidedUntil.
+	malformed, surplus int
+	avoidedUntil       time.Time
 	// probing is true while a single request probes the searcher after its backoff.
 	probing bool
 	// coldTokens is the number of requests that may be sent to the searcher during its warm-up, as of coldTokensAt;
@@ -85,13 +98,27 @@
 // record records the outcome of an exchange that took the given time; average is the average latency of its route.
 func (h *health) record(o Outcome, took, average time.Duration, now time.Time) {
 	switch o {
-	case Answered:
+	case Answered, Surplus:
 		h.addLatency(took, average, now)
 		h.addOutcome(0, now)
-		h.dialFailures, h.backoffUntil = 0, time.Time{}
+		h.malformed, h.backoffs, h.backoffUntil = 0, 0, time.Time{}
+		if h.surplus++; o == Answered {
+			h.surplus, h.avoidedUntil = 0, time.Time{}
+		} else if h.surplus >= minMalformed {
+			h.avoidedUntil = now.Add(maxMalformedBackoff)
+		}
 	case Failed:
 		h.addOutcome(1, now)
-		h.dialFailures, h.backoffUntil = 0, time.Time{}
+		if h.malformed == 0 {
+			h.backoffs, h.backoffUntil = 0, time.Time{}
+		}
+	case Malformed:
+		h.addOutcome(1, now)
+		// A single one may be due to its request, and those of exchanges that began before a backoff say nothing new.
+		if h.malformed++; h.malformed >= minMalformed && !now.Before(h.backoffUntil) {
+			h.backoffUntil = now.Add(min(maxMalformedBackoff, minBackoff<<min(h.backoffs, 8)))
+			h.backoffs++
+		}
 	case NotRun, ConnectionLimit:
 		h.addOutcome(1, now)
 	case Abandoned:
@@ -101,8 +128,8 @@
 		}
 	case Unreachable:
 		h.addOutcome(1, now)
-		h.backoffUntil = now.Add(min(maxBackoff, minBackoff<<min(h.dialFailures, 8)))
-		h.dialFailures++
+		h.backoffUntil = now.Add(min(maxBackoff, minBackoff<<min(h.backoffs, 8)))
+		h.backoffs++
 	}
 	h.probing = false
 }
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -32,6 +32,8 @@
 	inFlightCost = 0.35
 	// failureCost is the cost of a failed attempt.
 	failureCost = 8
+	// surplusCost is the additional cost of a searcher that sends more bytes after its answers: each takes a new connection.
+	surplusCost = 16
 	// queueCost is the cost of a searcher's queue, relative to the requests that it handles well at once: with as many
 	// again in flight, a request waits as long as it runs.
 	queueCost = 1
@@ -138,6 +140,9 @@
 		}
 		cost *= 1 + inFlightCost*float64(len(h.inFlight))
 		cost += failureCost * h.failureRateAt(now)
+		if now.Before(h.avoidedUntil) {
+			cost += surplusCost
+		}
 	}
 	if load, limit := p.load(s); limit > 0 {
 		cost += queueCost * max(0, load+1-limit) / limit
@@ -206,7 +211,7 @@
 	h := p.healthOf(s.ID)
 	h.slots, h.senders = s.Slots, s.Senders
 	// The first request after a backoff is a probe.
-	h.probing = h.dialFailures > 0
+	h.probing = h.backoffs > 0
 	e := &Exchange{picker: p, searcher: s.ID, health: h, start: now, average: average}
 	h.inFlight[e] = struct{}{}
 	p.estimator.Count(s.ID, len(h.inFlight))
@@ -244,11 +249,11 @@
 func (p *Picker) estimate(e *Exchange, o Outcome, slowness float64) {
 	s := estimator.Sample{InFlight: len(e.health.inFlight), Slots: e.health.slots}
 	switch o {
-	case Answered:
+	case Answered, Surplus:
 		s.Answers, s.Slowness = 1, slowness
 	case NotRun:
 		s.Refusals = 1
-	case Failed, ConnectionLimit, Unreachable, Abandoned:
+	case Failed, ConnectionLimit, Unreachable, Malformed, Abandoned:
 		return
 	}
 	p.estimator.Observe(e.searcher, s)
--- a/internal/route/picker/picker_test.go
+++ b/internal/route/picker/picker_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/contract/exchanger"
 	"cornelwood.example/internal/route/locator"
@@ -153,6 +155,54 @@
 	s.assertPick(0, 1)
 }
 
+// TestMalformed guards against a searcher that sends malformed answers to all requests and gets many, since it fails fast while the others
+// are loaded; and against one that is left out because of a single request.
+func TestMalformed(t *testing.T) {
+	s := newSetup(t, "own", "own")
+	end := func(o Outcome) {
+		_, exchange := s.Pick(s.searchers, []string{"b"}, average)
+		if exchange == nil {
+			s.t.Fatal("searcher not available")
+		}
+		exchange.End(o)
+	}
+	isAvailable := func() bool { return s.Usable(s.searchers) == 2 }
+	var got []bool
+	for _, o := range []Outcome{Malformed, Answered, Malformed, Malformed} {
+		end(o)
+		got = append(got, isAvailable())
+	}
+	// Exchanges of before that fail meanwhile neither end the time nor lengthen it.
+	s.healthOf("a").record(Malformed, 0, average, s.now)
+	s.healthOf("a").record(Failed, 0, average, s.now)
+	s.now = s.now.Add(minBackoff)
+	got = append(got, isAvailable())
+	end(Malformed)
+	s.now = s.now.Add(minBackoff)
+	got = append(got, isAvailable())
+	s.now = s.now.Add(minBackoff)
+	end(Answered)
+	got = append(got, isAvailable())
+	if diff := cmp.Diff([]bool{true, true, true, false, true, false, true}, got); diff != "" {
+		t.Errorf("available after each answer and time (-want +got):\n%s", diff)
+	}
+}
+
+// TestSurplus checks that a searcher that sends more bytes after its answers is avoided, and used where there is no other.
+func TestSurplus(t *testing.T) {
+	s := newSetup(t, "own", "other")
+	counts := s.runExchanges(100, func(i int) (time.Duration, Outcome) {
+		if i == 0 {
+			return average, Surplus
+		}
+		return average, Answered
+	})
+	if counts[0] < minMalformed || counts[0] > 10 {
+		t.Errorf("%d of 100 requests in 2 s to the searcher, want %d to 10", counts[0], minMalformed)
+	}
+	s.assertPick(0, 1)
+}
+
 func TestUsable(t *testing.T) {
 	s := newSetup(t, "own", "own")
 	_, exchange := s.Pick(s.searchers, []string{"b"}, average)
--- a/internal/route/picker/share.go
+++ b/internal/route/picker/share.go
@@ -29,9 +29,9 @@
 	ob := p.observationOf(e.searcher)
 	ob.Busy += e.busySince(p.drainedAt, now)
 	switch o {
-	case Answered, Abandoned:
+	case Answered, Surplus, Abandoned:
 		ob.Add(&exchanger.Observation{Answers: 1, Slowness: slowness})
-	case Failed, NotRun:
+	case Failed, Malformed, NotRun:
 		ob.Failures++
 	case ConnectionLimit:
 		// The connection reset that caused it has already been counted as a failure.
@@ -98,8 +98,8 @@
 		h.failureRate = h.failureRateAt(now)*(1-w) + w*float64(ob.Failures)/float64(n)
 		h.outcomeAt = now
 	}
-	if ob.DialFailures > 0 && ob.Answers == 0 && h.dialFailures == 0 {
-		h.dialFailures = 1
+	if ob.DialFailures > 0 && ob.Answers == 0 && h.backoffs == 0 {
+		h.backoffs = 1
 		h.backoffUntil = now.Add(minBackoff)
 	}
 }
--- a/internal/upstream/connector/conn.go
+++ b/internal/upstream/connector/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -23,6 +24,8 @@
 	syncBodyBytes = 8 << 10
 	// maxHeadBytes is the maximum size of an answer's head. A faulty searcher may send one without end.
 	maxHeadBytes = 64 << 10
+	// maxWireBytes is the maximum size of an answer as it is sent, with its head and what separates the chunks of its body.
+	maxWireBytes = maxReplyBytes + 2*maxHeadBytes
 	// maxInformational is how many informational answers (1xx) may precede an answer.
 	maxInformational = 4
 	// maxStatus is the highest status of an answer.
@@ -34,13 +37,18 @@
 	maxStrayAnswers = 2
 )
 
-// errHeadTooLong means that an answer's head has more than maxHeadBytes, errInformational that more than
-// maxInformational answers preceded it.
+// errHeadTooLong means that an answer's head has more than maxHeadBytes, errWireTooLong that a whole answer has more than maxWireBytes,
+// errInformational that more than maxInformational answers preceded it.
 var (
 	errHeadTooLong   = errors.New("head of the answer is too long")
+	errWireTooLong   = errors.New("answer is too long")
 	errInformational = errors.New("too many informational answers")
+	errNoStatusLine  = errors.New("no status line")
 )
 
+// statusLineStart is how each answer begins.
+const statusLineStart = "HTTP/1."
+
 // InvalidStatusError means that an answer has a status that the protocol does not define, or one that the request cannot get,
 // so that what it carries is no answer.
 type InvalidStatusError struct {
@@ -61,6 +69,32 @@
 	return nil
 }
 
+// MalformedError means that a searcher sent bytes that are no answer in the protocol, or more than an answer may have.
+type MalformedError struct {
+	Err error
+}
+
+// Error returns what is wrong with the bytes.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("malformed answer: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error {
+	return e.Err
+}
+
+// asMalformed wraps the error of reading an answer in a *MalformedError, unless the connection failed or ended, or the answer was
+// given up.
+func asMalformed(err error) error {
+	var connErr *net.OpError
+	if err == nil || errors.As(err, &connErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, net.ErrClosed) || errors.Is(err, errBuffered) {
+		return err
+	}
+	return &MalformedError{Err: err}
+}
+
 // errNoRequestID means that an answer on a connection that carried another one before does not
 // say which request it belongs to: it may be a late copy of an earlier one.
 var errNoRequestID = errors.New("answer on a connection in use again has no request ID")
@@ -75,8 +109,9 @@
 	r *bufio.Reader
 	// head bounds what r reads of an answer's head.
 	head *headReader
-	// memory bounds the bodies that are read at once on all connections.
+	// memory bounds the bodies that are read at once on all connections, gate those of this searcher.
 	memory *memory
+	gate   *gate
 	// isAborted is true once the caller has given the running exchange up.
 	isAborted atomic.Bool
 	// isNew is true until the first exchange has ended.
@@ -116,31 +151,43 @@
 	return &conn{Conn: nc, isNew: true, head: head, r: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
-// headReader reads from a connection, and fails once a head has more than maxHeadBytes.
+// headReader reads from a connection, and fails once a head has more than maxHeadBytes, or a whole answer more than maxWireBytes.
 type headReader struct {
 	net.Conn
-	// inHead is true while a head is read, left the number of bytes that it may still have.
-	inHead bool
-	left   int
+	// inHead is true while a head is read, left the number of bytes that it may still have, wireLeft that of the whole answer.
+	inHead         bool
+	left, wireLeft int
 }
 
 // Read reads into p.
 func (h *headReader) Read(p []byte) (int, error) {
-	if !h.inHead {
-		return h.Conn.Read(p)
+	limit, err := h.wireLeft, errWireTooLong
+	if h.inHead && h.left < limit {
+		limit, err = h.left, errHeadTooLong
 	}
-	if h.left <= 0 {
-		return 0, errHeadTooLong
+	if limit <= 0 {
+		return 0, err
 	}
-	n, err := h.Conn.Read(p[:min(len(p), h.left)])
+	n, err := h.Conn.Read(p[:min(len(p), limit)])
 	h.left -= n
+	h.wireLeft -= n
 	return n, err
 }
 
 // readHead reads an answer's head. The body is read from the response.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.head.inHead, c.head.left = true, maxHeadBytes
+	c.head.inHead, c.head.left, c.head.wireLeft = true, maxHeadBytes, maxWireBytes
 	defer func() { c.head.inHead = false }()
+	// A line without end is not read to the bound of a head if its start shows that it is no status line.
+	start, err := c.r.Peek(len(statusLineStart))
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil, io.ErrUnexpectedEOF
+	case err != nil:
+		return nil, err
+	case string(start) != statusLineStart:
+		return nil, errNoStatusLine
+	}
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
 	if err != nil && c.head.left <= 0 {
 		return nil, errHeadTooLong
@@ -218,7 +265,7 @@
 	for range maxStrayAnswers + 1 {
 		rep, err := c.readOne(req, codec)
 		if err != nil {
-			return nil, err
+			return nil, asMalformed(err)
 		}
 		switch {
 		case rep.Meta.RequestID == req.ID || rep.Meta.RequestID == "" && c.isNew:
@@ -228,7 +275,7 @@
 		}
 		rep.Release()
 	}
-	return nil, errStrayAnswers
+	return nil, &MalformedError{Err: errStrayAnswers}
 }
 
 // readOne reads one complete answer, and skips informational ones (1xx).
@@ -244,21 +291,25 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, taken, err := c.memory.readBody(resp, func() bool { return !c.isAborted.Load() && time.Now().Before(req.Deadline) })
+		rep := &Reply{Status: resp.StatusCode, Header: resp.Header, Meta: codec.Read(resp.Header)}
+		c.keepAlive = parseKeepAlive(resp.Header)
+		if !rep.isUsableBy(req) && resp.ContentLength > freeReplyBytes {
+			// Nobody needs the body.
+			return rep, nil
+		}
+		limit := int64(maxReplyBytes)
+		if !rep.isUsableBy(req) {
+			limit = freeReplyBytes
+		}
+		body, taken, err := c.memory.readBody(resp, c.gate, limit, func() bool { return !c.isAborted.Load() && time.Now().Before(req.Deadline) })
 		if err != nil {
 			return nil, err
 		}
 		// After the end of the body this reads nothing.
 		resp.Body.Close()
-		c.keepAlive = parseKeepAlive(resp.Header)
-		rep := &Reply{
-			charge:   taken,
-			Status:   resp.StatusCode,
-			Header:   resp.Header,
-			Body:     body,
-			Meta:     codec.Read(resp.Header),
-			reusable: !resp.Close && c.r.Buffered() == 0,
-		}
+		rep.charge, rep.Body = taken, body
+		rep.Surplus = c.r.Buffered() > 0
+		rep.reusable = !resp.Close && !rep.Surplus
 		// Most replies that nobody waits for any more are dropped on their way.
 		runtime.AddCleanup(rep, (*charge).release, taken)
 		return rep, nil
--- a/internal/upstream/connector/connector.go
+++ b/internal/upstream/connector/connector.go
@@ -59,6 +59,10 @@
 	}
 }
 
+// receiveBytes is the receive buffer of a connection, which the kernel doubles. What it holds unread counts as memory of the process;
+// left to itself the kernel holds up to 6 MB of a searcher that sends fast.
+const receiveBytes = 32 << 10
+
 // ErrConnectionLimit means that no connection is idle and that the searcher reset a new one
 // less than Config.DialPause ago.
 var ErrConnectionLimit = errors.New("searcher accepts no more connections")
@@ -102,6 +106,7 @@
 	mu         sync.Mutex
 	idle       map[netip.AddrPort][]*conn
 	openCounts map[netip.AddrPort]int
+	gates      map[netip.AddrPort]*gate
 	// pausedUntil holds the time until which no connection is opened, by searcher.
 	pausedUntil map[netip.AddrPort]time.Time
 	isClosed    bool
@@ -121,6 +126,7 @@
 		memory:      &memory{limit: cfg.MaxBuffered},
 		idle:        make(map[netip.AddrPort][]*conn),
 		openCounts:  make(map[netip.AddrPort]int),
+		gates:       make(map[netip.AddrPort]*gate),
 		pausedUntil: make(map[netip.AddrPort]time.Time),
 	}
 	return c, c.close
@@ -134,7 +140,10 @@
 		Control: func(_, _ string, rc syscall.RawConn) error {
 			var opt error
 			err := rc.Control(func(fd uintptr) {
-				opt = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+				opt = errors.Join(
+					unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds())),
+					unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBytes),
+				)
 			})
 			if err != nil {
 				return err
@@ -222,6 +231,11 @@
 	}
 	c.openCounts[addr]++
 	c.opened++
+	g := c.gates[addr]
+	if g == nil {
+		g = &gate{usedAt: time.Now()}
+		c.gates[addr] = g
+	}
 	c.mu.Unlock()
 	nc, err := c.cfg.Dial(ctx, addr)
 	if err != nil {
@@ -229,7 +243,7 @@
 		return nil, err
 	}
 	cn := newConn(nc)
-	cn.memory = c.memory
+	cn.memory, cn.gate = c.memory, g
 	return cn, nil
 }
 
@@ -290,6 +304,7 @@
 	var addrs []netip.AddrPort
 	c.mu.Lock()
 	maps.DeleteFunc(c.pausedUntil, func(_ netip.AddrPort, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(c.gates, func(addr netip.AddrPort, g *gate) bool { return c.openCounts[addr] == 0 && g.isExpired(now) })
 	for addr, conns := range c.idle {
 		idle := conns[:0]
 		for i, cn := range conns {
--- a/internal/upstream/connector/connector_test.go
+++ b/internal/upstream/connector/connector_test.go
@@ -537,6 +537,9 @@
 	assertAnswered(t, rep, err)
 }
 
+// signedHead is the start of the head of a signed answer to request 1.
+const signedHead = "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\n"
+
 // TestEndlessAnswers checks that bytes without end in place of an answer end the exchange soon, close the connection and
 // take little memory.
 func TestEndlessAnswers(t *testing.T) {
@@ -545,6 +548,8 @@
 		name, start, repeat string
 		want                error
 	}{
+		{"no status line", "", chunk, errNoStatusLine},
+		{"empty lines", "", "\r\n", errNoStatusLine},
 		{"status line", "HTTP/1.1 200 ", chunk, errHeadTooLong},
 		{"header value", "HTTP/1.1 200 OK\r\nA: ", chunk, errHeadTooLong},
 		{"headers", "HTTP/1.1 200 OK\r\n", "A: b\r\n", errHeadTooLong},
@@ -552,6 +557,9 @@
 		{"answers to others", "", answer("old", "x"), errStrayAnswers},
 		{"body without a length", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", chunk, &http.MaxBytesError{}},
 		{"body in chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + chunk + "\r\n", &http.MaxBytesError{}},
+		{"signed body", signedHead + "\r\n", chunk, &http.MaxBytesError{}},
+		{"body that is too long", signedHead + "Content-Length: 9000000\r\n\r\n", chunk, &http.MaxBytesError{}},
+		{"chunks of a byte", signedHead + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 1000), errWireTooLong},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			closed := make(chan struct{})
@@ -569,6 +577,10 @@
 			if !errors.Is(err, tt.want) && !bothTooLarge {
 				t.Errorf("error %v, want %v", err, tt.want)
 			}
+			var malformed *MalformedError
+			if !errors.As(err, &malformed) {
+				t.Errorf("error %v, want a *MalformedError", err)
+			}
 			<-closed
 			if n := c.memory.used.Load(); n != 0 {
 				t.Errorf("%d bytes count as read after the exchange, want 0", n)
@@ -581,7 +593,7 @@
 // still read.
 func TestMaxBuffered(t *testing.T) {
 	endless := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) {
-		_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n")
+		_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\n\r\n")
 		for err == nil {
 			_, err = io.WriteString(w, strings.Repeat("x", 1<<12))
 		}
@@ -600,3 +612,82 @@
 	}
 	wg.Wait()
 }
+
+// countingConn counts the bytes that are read.
+type countingConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// TestManyEndlessBodies guards against a daemon that reads megabytes of each of many bodies without end of one searcher: of all together
+// it reads little more than the longest that an answer may have, and less of those that follow.
+func TestManyEndlessBodies(t *testing.T) {
+	s := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) {
+		_, err := io.WriteString(w, signedHead+"\r\n")
+		for err == nil {
+			_, err = io.WriteString(w, strings.Repeat("x", 1<<12))
+		}
+	})
+	var read atomic.Int64
+	c := newConnector(t, func(cfg *Config) {
+		dial := newDialFunc(cfg.UserTimeout)
+		cfg.Dial = func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+			nc, err := dial(ctx, addr)
+			return &countingConn{nc, &read}, err
+		}
+	})
+	const callers = 20
+	for _, most := range []int64{maxReplyBytes, maxReplyBytes / 2, maxReplyBytes / 4} {
+		before := read.Load()
+		var wg sync.WaitGroup
+		for range callers {
+			wg.Go(func() { _, _ = do(t, c, s, "1") })
+		}
+		wg.Wait()
+		// Each reads what needs no admission, and some begin after the first has failed.
+		if n := read.Load() - before; n > 2*most+callers*2*freeReplyBytes {
+			t.Errorf("%d bytes read of %d bodies, want %d at most of one", n, callers, most)
+		}
+	}
+}
+
+// TestLargeUnframedBodies checks that large bodies of unknown length are all read where they have an end.
+func TestLargeUnframedBodies(t *testing.T) {
+	const callers, size = 20, 1 << 20
+	s := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) {
+		defer w.Close()
+		_, _ = io.WriteString(w, signedHead+"\r\n"+strings.Repeat("x", size))
+	})
+	c := newConnector(t, nil)
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			if rep, err := do(t, c, s, "1"); err != nil || len(rep.Body) != size {
+				t.Errorf("error %v, want a body of %d bytes", err, size)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// TestUnneededBody checks that the body of an answer that cannot be passed on is not read when it is large, and that bytes after an answer
+// are told.
+func TestUnneededBody(t *testing.T) {
+	unsigned := newSearcher(t, reply("HTTP/1.1 500 Failed\r\nId: 1\r\nContent-Length: 8000000\r\n\r\n"))
+	rep, err := do(t, newConnector(t, nil), unsigned, "1")
+	if err != nil || rep.Status != http.StatusInternalServerError || rep.Body != nil {
+		t.Errorf("reply %+v, error %v, want the status without a body", rep, err)
+	}
+	more := newSearcher(t, reply(answer("1", "x")+"more"))
+	rep, err = do(t, newConnector(t, nil), more, "1")
+	assertAnswered(t, rep, err)
+	if !rep.Surplus {
+		t.Error("bytes after the answer not told")
+	}
+}
--- a/internal/upstream/connector/memory.go
+++ b/internal/upstream/connector/memory.go
@@ -63,29 +63,44 @@
 	return true
 }
 
-// readBody reads an answer's body, and returns it with what it takes of the memory. One whose length is known waits for room, and
-// canWait reports whether it may; it holds none meanwhile, so that answers do not wait for each other. It leaves the body open:
-// Close would read the rest of one without an end, and the connection of an answer that was not read whole is closed anyway.
-func (m *memory) readBody(resp *http.Response, canWait func() bool) (_ []byte, c *charge, err error) {
+// readBody reads an answer's body of at most limit bytes, and returns it with what it takes of the memory. One whose length is known
+// waits for room, and one of unknown length for the gate, when it is large; canWait reports whether it may. It holds no room meanwhile,
+// so that answers do not wait for each other. It leaves the body open: Close would read the rest of one without an end, and the
+// connection of an answer that was not read whole is closed anyway.
+func (m *memory) readBody(resp *http.Response, g *gate, limit int64, canWait func() bool) (_ []byte, c *charge, err error) {
 	c = &charge{m: m}
+	if resp.ContentLength > limit {
+		return nil, c, &http.MaxBytesError{Limit: limit}
+	}
 	defer func() {
 		if err != nil {
 			c.release()
 		}
 	}()
 	size := min(max(resp.ContentLength+1, 512), freeReplyBytes)
-	if resp.Body != http.NoBody && resp.ContentLength > freeReplyBytes && resp.ContentLength <= maxReplyBytes {
+	if resp.Body != http.NoBody && resp.ContentLength > freeReplyBytes {
 		if !c.await(resp.ContentLength, canWait) {
 			return nil, c, errBuffered
 		}
 		size = resp.ContentLength + 1
 	}
-	body, err := m.read(resp, make([]byte, 0, size), c)
+	if resp.ContentLength >= 0 {
+		g = nil
+	}
+	body, err := m.read(resp, make([]byte, 0, size), c, limit, g, canWait)
 	return body, c, err
 }
 
-// read reads a body into a buffer that grows.
-func (m *memory) read(resp *http.Response, body []byte, charged *charge) ([]byte, error) {
+// read reads a body into a buffer that grows. Beyond freeReplyBytes it must be admitted by the gate, if there is one.
+func (m *memory) read(resp *http.Response, body []byte, charged *charge, limit int64, g *gate, canWait func() bool) (_ []byte, err error) {
+	isAdmitted := g == nil
+	if g != nil {
+		defer func() {
+			if isAdmitted {
+				g.leave(err == nil)
+			}
+		}()
+	}
 	for {
 		n, err := resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -94,11 +109,17 @@
 			return body, nil
 		case err != nil:
 			return nil, err
-		case len(body) > maxReplyBytes:
-			return nil, &http.MaxBytesError{Limit: maxReplyBytes}
+		case int64(len(body)) > limit:
+			return nil, &http.MaxBytesError{Limit: limit}
 		case len(body) < cap(body):
 			continue
 		}
+		if !isAdmitted && len(body) >= freeReplyBytes {
+			if isAdmitted = g.enter(canWait); !isAdmitted {
+				return nil, errBuffered
+			}
+			limit = min(limit, g.limit())
+		}
 		grown := 2 * cap(body)
 		if grown > freeReplyBytes && !charged.add(int64(grown)-charged.n.Load()) {
 			return nil, errBuffered
--- a/internal/upstream/connector/request.go
+++ b/internal/upstream/connector/request.go
@@ -37,6 +37,8 @@
 	Header http.Header
 	Body   []byte
 	Meta   Meta
+	// Surplus is true when the searcher had sent bytes after the end of the answer.
+	Surplus bool
 	// reusable is true when the connection can carry another exchange.
 	reusable bool
 	// charge is what the body takes of the memory for answers.
@@ -50,6 +52,16 @@
 	}
 }
 
+// IsSigned reports whether the answer is the searcher's own: signed, or a refusal.
+func (r *Reply) IsSigned() bool {
+	return r.Meta.Stamp != "" || r.IsRefusal()
+}
+
+// isUsableBy reports whether the answer may be that to a request, by its head.
+func (r *Reply) isUsableBy(req *Request) bool {
+	return r.IsSigned() && (r.Meta.RequestID == req.ID || r.Meta.RequestID == "")
+}
+
 // IsRefusal reports whether the searcher did not run the request, so that it may get it again.
 func (r *Reply) IsRefusal() bool {
 	return r.Meta.NotRun || r.Status == http.StatusMisdirectedRequest
