soak: outages of the store among restarts, stops and searchers that come and go

No soak had searchers whose entries are removed without a report that they drain, and none looked for requests to them once calm had returned.

--- a/cmd/cornelwood/entry_soak_faults_test.go
+++ b/cmd/cornelwood/entry_soak_faults_test.go
@@ -106,6 +106,36 @@
 	}
 }
 
+// outageKinds returns the functions that inject the faults of TestEntrySoakOutages, by name.
+func (k *entrySoak) outageKinds() map[string]func(f *soakFault) {
+	all := k.faultKinds()
+	kinds := map[string]func(f *soakFault){"come and go": k.comeAndGo, "come and go too": k.comeAndGo}
+	for _, name := range []string{"kill", "herd", "term", "store down", "store silent", "store answers lost", "store compacts", "entry lost"} {
+		kinds[name] = all[name]
+	}
+	return kinds
+}
+
+// comeAndGo adds searchers and removes their entries some time after, without a report that they drain.
+func (k *entrySoak) comeAndGo(f *soakFault) {
+	const batch = 4
+	for range batch {
+		name := k.addSearcher("one", "a", nil)
+		k.activeFaults.Go(func() {
+			time.Sleep(f.duration / 3)
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			s := k.searchers[name]
+			if i := slices.Index(k.liveSearchers[s.service], name); i >= 0 && s.drainingSince.IsZero() {
+				k.liveSearchers[s.service] = slices.Delete(k.liveSearchers[s.service], i, i+1)
+				k.store.Delete(platform.KindServers, name)
+				k.departed = append(k.departed, s)
+			}
+		})
+		time.Sleep(f.duration / batch / 2)
+	}
+}
+
 // injectAll draws the faults of the whole run, and injects each at its time.
 func (k *entrySoak) injectAll(total time.Duration) {
 	const meanPause = 350 * time.Millisecond
@@ -361,6 +391,7 @@
 	for _, d := range k.daemons {
 		k.eventually("ready: "+d.id, soakGracePeriod, d.isReady)
 	}
+	calmAt := time.Now()
 	k.mu.Lock()
 	firstCalm := len(k.requests)
 	drained := k.searchers[k.liveSearchers["one"][0]]
@@ -374,6 +405,11 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	for _, s := range k.departed {
+		if late := s.LastRun().Sub(calmAt); late > 0 {
+			k.t.Errorf("searcher %s, whose entry was removed, got work %s after soakCalmTime without faults", k.nameOf(s), late)
+		}
+	}
 	got := make(map[string]int)
 	for _, a := range k.requests[firstCalm:] {
 		if a.aborted || a.status != http.StatusOK && !strings.HasPrefix(a.violation, "version") && a.status != http.StatusNotFound {
--- a/cmd/cornelwood/entry_soak_test.go
+++ b/cmd/cornelwood/entry_soak_test.go
@@ -96,6 +96,12 @@
 	}
 }
 
+// TestEntrySoakOutages overlaps outages of the store, for all daemons or some of them, with restarts, planned stops and searchers that come
+// and go. A daemon must not go on sending to a searcher whose removal it, or those that it polls, never saw (review/8).
+func TestEntrySoakOutages(t *testing.T) {
+	runEntrySoak(t, soakOptions{daemons: *soakDaemons, timeout: soakRouteTimeout, maxAborted: soakMaxAborted, kinds: (*entrySoak).outageKinds})
+}
+
 // soakOptions holds what differs between the soaks.
 type soakOptions struct {
 	// settings is the text of further sections of the daemons' settings.
@@ -160,6 +166,8 @@
 	searchers map[string]*soakSearcher
 	// liveSearchers holds the names of each service's searchers that are not draining.
 	liveSearchers map[string][]string
+	// departed holds searchers whose entries were removed without a report that they drain. They serve on.
+	departed      []*soakSearcher
 	latestVersion int
 	// accounts is the JSON text of the client accounts.
 	accounts string
@@ -264,8 +272,8 @@
 }
 
 // addSearcher starts a searcher behind the proxy at and registers it. The searcher takes over the address of the
-// proxy's former searcher. When at is nil, the searcher gets a proxy of its own.
-func (k *entrySoak) addSearcher(service, zone string, at *proxy) {
+// proxy's former searcher. When at is nil, the searcher gets a proxy of its own. It returns the searcher's name.
+func (k *entrySoak) addSearcher(service, zone string, at *proxy) string {
 	k.mu.Lock()
 	k.nameCount++
 	name := fmt.Sprintf("%s-%s-%d", service, zone, k.nameCount)
@@ -288,6 +296,7 @@
 	k.liveSearchers[service] = append(k.liveSearchers[service], name)
 	k.mu.Unlock()
 	k.store.Set(platform.KindServers, name, platform.EncodeSearcher(service, at.addr(), zone, 3, false))
+	return name
 }
 
 // declareVersion writes the next version N of the desired state. Its route "/vN/" replaces the one of the version
