--- a/cmd/cornelwood/endless_test.go
+++ b/cmd/cornelwood/endless_test.go
@@ -247,11 +247,11 @@
 	c.all++
 }
 
-// share returns the share of the requests with a status.
-func (c *tally) share(status int) float64 {
+// served returns the share of the requests that were answered with success.
+func (c *tally) served() float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return float64(c.statuses[status]) / float64(max(1, c.all))
+	return float64(c.statuses[http.StatusOK]) / float64(max(1, c.all))
 }
 
 // callers runs n callers of a path until ctx ends, and counts the answers to the requests that were sent after recognitionTime.
@@ -315,14 +315,14 @@
 			u := s.watch(ctx, s.faultyAddrs())
 			rate := float64(s.sentBytes()-first.Load()) / (endlessTime - recognitionTime).Seconds()
 			running.Wait()
-			u.isServing = others.share(http.StatusOK) == 1
+			u.isServing = others.served() == 1
 			s.daemon.assertBounded(t, s.machine, u)
 			t.Logf("%.1f MB in the first second, then %.1f MB a second; served %.4f of %d, others %.4f of %d; statuses %v, %v", float64(first.Load())/(1<<20),
-				rate/(1<<20), own.share(http.StatusOK), own.all, others.share(http.StatusOK), others.all, own.statuses, others.statuses)
+				rate/(1<<20), own.served(), own.all, others.served(), others.all, own.statuses, others.statuses)
 			if rate > maxEndlessRate && name != largeAnswers {
 				t.Errorf("%.1f MB read a second of faulty searchers, want %d at most", rate/(1<<20), maxEndlessRate>>20)
 			}
-			if served := own.share(http.StatusOK); served < minServed {
+			if served := own.served(); served < minServed {
 				t.Errorf("%.3f of the requests to the service served, want %.2f at least", served, minServed)
 			}
 		})
@@ -339,7 +339,7 @@
 	u := s.watch(ctx, addrs)
 	running.Wait()
 	s.t.Logf("statuses %v", others.statuses)
-	u.isServing = others.share(http.StatusOK) == 1
+	u.isServing = others.served() == 1
 	s.daemon.assertBounded(s.t, s.machine, u)
 }
 
