--- a/cmd/cornelwood/endless_test.go
+++ b/cmd/cornelwood/endless_test.go
@@ -17,6 +17,8 @@
 	"testing"
 	"time"
 
+	"cornelwood.example/internal/contract/answerer"
+	"cornelwood.example/internal/contract/declarer"
 	"cornelwood.example/internal/upstream/connector"
 	"cornelwood.example/platform"
 )
@@ -288,12 +290,13 @@
 	return receiveQueues(t, func(_, remote uint16) bool { return ports[remote] })
 }
 
-// watch records the use of the daemon until ctx ends. addrs are those of faulty servers.
-func (s *endlessSite) watch(ctx context.Context, addrs []string) usage {
+// watch records the use of a process until ctx ends. addrs are those of faulty servers.
+func watch(ctx context.Context, t *testing.T, p *process, addrs []string) usage {
+	t.Helper()
 	var u usage
 	for ; ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
-		rss, fds := s.daemon.resources()
-		u.rss, u.fds, u.held = max(u.rss, rss), max(u.fds, fds), max(u.held, rss+unreadFrom(s.t, addrs))
+		rss, fds := p.resources()
+		u.rss, u.fds, u.held = max(u.rss, rss), max(u.fds, fds), max(u.held, rss+unreadFrom(t, addrs))
 	}
 	return u
 }
@@ -312,7 +315,7 @@
 			others := s.callers(ctx, &running, endlessCallers/10, http.MethodPost, "/p/1")
 			var first atomic.Int64
 			time.AfterFunc(recognitionTime, func() { first.Store(s.sentBytes()) })
-			u := s.watch(ctx, s.faultyAddrs())
+			u := watch(ctx, t, s.daemon, s.faultyAddrs())
 			rate := float64(s.sentBytes()-first.Load()) / (endlessTime - recognitionTime).Seconds()
 			running.Wait()
 			u.isServing = others.served() == 1
@@ -336,7 +339,7 @@
 	defer cancel()
 	var running sync.WaitGroup
 	others := s.callers(ctx, &running, endlessCallers/2, http.MethodPost, "/p/1")
-	u := s.watch(ctx, addrs)
+	u := watch(ctx, s.t, s.daemon, addrs)
 	running.Wait()
 	s.t.Logf("statuses %v", others.statuses)
 	u.isServing = others.served() == 1
@@ -401,3 +404,58 @@
 		})
 	}
 }
+
+// TestEndlessUpstreams runs callers of a daemon of the product whose upstreams all send bytes without end, to queries and to checks.
+func TestEndlessUpstreams(t *testing.T) {
+	serveHTTP2 := func(t *testing.T, answer func(w http.ResponseWriter)) string {
+		srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(w) }))
+		srv.Config.Protocols = &http.Protocols{}
+		srv.Config.Protocols.SetUnencryptedHTTP2(true)
+		srv.Start()
+		t.Cleanup(srv.CloseClientConnections)
+		return srv.Listener.Addr().String()
+	}
+	for name, serve := range map[string]func(t *testing.T) string{
+		"no HTTP": func(t *testing.T) string {
+			return listen(t, func(c net.Conn) {
+				defer c.Close()
+				_ = repeatForever(c, "x")
+			})
+		},
+		"body": func(t *testing.T) string {
+			return serveHTTP2(t, func(w http.ResponseWriter) { _ = repeatForever(w, "x") })
+		},
+		"header": func(t *testing.T) string {
+			return serveHTTP2(t, func(w http.ResponseWriter) { w.Header().Set("X-Filler", strings.Repeat("x", maxAnswerBytes)) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startBoundedDaemon(t)
+			sv := newService("finder", declarer.Search, 4)
+			var addrs []string
+			for _, sh := range sv.Maps[0].Shards {
+				for i := range sh.Replicas {
+					addrs = append(addrs, serve(t))
+					sh.Replicas[i].Addr = netip.MustParseAddrPort(addrs[len(addrs)-1])
+				}
+			}
+			s := &site{dir: t.TempDir(), daemons: []*daemon{d}, services: []declarer.Service{sv}}
+			s.createServices(t)
+			ctx, cancel := context.WithTimeout(t.Context(), endlessTime)
+			defer cancel()
+			var running sync.WaitGroup
+			for range endlessCallers {
+				running.Go(func() {
+					for ; ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+						// Without a sound upstream no query can succeed.
+						_, _ = d.query(t, answerer.Query{Service: sv.Name, Limit: 5})
+					}
+				})
+			}
+			u := watch(ctx, t, d.process, addrs)
+			running.Wait()
+			u.isServing = d.isLive(t.Context())
+			d.assertBounded(t, lowMachine, u)
+		})
+	}
+}
