connector: bodies that were given up or broke off do not shorten the next

Each large body of unknown length that was not read whole halved the bound of the next, also one whose caller had given it up, as a hedged request does. A searcher with sound bodies of more than 512 KB could lose them after a few. The bound also stayed low for a searcher that had recovered and sends none but larger bodies. The body of an answer to another request was left unread when it was large, so that the next answer could not be found.

Evidence: TestBodyGivenUp fails when any error counts (body of 2 MB cut off after seven that were given up).

Change: only bodies that prove too long count, and those that fill the memory after 512 KB; one in eight is read up to the full bound; only unsigned answers are left unread.

--- a/internal/upstream/connector/conn.go
+++ b/internal/upstream/connector/conn.go
@@ -293,13 +293,12 @@
 		}
 		rep := &Reply{Status: resp.StatusCode, Header: resp.Header, Meta: codec.Read(resp.Header)}
 		c.keepAlive = parseKeepAlive(resp.Header)
-		if !rep.isUsableBy(req) && resp.ContentLength > freeReplyBytes {
-			// Nobody needs the body.
-			return rep, nil
-		}
 		limit := int64(maxReplyBytes)
-		if !rep.isUsableBy(req) {
-			limit = freeReplyBytes
+		if !rep.IsSigned() {
+			// The body is not passed on.
+			if limit = freeReplyBytes; resp.ContentLength > limit {
+				return rep, nil
+			}
 		}
 		body, taken, err := c.memory.readBody(resp, c.gate, limit, func() bool { return !c.isAborted.Load() && time.Now().Before(req.Deadline) })
 		if err != nil {
--- a/internal/upstream/connector/connector_test.go
+++ b/internal/upstream/connector/connector_test.go
@@ -676,6 +676,33 @@
 	wg.Wait()
 }
 
+// TestBodyGivenUp guards against a searcher whose large bodies of unknown length are cut off because callers had given up earlier ones.
+func TestBodyGivenUp(t *testing.T) {
+	const size = 2 << 20
+	var isSlow atomic.Bool
+	s := newSearcher(t, func(w net.Conn, _ *http.Request, _ int) {
+		defer w.Close()
+		_, err := io.WriteString(w, signedHead+"\r\n"+strings.Repeat("x", size/2))
+		if err == nil && isSlow.Load() {
+			time.Sleep(100 * time.Millisecond)
+		}
+		_, _ = io.WriteString(w, strings.Repeat("x", size/2))
+	})
+	c := newConnector(t, nil)
+	isSlow.Store(true)
+	for range fullBoundInterval - 1 {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		if _, err := c.Do(ctx, s.addr, request("1"), false); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("error %v, want that the answer was given up", err)
+		}
+		cancel()
+	}
+	isSlow.Store(false)
+	if rep, err := do(t, c, s, "1"); err != nil || len(rep.Body) != size {
+		t.Errorf("error %v, want a body of %d bytes", err, size)
+	}
+}
+
 // TestUnneededBody checks that the body of an answer that cannot be passed on is not read when it is large, and that bytes after an answer
 // are told.
 func TestUnneededBody(t *testing.T) {
--- a/internal/upstream/connector/memory.go
+++ b/internal/upstream/connector/memory.go
@@ -97,7 +97,7 @@
 	if g != nil {
 		defer func() {
 			if isAdmitted {
-				g.leave(err == nil)
+				g.leave(len(body), err)
 			}
 		}()
 	}
--- a/internal/upstream/connector/request.go
+++ b/internal/upstream/connector/request.go
@@ -57,11 +57,6 @@
 	return r.Meta.Stamp != "" || r.IsRefusal()
 }
 
-// isUsableBy reports whether the answer may be that to a request, by its head.
-func (r *Reply) isUsableBy(req *Request) bool {
-	return r.IsSigned() && (r.Meta.RequestID == req.ID || r.Meta.RequestID == "")
-}
-
 // IsRefusal reports whether the searcher did not run the request, so that it may get it again.
 func (r *Reply) IsRefusal() bool {
 	return r.Meta.NotRun || r.Status == http.StatusMisdirectedRequest
