picker, forwarder: a log line when a searcher is left out

Cause: the daemon changed what it believes of a searcher without a line that says so. End returns for how long it gets no requests because of malformed answers, and the forwarder logs that with the request and the error. TestMalformed checks the time, TestEndlessSearchers that the line is there.

--- a/cmd/cornelwood/endless_test.go
+++ b/cmd/cornelwood/endless_test.go
@@ -325,6 +325,9 @@
 			if rate > maxEndlessRate && name != largeAnswers {
 				t.Errorf("%.1f MB read a second of faulty searchers, want %d at most", rate/(1<<20), maxEndlessRate>>20)
 			}
+			if name != largeAnswers && name != "after answer" && !s.hasLogged("searcher gets no requests for a time: its answers are malformed") {
+				t.Error("not logged that a searcher is left out")
+			}
 			if served := own.served(); served < minServed {
 				t.Errorf("%.3f of the requests to the service served, want %.2f at least", served, minServed)
 			}
--- a/internal/route/forwarder/fanout.go
+++ b/internal/route/forwarder/fanout.go
@@ -230,7 +230,9 @@
 	}, !f.route.Idempotent)
 	res := result{call: i, searcher: s.ID, reply: rep, err: err, class: classify(rep, err)}
 	f.fwd.heed(s, rep)
-	exchange.End(pickerOutcome(&res))
+	if left := exchange.End(pickerOutcome(&res)); left > 0 && f.fwd.allowLogLine() {
+		f.fwd.log.Warn("searcher gets no requests for a time: its answers are malformed", "searcher", s.ID, "service", s.Service, "for", left, "request", f.req.ID, "error", err)
+	}
 	ticket.End(versionOutcome(&res), time.Since(start), time.Duration(f.latency.average.Load()))
 	switch res.class {
 	case success:
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -228,21 +228,27 @@
 	return h
 }
 
-// End ends the exchange with its outcome. Calls after the first have no effect.
-func (e *Exchange) End(o Outcome) {
+// End ends the exchange with its outcome. It returns for how long the searcher gets no requests from now on because its answers are
+// malformed, 0 in all other cases. Calls after the first have no effect.
+func (e *Exchange) End(o Outcome) time.Duration {
 	now := e.picker.now()
 	e.picker.mu.Lock()
 	defer e.picker.mu.Unlock()
 	if e.ended {
-		return
+		return 0
 	}
 	e.ended = true
 	took := now.Sub(e.start)
 	e.picker.estimate(e, o, relativeLatency(took, e.average))
 	delete(e.health.inFlight, e)
 	e.picker.estimator.Count(e.searcher, len(e.health.inFlight))
+	before := e.health.backoffUntil
 	e.health.record(o, took, e.average, now)
 	e.picker.observe(e, o, relativeLatency(took, e.average), now)
+	if o != Malformed || e.health.backoffUntil.Equal(before) {
+		return 0
+	}
+	return e.health.backoffUntil.Sub(now)
 }
 
 // estimate adds an exchange that ends to the searcher's estimates. One that was abandoned says nothing of its speed.
--- a/internal/route/picker/picker_test.go
+++ b/internal/route/picker/picker_test.go
@@ -159,12 +159,13 @@
 // are loaded; and against one that is left out because of a single request.
 func TestMalformed(t *testing.T) {
 	s := newSetup(t, "own", "own")
+	var left []time.Duration
 	end := func(o Outcome) {
 		_, exchange := s.Pick(s.searchers, []string{"b"}, average)
 		if exchange == nil {
 			s.t.Fatal("searcher not available")
 		}
-		exchange.End(o)
+		left = append(left, exchange.End(o))
 	}
 	isAvailable := func() bool { return s.Usable(s.searchers) == 2 }
 	var got []bool
@@ -186,6 +187,9 @@
 	if diff := cmp.Diff([]bool{true, true, true, false, true, false, true}, got); diff != "" {
 		t.Errorf("available after each answer and time (-want +got):\n%s", diff)
 	}
+	if diff := cmp.Diff([]time.Duration{0, 0, 0, minBackoff, 2 * minBackoff, 0}, left); diff != "" {
+		t.Errorf("time without requests after each answer (-want +got):\n%s", diff)
+	}
 }
 
 // TestSurplus checks that a searcher that sends more bytes after its answers is avoided, and used where there is no other.
