--- a/cmd/cornelwood/endless_test.go
+++ b/cmd/cornelwood/endless_test.go
@@ -40,7 +40,7 @@
 	minServed = 0.95
 )
 
-// behaviour is what a server sends in answer to a request, to a daemon named name in the log. It ends when a write fails.
+// behaviour is what a server of a name sends in answer to a request. It ends when a write fails.
 type behaviour func(w io.Writer, r *http.Request, name string) error
 
 // endlessServer is a server that answers each request by a behaviour which sends bytes until the connection is closed.
@@ -120,20 +120,21 @@
 // text without end.
 func endlessAfter(headers, start, text string) behaviour {
 	return func(w io.Writer, r *http.Request, name string) error {
-		h := make(http.Header)
-		platform.WriteAnswerHeaders(h, connector.Meta{RequestID: platform.ReadRequestHeaders(r.Header).RequestID, Instance: name, Stamp: name})
-		var head strings.Builder
-		head.WriteString("HTTP/1.1 200 OK\r\n")
-		if err := h.Write(&head); err != nil {
-			return err
-		}
-		if _, err := io.WriteString(w, head.String()+headers+start); err != nil {
-			return err
-		}
-		return repeatForever(w, text)
+		return endlessText(soundHead(r, name)+headers+start, text)(w, r, name)
 	}
 }
 
+// soundHead returns the head of a sound answer to a request, to which header lines can be added.
+func soundHead(r *http.Request, name string) string {
+	h := make(http.Header)
+	platform.WriteAnswerHeaders(h, connector.Meta{RequestID: platform.ReadRequestHeaders(r.Header).RequestID, Instance: name, Stamp: name})
+	var head strings.Builder
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	// A write to a strings.Builder never fails.
+	_ = h.Write(&head)
+	return head.String()
+}
+
 // endlessText returns a behaviour that sends start once and text without end.
 func endlessText(start, text string) behaviour {
 	return func(w io.Writer, _ *http.Request, _ string) error {
@@ -144,9 +145,21 @@
 	}
 }
 
+// endlessWhileIdle sends a sound answer, and bytes without end once the connection is kept for another request.
+func endlessWhileIdle(w io.Writer, r *http.Request, name string) error {
+	if _, err := io.WriteString(w, soundHead(r, name)+"Content-Length: 1\r\n\r\nx"); err != nil {
+		return err
+	}
+	time.Sleep(10 * time.Millisecond)
+	return repeatForever(w, "x")
+}
+
 // largeAnswers is the case of complete answers that callers get, with more bytes after them.
 const largeAnswers = "large answers"
 
+// isAnswered holds the cases in which callers get sound answers, with more bytes after them.
+var isAnswered = map[string]bool{"after answer": true, "while idle": true, largeAnswers: true}
+
 // endlessBehaviours are the ways in which a server sends bytes without end in place of an answer, in one, or after one.
 var endlessBehaviours = map[string]behaviour{
 	"status line":   endlessText("", "x"),
@@ -163,6 +176,7 @@
 	"extensions":    endlessAfter("Transfer-Encoding: chunked\r\n", "\r\n", "1;"+strings.Repeat("x", 1000)+"\r\nx\r\n"),
 	"trailer":       endlessAfter("Transfer-Encoding: chunked\r\n", "\r\n1\r\nx\r\n0\r\n", "X-Filler: x\r\n"),
 	"after answer":  endlessAfter("Content-Length: 1\r\n", "\r\nx", "x"),
+	"while idle":    endlessWhileIdle,
 	"answers":       endlessText("", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
 	"unsigned body": endlessText("HTTP/1.1 200 OK\r\n\r\n", "x"),
 	largeAnswers:    endlessAfter("Content-Length: 8000000\r\n", "\r\n", "x"),
@@ -325,7 +339,7 @@
 			if rate > maxEndlessRate && name != largeAnswers {
 				t.Errorf("%.1f MB read a second of faulty searchers, want %d at most", rate/(1<<20), maxEndlessRate>>20)
 			}
-			if name != largeAnswers && name != "after answer" && !s.hasLogged("searcher gets no requests for a time: its answers are malformed") {
+			if !isAnswered[name] && !s.hasLogged("searcher gets no requests for a time: its answers are malformed") {
 				t.Error("not logged that a searcher is left out")
 			}
 			if served := own.served(); served < minServed {
