--- a/cmd/cornelwood/entry_restore_test.go
+++ b/cmd/cornelwood/entry_restore_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -59,7 +60,8 @@
 			restoredAt := k.restoreStore(backup, hasCaughtUp)
 			time.Sleep(time.Until(restoredAt.Add(rewriteDelay)))
 			if !added.LastRun().After(restoredAt) {
-				t.Error("a searcher that the copy lacks got no request")
+				t.Errorf("a searcher that the copy lacks got no request, the last one %s before", restoredAt.Sub(added.LastRun()))
+				k.logLinesOf(added)
 			}
 			for _, o := range written {
 				k.store.Set(o.kind, o.name, o.spec)
@@ -134,6 +136,20 @@
 	return time.Now()
 }
 
+// logLinesOf logs what the daemons have logged of a searcher so far.
+func (k *entrySoak) logLinesOf(s *soakSearcher) {
+	k.mu.Lock()
+	name := k.nameOf(s)
+	k.mu.Unlock()
+	for _, d := range k.daemons {
+		for line := range strings.Lines(d.logText()) {
+			if strings.Contains(line, `"searcher":"`+name+`"`) {
+				k.t.Logf("%s: %s", d.id, line)
+			}
+		}
+	}
+}
+
 // assertServed checks that all requests were served.
 func (k *entrySoak) assertServed(all []accountAnswer) {
 	got := make(map[int]int)
