--- a/cmd/cornelwood/endless_test.go
+++ b/cmd/cornelwood/endless_test.go
@@ -363,7 +363,7 @@
 	s.daemon.assertBounded(s.t, s.machine, u)
 }
 
-// TestEndlessStore makes the store send bytes without end in place of its answers. The daemon must go on serving by what it knows, within
+// TestEndlessStore makes the store send bytes without end in place of its answers. The daemon must go on serving by its cached state, within
 // its memory, and apply changes once the store answers again.
 func TestEndlessStore(t *testing.T) {
 	for name, behave := range endlessBehaviours {
--- a/internal/route/promoter/promoter_test.go
+++ b/internal/route/promoter/promoter_test.go
@@ -377,7 +377,7 @@
 		}
 		synctest.Wait()
 		if deciders()[2] {
-			t.Error("a daemon decides that knows no daemons")
+			t.Error("a daemon without a list of daemons decides")
 		}
 	})
 }
