connector: a searcher is not faulty because the memory for answers is full

Bodies that found no more room halved the bound of the next without an end, until bodies were cut off below the room that there was, as malformed. Where the memory stays full, sound searchers would have been left out.

Evidence: TestMaxBuffered asks for bodies one after the other, too; it fails with any number of bodies that count.

--- a/internal/upstream/connector/connector_test.go
+++ b/internal/upstream/connector/connector_test.go
@@ -611,6 +611,12 @@
 		assertAnswered(t, rep, err)
 	}
 	wg.Wait()
+	// A searcher is not faulty because there is no more room, however often that happens.
+	for range fullBoundInterval {
+		if _, err := do(t, c, endless, "1"); !errors.Is(err, errBuffered) {
+			t.Errorf("error %v of a body alone, want that too many bytes are read at once", err)
+		}
+	}
 }
 
 // countingConn counts the bytes that are read.
--- a/internal/upstream/connector/gate.go
+++ b/internal/upstream/connector/gate.go
@@ -14,6 +14,8 @@
 	minBodyLimit = 512 << 10
 	// fullBoundInterval is the number of bodies in a row of which one is read up to the bound of any answer.
 	fullBoundInterval = 8
+	// maxUnproven is the number of bodies in a row that count although they only found no more room.
+	maxUnproven = 2
 	// gateRetention is how long a gate that is not used is kept.
 	gateRetention = time.Minute
 )
@@ -66,7 +68,8 @@
 }
 
 // leave ends the reading of a body of which n bytes were read, with an error, nil for a whole one. One that was given up or broke off
-// shows nothing. One that found no more room counts as too long if it had taken much of it.
+// shows nothing. One that found no more room counts if it had taken much of it, up to a quarter of the bound of any answer: that there is
+// no room may be due to other answers.
 func (g *gate) leave(n int, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -76,7 +79,8 @@
 	switch {
 	case err == nil:
 		g.admitted, g.inRow = min(2*max(1, g.admitted), maxAdmitted), 0
-	case errors.As(err, &tooLong) || errors.Is(err, errWireTooLong) || errors.Is(err, errBuffered) && n >= minBodyLimit:
+	case errors.Is(err, errBuffered) && n >= minBodyLimit && g.inRow < maxUnproven,
+		errors.As(err, &tooLong), errors.Is(err, errWireTooLong):
 		g.admitted = 0
 		g.tooLong++
 		g.inRow++
