--- /dev/null
+++ b/review/_player3/proxy.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"net"
+	"sync"
+)
+
+// proxy passes connections on to a target. While it is silent it accepts connections and passes nothing on, like a path that
+// drops all packets.
+type proxy struct {
+	lis    net.Listener
+	target string
+
+	mu     sync.Mutex
+	silent bool
+	conns  map[net.Conn]struct{}
+}
+
+func newProxy(target string) (*proxy, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{lis: lis, target: target, conns: make(map[net.Conn]struct{})}
+	go p.serve()
+	return p, nil
+}
+
+func (p *proxy) addr() string {
+	return p.lis.Addr().String()
+}
+
+// setSilent cuts the path, or ends the cut. Connections of before the cut's end are dropped then.
+func (p *proxy) setSilent(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = silent
+	if !silent {
+		for c := range p.conns {
+			c.Close()
+		}
+	}
+}
+
+func (p *proxy) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent
+}
+
+func (p *proxy) serve() {
+	for {
+		c, err := p.lis.Accept()
+		if err != nil {
+			return
+		}
+		go p.pass(c)
+	}
+}
+
+func (p *proxy) pass(c net.Conn) {
+	up, err := net.Dial("tcp", p.target)
+	if err != nil {
+		c.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[c], p.conns[up] = struct{}{}, struct{}{}
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(up, c) })
+	both.Go(func() { p.copy(c, up) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, c)
+	delete(p.conns, up)
+	p.mu.Unlock()
+}
+
+// copy passes bytes on until the connection ends. What arrives during a cut is dropped, and so is the connection's end.
+func (p *proxy) copy(to, from net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !p.isSilent() {
+			_, _ = to.Write(buf[:n])
+		}
+		if err != nil {
+			to.Close()
+			from.Close()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/review/_player3/searcher.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"cornelwood.example/platform"
+)
+
+// checkInInterval is heartbeat_ms of the small deployments.
+const checkInInterval = 1200 * time.Millisecond
+
+// arrival is one request at a searcher.
+type arrival struct {
+	id string
+	at time.Time
+	// sentAt is when the client sent it.
+	ran bool
+}
+
+// searcher is a stand-in of a searcher: one process lifetime after the other under the same ID and address.
+type searcher struct {
+	site      *site
+	id        string
+	service   string
+	zone      string
+	slots     int
+	work      time.Duration
+	coldFor   time.Duration
+	addr      string
+	stopWrite chan struct{}
+
+	mu       sync.Mutex
+	srv      *http.Server
+	lis      net.Listener
+	conns    map[net.Conn]struct{}
+	born     int64
+	sequence int
+	state    string
+	coldTill time.Time
+	isUp     bool
+	arrivals []arrival
+	// answer, if not nil, answers in place of the searcher.
+	answer func(w http.ResponseWriter, r *http.Request) bool
+}
+
+func (s *site) addSearcher(id, service, zone string) (*searcher, error) {
+	addr, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
+	p := &searcher{
+		site: s, id: id, service: service, zone: zone, slots: 3, work: 5 * time.Millisecond, addr: addr,
+		conns: make(map[net.Conn]struct{}), stopWrite: make(chan struct{}),
+	}
+	if err := p.start(0); err != nil {
+		return nil, err
+	}
+	go p.checkIn()
+	return p, nil
+}
+
+// start begins a lifetime that is cold for a time. It registers before it accepts connections.
+func (p *searcher) start(cold time.Duration) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.born, p.sequence, p.state, p.isUp = time.Now().UnixMilli(), 0, "ready", true
+	p.coldTill = time.Now().Add(cold)
+	p.writeEntry()
+	lis, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return err
+	}
+	p.lis = lis
+	srv := &http.Server{Handler: p, ReadHeaderTimeout: time.Minute, ConnState: p.track}
+	p.srv = srv
+	go func() { _ = srv.Serve(lis) }()
+	return nil
+}
+
+func (p *searcher) track(c net.Conn, state http.ConnState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state == http.StateNew {
+		p.conns[c] = struct{}{}
+	}
+	if state == http.StateClosed {
+		delete(p.conns, c)
+	}
+}
+
+// crash ends the lifetime without a word: its connections are reset.
+func (p *searcher) crash() {
+	p.mu.Lock()
+	p.isUp = false
+	lis, srv := p.lis, p.srv
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	p.mu.Unlock()
+	lis.Close()
+	srv.Close()
+}
+
+// turnCold makes the searcher cold for a time. Its entry says so from its next check-in on.
+func (p *searcher) turnCold(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.coldTill = time.Now().Add(d)
+}
+
+// checkIn writes the entry each checkInInterval.
+func (p *searcher) checkIn() {
+	tick := time.NewTicker(checkInInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-p.stopWrite:
+			return
+		case <-tick.C:
+			p.mu.Lock()
+			if p.isUp {
+				p.writeEntry()
+			}
+			p.mu.Unlock()
+		}
+	}
+}
+
+// writeEntry writes the entry; mu is held.
+func (p *searcher) writeEntry() {
+	p.sequence++
+	spec, _ := json.Marshal(map[string]any{
+		"service": p.service, "address": p.addr, "zone": p.zone, "version": "v1", "slots": p.slots, "state": p.state,
+		"warmup_left_ms": max(0, time.Until(p.coldTill).Milliseconds()), "sequence": p.sequence, "born": p.born,
+	})
+	p.site.store.Set(platform.KindServers, p.id, spec)
+}
+
+// ServeHTTP answers a request or a check.
+func (p *searcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	p.mu.Lock()
+	cold := max(0, p.coldTill.Sub(now).Milliseconds())
+	answer := p.answer
+	if r.URL.Path == "/health" {
+		p.mu.Unlock()
+		w.Header().Set("X-Cornelwood-Instance-Id", p.id)
+		w.Header().Set("X-Cornelwood-Cold-Ms", strconv.FormatInt(cold, 10))
+		return
+	}
+	id, expect := r.Header.Get("X-Cornelwood-Request-Id"), r.Header.Get("X-Cornelwood-Expect-Instance")
+	if expect != "" && expect != p.id {
+		p.mu.Unlock()
+		w.Header().Set("X-Cornelwood-Instance-Id", p.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	p.arrivals = append(p.arrivals, arrival{id: id, at: now, ran: true})
+	n := len(p.arrivals)
+	p.mu.Unlock()
+	p.site.record.notef("run %s at %s cold_ms=%d", id, p.id, cold)
+	w.Header().Set("X-Cornelwood-Request-Id", id)
+	if answer != nil && answer(w, r) {
+		return
+	}
+	select {
+	case <-time.After(p.work):
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set("X-Cornelwood-Server-Stamp", fmt.Sprintf("%s.%d.%s", p.id, n, id))
+	_, _ = w.Write([]byte("0123456789abcdef"))
+}
+
+// arrivalsBetween returns the arrivals of a span.
+func (p *searcher) arrivalsBetween(from, to time.Time) []arrival {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []arrival
+	for _, a := range p.arrivals {
+		if !a.at.Before(from) && a.at.Before(to) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
