review: a zone that is brought back sends its load to a searcher that has just turned cold

Cause: a zone counts as cold after an evacuation only until the entries are known as of its end; a searcher that turned cold shortly before says so in its entry at its next check-in, and on its health page, which is not read.

--- a/review/_player3/main.go
+++ b/review/_player3/main.go
@@ -17,7 +17,9 @@
 type play func(rec *record, trouble bool) (broken bool, err error)
 
 var cases = map[string]play{
-	"config-storm":    configStorm,
+	"config-storm": configStorm,
+	"cold-zone":    coldZone,
+	"path":         encodedSlash,
 }
 
 func main() {
--- a/review/_player3/proxy.go
+++ b/review/_player3/proxy.go
@@ -14,6 +14,8 @@
 	mu     sync.Mutex
 	silent bool
 	conns  map[net.Conn]struct{}
+	// lost holds the connections that pass nothing on any more.
+	lost map[net.Conn]struct{}
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -21,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{lis: lis, target: target, conns: make(map[net.Conn]struct{})}
+	p := &proxy{lis: lis, target: target, conns: make(map[net.Conn]struct{}), lost: make(map[net.Conn]struct{})}
 	go p.serve()
 	return p, nil
 }
@@ -42,10 +44,23 @@
 	}
 }
 
-func (p *proxy) isSilent() bool {
+// silenceOpen makes the connections that are open now pass nothing on for good, without a reset. New ones work.
+func (p *proxy) silenceOpen() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.silent
+	n := 0
+	for c := range p.conns {
+		p.lost[c] = struct{}{}
+		n++
+	}
+	return n / 2
+}
+
+func (p *proxy) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, isLost := p.lost[c]
+	return p.silent || isLost
 }
 
 func (p *proxy) serve() {
@@ -74,6 +89,8 @@
 	p.mu.Lock()
 	delete(p.conns, c)
 	delete(p.conns, up)
+	delete(p.lost, c)
+	delete(p.lost, up)
 	p.mu.Unlock()
 }
 
@@ -82,7 +99,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !p.isSilent() {
+		if n > 0 && !p.isSilent(from) {
 			_, _ = to.Write(buf[:n])
 		}
 		if err != nil {
--- a/review/_player3/searcher.go
+++ b/review/_player3/searcher.go
@@ -19,8 +19,6 @@
 type arrival struct {
 	id string
 	at time.Time
-	// sentAt is when the client sent it.
-	ran bool
 }
 
 // searcher is a stand-in of a searcher: one process lifetime after the other under the same ID and address.
@@ -45,6 +43,9 @@
 	coldTill time.Time
 	isUp     bool
 	arrivals []arrival
+	// crashAt is the number of requests in one second at which the searcher crashes while it is cold, 0 for none; crashed counts its
+	// crashes.
+	crashAt, crashed int
 	// answer, if not nil, answers in place of the searcher.
 	answer func(w http.ResponseWriter, r *http.Request) bool
 }
@@ -109,6 +110,37 @@
 	srv.Close()
 }
 
+// restartTime is how long a searcher is down after a crash of its own.
+const restartTime = 2 * time.Second
+
+// crashAndRestart crashes the searcher, once, and starts it again later.
+func (p *searcher) crashAndRestart() {
+	p.mu.Lock()
+	wasUp := p.isUp
+	p.isUp = false
+	if wasUp {
+		p.crashed++
+	}
+	p.mu.Unlock()
+	if !wasUp {
+		return
+	}
+	p.site.record.notef("searcher %s crashes: it got well above its rate", p.id)
+	go func() {
+		p.crash()
+		time.Sleep(restartTime)
+		if err := p.start(coldTime); err != nil {
+			p.site.record.notef("searcher %s not started again: %v", p.id, err)
+		}
+	}()
+}
+
+func (p *searcher) crashCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashed
+}
+
 // turnCold makes the searcher cold for a time. Its entry says so from its next check-in on.
 func (p *searcher) turnCold(d time.Duration) {
 	p.mu.Lock()
@@ -163,10 +195,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	p.arrivals = append(p.arrivals, arrival{id: id, at: now, ran: true})
+	p.arrivals = append(p.arrivals, arrival{id: id, at: now})
 	n := len(p.arrivals)
+	mustCrash := cold > 0 && p.crashAt > 0 && n > p.crashAt && now.Sub(p.arrivals[n-1-p.crashAt].at) < time.Second
 	p.mu.Unlock()
 	p.site.record.notef("run %s at %s cold_ms=%d", id, p.id, cold)
+	if mustCrash {
+		p.crashAndRestart()
+		return
+	}
 	w.Header().Set("X-Cornelwood-Request-Id", id)
 	if answer != nil && answer(w, r) {
 		return
