review: a late check-in of a former process brings a draining searcher back into use

Cause: an entry replaces the one before without a look at the start of the process that wrote it (born) or at its count.

--- a/review/_player3/proxy.go
+++ b/review/_player3/proxy.go
@@ -18,8 +18,8 @@
 	lost map[net.Conn]struct{}
 }
 
-func newProxy(target string) (*proxy, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+func newProxy(ip, target string) (*proxy, error) {
+	lis, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/review/_player3/searcher.go
+++ b/review/_player3/searcher.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -51,7 +50,7 @@
 }
 
 func (s *site) addSearcher(id, service, zone string) (*searcher, error) {
-	addr, err := freeAddr()
+	addr, err := s.freeAddr()
 	if err != nil {
 		return nil, err
 	}
@@ -169,11 +168,7 @@
 // writeEntry writes the entry; mu is held.
 func (p *searcher) writeEntry() {
 	p.sequence++
-	spec, _ := json.Marshal(map[string]any{
-		"service": p.service, "address": p.addr, "zone": p.zone, "version": "v1", "slots": p.slots, "state": p.state,
-		"warmup_left_ms": max(0, time.Until(p.coldTill).Milliseconds()), "sequence": p.sequence, "born": p.born,
-	})
-	p.site.store.Set(platform.KindServers, p.id, spec)
+	p.site.store.Set(platform.KindServers, p.id, p.entry())
 }
 
 // ServeHTTP answers a request or a check.
--- a/review/_player3/site.go
+++ b/review/_player3/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -28,7 +29,9 @@
 
 // site is a small deployment: the metadata store and the searchers in this process, the daemons in processes of their own.
 type site struct {
-	dir       string
+	dir string
+	// ip is a loopback address of this site's own: the ports of clients' connections, which begin at another, do not clash with its ports.
+	ip        string
 	store     *keeper.MemoryStore
 	storeAddr string
 	daemons   []*daemon
@@ -59,10 +62,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{dir: dir, store: keeper.NewMemoryStore(), record: rec, bounds: map[string]any{
+	ip := fmt.Sprintf("127.%d.%d.1", 1+rand.IntN(250), rand.IntN(250))
+	s := &site{dir: dir, ip: ip, store: keeper.NewMemoryStore(), record: rec, bounds: map[string]any{
 		"grace_s": 6, "retry_budget_ratio": 0.2, "retry_slack": 54, "budget_window_s": 10,
 	}}
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	lis, err := net.Listen("tcp", s.ip+":0")
 	if err != nil {
 		return nil, err
 	}
@@ -85,9 +89,9 @@
 	s.store.Set(platform.KindConfig, platform.ConfigName, json.RawMessage(spec))
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
-func freeAddr() (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+// freeAddr returns an address and port of the site that was free a moment ago.
+func (s *site) freeAddr() (string, error) {
+	lis, err := net.Listen("tcp", s.ip+":0")
 	if err != nil {
 		return "", err
 	}
@@ -99,14 +103,14 @@
 func (s *site) addDaemon(name, zone string) (*daemon, error) {
 	d := &daemon{site: s, name: name, zone: zone, settings: filepath.Join(s.dir, name+".ini")}
 	for _, at := range []*string{&d.front, &d.ready, &d.peers} {
-		addr, err := freeAddr()
+		addr, err := s.freeAddr()
 		if err != nil {
 			return nil, err
 		}
 		*at = addr
 	}
 	var err error
-	if d.store, err = newProxy(s.storeAddr); err != nil {
+	if d.store, err = newProxy(s.ip, s.storeAddr); err != nil {
 		return nil, err
 	}
 	s.daemons = append(s.daemons, d)
--- /dev/null
+++ b/review/_player3/stale.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"time"
+
+	"cornelwood.example/platform"
+)
+
+const (
+	// drainTime is drain_ms.
+	drainTime = 3 * time.Second
+	// lateWrite is how long after it was sent the store executes a check-in that got no answer: 1 to 6 s by the bench's kinds.
+	lateWrite = 5500 * time.Millisecond
+	// drainAt is when the next process of the searcher reports that it drains, after that check-in was sent.
+	drainAt = 2 * time.Second
+	// serveOn is how long it serves on after that.
+	serveOn = drainTime + 1900*time.Millisecond
+	// staleWork is the time that a request takes.
+	staleWork = 60 * time.Millisecond
+	// staleRounds is the number of times that a searcher does all this.
+	staleRounds = 6
+)
+
+// staleEntry lets the store execute the last check-in of a searcher's former process while its next process drains.
+func staleEntry(rec *record, trouble bool) (bool, error) {
+	s, err := newSite(rec)
+	if err != nil {
+		return false, err
+	}
+	defer s.close()
+	var all []*searcher
+	for _, zone := range zones {
+		p, err := s.addSearcher("i-"+zone, "till", zone)
+		if err != nil {
+			return false, err
+		}
+		p.work = staleWork
+		all = append(all, p)
+	}
+	for _, zone := range zones {
+		if _, err := s.addDaemon("front-"+zone, zone); err != nil {
+			return false, err
+		}
+	}
+	s.declare(fmt.Sprintf(`{"version":1,"routes":[{"name":"r","host":%q,"path_prefix":"/goka/","kind":"non_idempotent","timeout_ms":5000,"goal_ms":500,"priority":2,"service":"till","attempts":2}],`+
+		`"services":[{"name":"till","health_path":"/health","max_conns":35,"protocol":"h1","tls":false,"cold_s":3.0,"cold_per_s":0.0}],`+
+		`"limits":{"header_bytes":16384,"body_bytes":262144,"header_ms":3000,"idle_ms":15000}}`, host))
+	if err := s.startAll(); err != nil {
+		return false, err
+	}
+	c := newClients(s)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	c.load(ctx, 90, "POST", "/goka/1", "x", 5*time.Second)
+	time.Sleep(3 * time.Second)
+	late, lost := 0, 0
+	for round := range staleRounds {
+		p := all[round%len(all)]
+		drained := p.replaceAndDrain(trouble)
+		exited := time.Now()
+		time.Sleep(time.Second)
+		if err := p.start(0); err != nil {
+			return false, err
+		}
+		for _, a := range p.arrivalsBetween(drained.Add(drainTime), exited) {
+			late++
+			rec.notef("%s reached %s %s after the store acknowledged that it drains", a.id, p.id, a.at.Sub(drained).Round(time.Millisecond))
+			c.mu.Lock()
+			if c.replies[a.id].status != http.StatusOK {
+				lost++
+			}
+			c.mu.Unlock()
+		}
+	}
+	stop()
+	c.running.Wait()
+	line := fmt.Sprintf("%d requests reached a searcher later than %s after the store acknowledged that it drains; %d of them were lost as it exited", late, drainTime, lost)
+	rec.notef("%s", line)
+	fmt.Println(line)
+	fmt.Println("answers by status:", c.statuses())
+	return late > 0, nil
+}
+
+// replaceAndDrain sends a check-in that the store executes late if trouble is set, ends the process, starts the next one, drains it and ends it.
+// It returns when the store acknowledged that it drains.
+func (p *searcher) replaceAndDrain(trouble bool) time.Time {
+	rec := p.site.record
+	p.mu.Lock()
+	p.sequence++
+	former := p.entry()
+	p.mu.Unlock()
+	sent := time.Now()
+	rec.notef("%s sends a check-in that gets no answer, and ends", p.id)
+	p.crash()
+	time.Sleep(300 * time.Millisecond)
+	if err := p.start(0); err != nil {
+		rec.notef("%s not started again: %v", p.id, err)
+	}
+	rec.notef("%s starts again", p.id)
+	time.Sleep(time.Until(sent.Add(drainAt)))
+	p.mu.Lock()
+	p.state = "draining"
+	p.writeEntry()
+	p.mu.Unlock()
+	drained := time.Now()
+	rec.notef("%s drains", p.id)
+	time.Sleep(time.Until(sent.Add(lateWrite)))
+	if trouble {
+		p.site.store.Set(platform.KindServers, p.id, former)
+		rec.notef("the store executes the check-in of the former process of %s", p.id)
+	}
+	time.Sleep(time.Until(drained.Add(serveOn)))
+	p.crash()
+	p.site.store.Delete(platform.KindServers, p.id)
+	rec.notef("%s has served on for %s and exits", p.id, serveOn)
+	return drained
+}
+
+// entry returns the entry of now; mu is held.
+func (p *searcher) entry() json.RawMessage {
+	spec, err := json.Marshal(map[string]any{
+		"service": p.service, "address": p.addr, "zone": p.zone, "version": "v1", "slots": p.slots, "state": p.state,
+		"warmup_left_ms": math.Max(0, float64(time.Until(p.coldTill).Milliseconds())), "sequence": p.sequence, "born": p.born,
+	})
+	if err != nil {
+		// Strings and numbers always have a JSON form.
+		panic(err)
+	}
+	return spec
+}
