review: a route with many attempts is left out

Cause: the daemon has a bound of its own on the attempts of a route (16), and leaves out a valid route that exceeds it.

--- a/review/_player3/main.go
+++ b/review/_player3/main.go
@@ -20,6 +20,7 @@
 	"config-storm": configStorm,
 	"cold-zone":    coldZone,
 	"path":         encodedSlash,
+	"attempts":     manyAttempts,
 	"stale-entry":  staleEntry,
 }
 
