--- a/review/_player3/cold.go
+++ b/review/_player3/cold.go
@@ -17,24 +17,29 @@
 	coldTime    = 3 * time.Second
 	// evacuationTime is for_s of an evacuation.
 	evacuationTime = 6 * time.Second
-	// coldBefore is how long before the end of the evacuation the zone's searcher turns cold.
+	// coldBefore is how long before the end of the evacuation the zone's searchers turn cold.
 	coldBefore  = 200 * time.Millisecond
 	evacuations = 6
+	// zoneSearchers is the number of searchers in a zone, coldLoad the number of requests a second.
+	zoneSearchers = 3
+	coldLoad      = 450
 )
 
 // zones are those of the site.
 var zones = []string{"glasgow", "edinburgh", "dundee"}
 
-// coldSite is three daemons of three zones before a service with a searcher in each.
-func coldSite(s *site) ([]*searcher, error) {
-	var all []*searcher
+// coldSite is three daemons of three zones before a service with some searchers in each. It returns these by zone.
+func coldSite(s *site) (map[string][]*searcher, error) {
+	all := make(map[string][]*searcher)
 	for _, zone := range zones {
-		p, err := s.addSearcher("i-"+zone, "till", zone)
-		if err != nil {
-			return nil, err
+		for i := range zoneSearchers {
+			p, err := s.addSearcher(fmt.Sprintf("i-%s-%d", zone, i), "till", zone)
+			if err != nil {
+				return nil, err
+			}
+			p.crashAt = 3 * coldPerS
+			all[zone] = append(all[zone], p)
 		}
-		p.crashAt = 3 * coldPerS
-		all = append(all, p)
 		if _, err := s.addDaemon("front-"+zone, zone); err != nil {
 			return nil, err
 		}
@@ -45,8 +50,8 @@
 	return all, s.startAll()
 }
 
-// coldZone takes each zone out and brings it back. Its searcher turns cold shortly before it is brought back, while it gets nothing, says so
-// on its health page at once and in its entry at its next check-in.
+// coldZone takes each zone out and brings it back. Its searchers turn cold shortly before it is brought back, while they get nothing, say so
+// on their health pages at once and in their entries at their next check-ins.
 func coldZone(rec *record, trouble bool) (bool, error) {
 	s, err := newSite(rec)
 	if err != nil {
@@ -60,7 +65,7 @@
 	c := newClients(s)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	c.load(ctx, 180, "POST", "/goka/1", "x", 1200*time.Millisecond)
+	c.load(ctx, coldLoad, "POST", "/goka/1", "x", 1200*time.Millisecond)
 	time.Sleep(3 * time.Second)
 	type span struct {
 		p    *searcher
@@ -68,18 +73,20 @@
 	}
 	var spans []span
 	for i := range evacuations {
-		p := all[i%len(all)]
-		s.store.Set(platform.KindEvacuations, p.zone, json.RawMessage(`{}`))
-		rec.notef("zone %s is taken out", p.zone)
+		zone := zones[i%len(zones)]
+		s.store.Set(platform.KindEvacuations, zone, json.RawMessage(`{}`))
+		rec.notef("zone %s is taken out", zone)
 		time.Sleep(evacuationTime - coldBefore)
-		spans = append(spans, span{p, time.Now()})
-		if trouble {
-			p.turnCold(coldTime)
-			rec.notef("searcher %s turns cold for %s", p.id, coldTime)
+		for _, p := range all[zone] {
+			spans = append(spans, span{p, time.Now()})
+			if trouble {
+				p.turnCold(coldTime)
+				rec.notef("searcher %s turns cold for %s", p.id, coldTime)
+			}
 		}
 		time.Sleep(coldBefore)
-		s.store.Delete(platform.KindEvacuations, p.zone)
-		rec.notef("zone %s is brought back", p.zone)
+		s.store.Delete(platform.KindEvacuations, zone)
+		rec.notef("zone %s is brought back", zone)
 		time.Sleep(5 * time.Second)
 	}
 	stop()
@@ -99,10 +106,12 @@
 	return broken > 0, nil
 }
 
-func crashes(all []*searcher) int {
+func crashes(all map[string][]*searcher) int {
 	n := 0
-	for _, p := range all {
-		n += p.crashCount()
+	for _, zone := range zones {
+		for _, p := range all[zone] {
+			n += p.crashCount()
+		}
 	}
 	return n
 }
--- a/review/_player3/searcher.go
+++ b/review/_player3/searcher.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"reflect"
 	"strconv"
 	"sync"
 	"time"
@@ -22,15 +25,14 @@
 
 // searcher is a stand-in of a searcher: one process lifetime after the other under the same ID and address.
 type searcher struct {
-	site      *site
-	id        string
-	service   string
-	zone      string
-	slots     int
-	work      time.Duration
-	coldFor   time.Duration
-	addr      string
-	stopWrite chan struct{}
+	site    *site
+	id      string
+	service string
+	zone    string
+	slots   int
+	// work is the time that a request takes.
+	work time.Duration
+	addr string
 
 	mu       sync.Mutex
 	srv      *http.Server
@@ -45,8 +47,6 @@
 	// crashAt is the number of requests in one second at which the searcher crashes while it is cold, 0 for none; crashed counts its
 	// crashes.
 	crashAt, crashed int
-	// answer, if not nil, answers in place of the searcher.
-	answer func(w http.ResponseWriter, r *http.Request) bool
 }
 
 func (s *site) addSearcher(id, service, zone string) (*searcher, error) {
@@ -56,7 +56,7 @@
 	}
 	p := &searcher{
 		site: s, id: id, service: service, zone: zone, slots: 3, work: 5 * time.Millisecond, addr: addr,
-		conns: make(map[net.Conn]struct{}), stopWrite: make(chan struct{}),
+		conns: make(map[net.Conn]struct{}),
 	}
 	if err := p.start(0); err != nil {
 		return nil, err
@@ -147,28 +147,50 @@
 	p.coldTill = time.Now().Add(d)
 }
 
-// checkIn writes the entry each checkInInterval.
+// checkIn writes the entry each checkInInterval, from a random moment on.
 func (p *searcher) checkIn() {
-	tick := time.NewTicker(checkInInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-p.stopWrite:
-			return
-		case <-tick.C:
-			p.mu.Lock()
-			if p.isUp {
-				p.writeEntry()
-			}
-			p.mu.Unlock()
+	time.Sleep(time.Duration(rand.Float64() * float64(checkInInterval)))
+	for range time.Tick(checkInInterval) {
+		p.mu.Lock()
+		if p.isUp {
+			p.writeEntry()
 		}
+		p.mu.Unlock()
 	}
 }
 
-// writeEntry writes the entry; mu is held.
+// writeEntry writes the entry; mu is held. The store's entry changes when more than its sequence changes.
 func (p *searcher) writeEntry() {
 	p.sequence++
-	p.site.store.Set(platform.KindServers, p.id, p.entry())
+	spec := p.entry()
+	stored, exists := p.site.store.Get(platform.KindServers, p.id)
+	if !exists || !equalButSequence(stored.Spec, spec) {
+		p.site.store.Set(platform.KindServers, p.id, spec)
+	}
+}
+
+// equalButSequence reports whether two entries differ in their sequence at most.
+func equalButSequence(a, b json.RawMessage) bool {
+	var x, y map[string]any
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return false
+	}
+	delete(x, "sequence")
+	delete(y, "sequence")
+	return reflect.DeepEqual(x, y)
+}
+
+// entry returns the entry of now; mu is held.
+func (p *searcher) entry() json.RawMessage {
+	spec, err := json.Marshal(map[string]any{
+		"service": p.service, "address": p.addr, "zone": p.zone, "version": "v1", "slots": p.slots, "state": p.state,
+		"warmup_left_ms": max(0, time.Until(p.coldTill).Milliseconds()), "sequence": p.sequence, "born": p.born,
+	})
+	if err != nil {
+		// Strings and numbers always have a JSON form.
+		panic(err)
+	}
+	return spec
 }
 
 // ServeHTTP answers a request or a check.
@@ -176,7 +198,6 @@
 	now := time.Now()
 	p.mu.Lock()
 	cold := max(0, p.coldTill.Sub(now).Milliseconds())
-	answer := p.answer
 	if r.URL.Path == "/health" {
 		p.mu.Unlock()
 		w.Header().Set("X-Cornelwood-Instance-Id", p.id)
@@ -200,9 +221,6 @@
 		return
 	}
 	w.Header().Set("X-Cornelwood-Request-Id", id)
-	if answer != nil && answer(w, r) {
-		return
-	}
 	select {
 	case <-time.After(p.work):
 	case <-r.Context().Done():
--- a/review/_player3/site.go
+++ b/review/_player3/site.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -48,10 +47,7 @@
 	front    string
 	ready    string
 	peers    string
-	// store is the proxy between the daemon and the store.
-	store *proxy
-
-	mu  sync.Mutex
+	// cmd is nil until the process has been started; end is closed when it has ended.
 	cmd *exec.Cmd
 	end chan struct{}
 }
@@ -109,24 +105,20 @@
 		}
 		*at = addr
 	}
-	var err error
-	if d.store, err = newProxy(s.ip, s.storeAddr); err != nil {
-		return nil, err
-	}
 	s.daemons = append(s.daemons, d)
-	return d, d.writeSettings(true)
+	return d, d.writeSettings()
 }
 
 // writeSettings fills the deployment's template.
-func (d *daemon) writeSettings(bootstrap bool) error {
+func (d *daemon) writeSettings() error {
 	template, err := os.ReadFile("deploy/entry.ini")
 	if err != nil {
 		return err
 	}
 	ip, port, _ := net.SplitHostPort(d.peers)
 	fields := map[string]any{
-		"node_name": d.name, "zone": d.zone, "region": "r", "ip": ip, "port_range.0": port, "bootstrap": bootstrap,
-		"listen.front_addr": d.front, "listen.ready_addr": d.ready, "platform.address": d.store.addr(),
+		"node_name": d.name, "zone": d.zone, "region": "r", "ip": ip, "port_range.0": port, "bootstrap": true,
+		"listen.front_addr": d.front, "listen.ready_addr": d.ready, "platform.address": d.site.storeAddr,
 		"limits.memory_mb": 284, "limits.cpu_share": 0.4, "limits.max_fds": 4100,
 	}
 	for name, v := range d.site.bounds {
@@ -161,61 +153,36 @@
 
 // start starts the process.
 func (d *daemon) start() error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	log, err := os.OpenFile(filepath.Join(d.site.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	d.cmd = exec.CommandContext(context.Background(), "target/cornelwood", "entry", "--settings", d.settings)
-	d.cmd.Stdout, d.cmd.Stderr = log, log
+	cmd := exec.CommandContext(context.Background(), "target/cornelwood", "entry", "--settings", d.settings)
+	cmd.Stdout, cmd.Stderr = log, log
 	// The process ends with this one.
-	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	d.cmd.Env = append(os.Environ(), "CORNELWOOD_CONFIG="+d.settings)
-	if err := d.cmd.Start(); err != nil {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	cmd.Env = append(os.Environ(), "CORNELWOOD_CONFIG="+d.settings)
+	if err := cmd.Start(); err != nil {
 		return err
 	}
-	end := make(chan struct{})
-	d.end = end
-	cmd := d.cmd
+	d.cmd, d.end = cmd, make(chan struct{})
 	go func() {
+		// The status of a process that was killed says nothing.
 		_ = cmd.Wait()
-		close(end)
+		close(d.end)
 	}()
 	return nil
 }
 
-// signal sends a signal to the process.
-func (d *daemon) signal(sig syscall.Signal) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.cmd != nil && d.cmd.Process != nil {
-		_ = d.cmd.Process.Signal(sig)
-	}
-}
-
-// kill ends the process at once and waits for its end.
+// kill ends the process at once, if it was started, and waits for its end.
 func (d *daemon) kill() {
-	d.signal(syscall.SIGKILL)
-	d.mu.Lock()
-	end := d.end
-	d.mu.Unlock()
-	if end != nil {
-		<-end
-	}
-}
-
-// hasEnded reports whether the process has ended.
-func (d *daemon) hasEnded() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	select {
-	case <-d.end:
-		return true
-	default:
-		return false
+	if d.cmd == nil {
+		return
 	}
+	// An error means that the process has ended.
+	_ = d.cmd.Process.Kill()
+	<-d.end
 }
 
 // isReady makes the load balancer's check.
--- a/review/_player3/stale.go
+++ b/review/_player3/stale.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"math"
 	"net/http"
 	"time"
 
@@ -120,16 +118,3 @@
 	rec.notef("%s has served on for %s and exits", p.id, serveOn)
 	return drained
 }
-
-// entry returns the entry of now; mu is held.
-func (p *searcher) entry() json.RawMessage {
-	spec, err := json.Marshal(map[string]any{
-		"service": p.service, "address": p.addr, "zone": p.zone, "version": "v1", "slots": p.slots, "state": p.state,
-		"warmup_left_ms": math.Max(0, float64(time.Until(p.coldTill).Milliseconds())), "sequence": p.sequence, "born": p.born,
-	})
-	if err != nil {
-		// Strings and numbers always have a JSON form.
-		panic(err)
-	}
-	return spec
-}
