--- a/review/_player3/searcher.go
+++ b/review/_player3/searcher.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -114,6 +115,18 @@
 	srv.Close()
 }
 
+// stop ends the lifetime once it has answered what it has got.
+func (p *searcher) stop() {
+	p.mu.Lock()
+	p.isUp = false
+	srv := p.srv
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	// After that time it ends without an answer to the rest.
+	_ = srv.Shutdown(ctx)
+}
+
 // restartTime is how long a searcher is down after a crash of its own.
 const restartTime = 2 * time.Second
 
--- a/review/_player3/stale.go
+++ b/review/_player3/stale.go
@@ -13,15 +13,15 @@
 	// drainTime is drain_ms.
 	drainTime = 3 * time.Second
 	// lateWrite is how long after it was sent the store executes a check-in that got no answer: 1 to 6 s by the bench's kinds.
-	lateWrite = 5500 * time.Millisecond
+	lateWrite = 5900 * time.Millisecond
 	// drainAt is when the next process of the searcher reports that it drains, after that check-in was sent.
-	drainAt = 2 * time.Second
+	drainAt = 2700 * time.Millisecond
 	// serveOn is how long it serves on after that.
 	serveOn = drainTime + 1900*time.Millisecond
 	// staleWork is the time that a request takes.
 	staleWork = 120 * time.Millisecond
 	// staleRounds is the number of times that a searcher does all this.
-	staleRounds = 6
+	staleRounds = 10
 )
 
 // staleEntry lets the store execute the last check-in of a searcher's former process while its next process drains.
@@ -54,7 +54,7 @@
 	c := newClients(s)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	c.load(ctx, 90, "POST", "/goka/1", "x", 5*time.Second)
+	c.load(ctx, 180, "POST", "/goka/1", "x", 5*time.Second)
 	time.Sleep(3 * time.Second)
 	late, lost := 0, 0
 	for round := range staleRounds {
@@ -117,7 +117,7 @@
 	p.mu.Unlock()
 	sent := time.Now()
 	rec.notef("%s sends a check-in that gets no answer, and ends", p.id)
-	p.crash()
+	p.stop()
 	time.Sleep(300 * time.Millisecond)
 	if err := p.start(0); err != nil {
 		rec.notef("%s not started again: %v", p.id, err)
